Lay out the workspace and the types that every part shares

Cause: nothing exists yet; the parts that go side by side need one set of types. Change: names, time, positions, configuration records, settings, blackboard, events, commands,

each database has one home VM. Conclusion: callers, control, platform, peers and lab can be built side by side.

--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,3 @@
+//! Stand-ins, demo, replay and measurements.
+
+fn main() {}
--- /dev/null
+++ b/src/admin.rs
@@ -0,0 +1,1 @@
+//! The administration API.
--- /dev/null
+++ b/src/bin/currantctl/main.rs
@@ -0,0 +1,3 @@
+//! The operators' tool.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/currantlb/main.rs
@@ -0,0 +1,3 @@
+//! The daemon.
+
+fn main() {}
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,33 @@
+//! Decisions: plain functions of the blackboard, an event and the time.
+//!
+//! Controllers do no I/O, read no clock and draw no random numbers, so that a decision can be
+//! replayed, model-checked and measured without a socket.
+
+pub mod blackboard;
+pub mod command;
+pub mod configuration;
+pub mod event;
+pub mod home;
+pub mod limit;
+pub mod membership;
+pub mod snapshot;
+pub mod term;
+
+pub use blackboard::{Blackboard, LocalVm};
+pub use command::Command;
+pub use event::Event;
+pub use snapshot::Snapshot;
+
+use crate::time::Timestamp;
+
+/// Lets every controller handle one event, in an order in which each sees what the ones before
+/// it wrote to the blackboard.
+pub fn handle(board: &mut Blackboard, event: &Event, now: Timestamp) -> Vec<Command> {
+    let mut commands = Vec::new();
+    commands.extend(configuration::handle(board, event, now));
+    commands.extend(membership::handle(board, event, now));
+    commands.extend(home::handle(board, event, now));
+    commands.extend(term::handle(board, event, now));
+    commands.extend(limit::handle(board, event, now));
+    commands
+}
--- /dev/null
+++ b/src/control/snapshot.rs
@@ -0,0 +1,112 @@
+//! What the traffic threads read: an immutable copy of the parts of the blackboard they need.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use strum::Display;
+
+use super::blackboard::{Incarnation, LocalVm};
+use crate::configuration::Configuration;
+use crate::name::{DatabaseName, InstanceName, VmName, ZoneName};
+use crate::position::{LogPosition, Term};
+use crate::time::Timestamp;
+
+/// Whether this VM takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Standing {
+    /// Has no configuration yet.
+    Starting,
+    /// Takes new work.
+    Serving,
+    /// Has been cut from service and peers for too long to trust its picture.
+    Isolated,
+    /// Is shutting down: ends running work and takes no new.
+    Draining,
+}
+
+/// Which VM is the home of a database, as far as this VM knows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HomeView {
+    /// The home.
+    pub vm: VmName,
+    /// Count of home changes of the database; a greater epoch replaces a smaller one.
+    pub epoch: u64,
+}
+
+/// Lease under which this VM is the home of a database.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HomeLease {
+    /// Epoch of the lease.
+    pub epoch: u64,
+    /// Last moment at which the lease may be relied on.
+    pub valid_until: Timestamp,
+}
+
+/// One instance of a database that this VM is the home of.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InstanceView {
+    /// Name of the instance.
+    pub name: InstanceName,
+    /// Address of the instance.
+    pub address: SocketAddr,
+    /// Availability zone of the instance.
+    pub availability_zone: ZoneName,
+    /// Statements that this VM may run on the instance at once.
+    pub slots: u32,
+    /// Connections that this VM may hold to the instance.
+    pub connections: u32,
+    /// Whether the instance may get new work.
+    pub accepts_work: bool,
+    /// Whether the instance has answered lately.
+    pub reachable: bool,
+}
+
+/// One database that this VM is the home of.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DatabaseView {
+    /// Name of the database.
+    pub name: DatabaseName,
+    /// Lease under which this VM is the home.
+    pub lease: HomeLease,
+    /// Latest term that is known; `None` until an instance has reported.
+    pub term: Option<Term>,
+    /// Primary of that term; `None` while a promotion is under way.
+    pub primary: Option<InstanceName>,
+    /// Place in the log that covers every save acknowledged before this VM became the home;
+    /// `None` until it is known.
+    pub floor: Option<LogPosition>,
+    /// Instances of the group.
+    pub instances: Vec<InstanceView>,
+}
+
+/// Another VM as the traffic threads need it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerView {
+    /// Address for streams and datagrams.
+    pub address: SocketAddr,
+    /// Start count of the peer's process; `None` until it has been heard.
+    pub incarnation: Option<Incarnation>,
+    /// Availability zone of the peer.
+    pub availability_zone: ZoneName,
+}
+
+/// What the traffic threads read; replaced as a whole.
+#[derive(Debug, Clone)]
+pub struct Snapshot {
+    /// When the snapshot was taken.
+    pub taken_at: Timestamp,
+    /// Identity of this VM.
+    pub local: LocalVm,
+    /// Whether this VM takes new work.
+    pub standing: Standing,
+    /// The operators' configuration.
+    pub configuration: Arc<Configuration>,
+    /// Homes by database.
+    pub homes: Arc<BTreeMap<DatabaseName, HomeView>>,
+    /// Databases that this VM is the home of.
+    pub databases: BTreeMap<DatabaseName, Arc<DatabaseView>>,
+    /// Other VMs by name.
+    pub peers: Arc<BTreeMap<VmName, PeerView>>,
+}
--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,1 @@
+//! Errors of the daemon, each with its remedy.
--- /dev/null
+++ b/src/peer/message.rs
@@ -0,0 +1,24 @@
+//! Control messages between VMs, each owned by one controller.
+
+use serde::{Deserialize, Serialize};
+
+use crate::control::configuration::ConfigurationMessage;
+use crate::control::home::HomeMessage;
+use crate::control::limit::LimitMessage;
+use crate::control::membership::MembershipMessage;
+use crate::control::term::TermMessage;
+
+/// Control message; it may be lost, doubled, delayed or overtaken.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// To the membership controller.
+    Membership(MembershipMessage),
+    /// To the configuration controller.
+    Configuration(ConfigurationMessage),
+    /// To the home controller.
+    Home(HomeMessage),
+    /// To the term controller.
+    Term(TermMessage),
+    /// To the limit controller.
+    Limit(LimitMessage),
+}
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's configuration service.
--- /dev/null
+++ b/src/telemetry.rs
@@ -0,0 +1,30 @@
+//! Metrics, spans and the log line format.
+
+use std::fmt::Write;
+
+use crate::control::command::LogField;
+
+/// Writes one line of key=value pairs to the log.
+pub fn log_line(level: log::Level, event: &str, fields: &[LogField]) {
+    log::log!(level, "{}", format_line(event, fields));
+}
+
+fn format_line(event: &str, fields: &[LogField]) -> String {
+    let mut line = format!("event={event}");
+    for field in fields {
+        // Writing to a string can't fail.
+        let _ = write!(line, " {}={}", field.name, quoted(&field.value));
+    }
+    line
+}
+
+fn quoted(value: &str) -> String {
+    let plain = |c: char| c.is_ascii_graphic() && c != '"' && c != '=';
+    if !value.is_empty() && value.chars().all(plain) {
+        return value.to_owned();
+    }
+    format!("{value:?}")
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/traffic/exchange.rs
@@ -0,0 +1,59 @@
+//! One transaction of a caller on its way to the home of its database.
+
+use serde::{Deserialize, Serialize};
+
+use crate::configuration::Revision;
+use crate::control::blackboard::Incarnation;
+use crate::name::{DatabaseName, KeyId, RequestId, RouteName, SessionName, VmName, WorkspaceName};
+use crate::position::SessionToken;
+
+/// Identifier of an exchange, unique over all VMs and their restarts.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ExchangeId {
+    /// VM that the caller is connected to.
+    pub vm: VmName,
+    /// Start count of that VM's process.
+    pub incarnation: Incarnation,
+    /// Count of exchanges in that process.
+    pub number: u64,
+}
+
+/// What a transaction may do, as far as its first statement tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Access {
+    /// Reads only; may run on a replica.
+    Read,
+    /// May write; runs on the primary.
+    Write,
+}
+
+/// What the home needs to know of a transaction before it runs.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ExchangeHead {
+    /// Identifier of the exchange.
+    pub id: ExchangeId,
+    /// Workspace whose key the caller logged in with.
+    pub workspace: WorkspaceName,
+    /// Key that the caller logged in with.
+    pub key: KeyId,
+    /// Database that the caller connected to.
+    pub database: DatabaseName,
+    /// Session of the caller; `None` when the caller names none, so that the workspace is one.
+    pub session: Option<SessionName>,
+    /// Route that the statement is tagged with.
+    pub route: Option<RouteName>,
+    /// Identifier of the request, for recognising a retry.
+    pub request: Option<RequestId>,
+    /// What the session has seen, when the caller carries a token.
+    pub token: Option<SessionToken>,
+    /// What the transaction may do.
+    pub access: Access,
+    /// Time left until the caller gives up.
+    pub budget_ms: u64,
+    /// W3C trace context of the hop before.
+    pub traceparent: Option<String>,
+    /// Configuration revision of the VM that the caller is connected to.
+    pub revision: Revision,
+    /// Version of the preset that the request runs under.
+    pub preset_version: u64,
+}
--- /dev/null
+++ b/src/traffic/refusal.rs
@@ -0,0 +1,144 @@
+//! Refusals: what a caller is told when its request did not run, or may have run.
+
+use std::time::Duration;
+
+use strum::{Display, EnumIter};
+
+/// Whether the request ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Outcome {
+    /// Nothing was sent upstream.
+    #[strum(serialize = "not run")]
+    NotRun,
+    /// The request was sent upstream and its answer is not known.
+    #[strum(serialize = "outcome unknown")]
+    Unknown,
+}
+
+/// Why a request was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumIter)]
+#[strum(serialize_all = "snake_case")]
+pub enum RefusalReason {
+    /// The workspace is over its rate and burst.
+    RateExceeded,
+    /// Too many requests wait for the database.
+    Overloaded,
+    /// The request would have to wait longer than its deadline.
+    DeadlineUnreachable,
+    /// The key was withdrawn.
+    KeyWithdrawn,
+    /// The workspace may not use the database.
+    DatabaseNotAllowed,
+    /// The database is not in the configuration.
+    DatabaseUnknown,
+    /// No VM is known to be the home of the database.
+    HomeUnknown,
+    /// The primary is being replaced.
+    PrimaryUnknown,
+    /// No instance may take the request.
+    NoInstance,
+    /// This VM is shutting down.
+    Draining,
+    /// This VM has been cut off for too long to trust its configuration.
+    Isolated,
+    /// The statement uses session state that can't be kept between transactions.
+    SessionStateUnsupported,
+    /// The statement was sent and no answer came, or its save may be lost.
+    AnswerLost,
+    /// The term changed before the save stood on enough instances.
+    TermChanged,
+    /// The save did not reach enough instances in time.
+    GateTimeout,
+}
+
+impl RefusalReason {
+    /// Returns the SQLSTATE that the caller gets.
+    pub const fn sqlstate(self) -> &'static str {
+        match self {
+            Self::RateExceeded => "53400",
+            Self::Overloaded | Self::DeadlineUnreachable => "53000",
+            Self::KeyWithdrawn => "28000",
+            Self::DatabaseNotAllowed => "42501",
+            Self::DatabaseUnknown => "3D000",
+            Self::HomeUnknown | Self::PrimaryUnknown | Self::NoInstance => "57P03",
+            Self::Draining | Self::Isolated => "57P01",
+            Self::SessionStateUnsupported => "0A000",
+            Self::AnswerLost | Self::TermChanged | Self::GateTimeout => "08007",
+        }
+    }
+
+    /// Returns whether the request ran.
+    pub const fn outcome(self) -> Outcome {
+        match self {
+            Self::AnswerLost | Self::TermChanged | Self::GateTimeout => Outcome::Unknown,
+            _ => Outcome::NotRun,
+        }
+    }
+
+    const fn explanation(self) -> &'static str {
+        match self {
+            Self::RateExceeded => "the workspace is over its rate and burst",
+            Self::Overloaded => "too many requests wait for the database",
+            Self::DeadlineUnreachable => "the request can't start before its deadline",
+            Self::KeyWithdrawn => "the key was withdrawn; log in with another key",
+            Self::DatabaseNotAllowed => "the workspace may not use this database",
+            Self::DatabaseUnknown => "the database does not exist; check its name",
+            Self::HomeUnknown => "no VM holds connections to the database yet",
+            Self::PrimaryUnknown => "the primary of the database is being replaced",
+            Self::NoInstance => "no instance of the database takes new work",
+            Self::Draining => "this VM is shutting down; connect again",
+            Self::Isolated => "this VM is cut off from the fleet; connect to another",
+            Self::SessionStateUnsupported => {
+                "the statement needs session state that is not kept between transactions"
+            }
+            Self::AnswerLost => "the database gave no answer; check whether the request ran",
+            Self::TermChanged => "the primary was replaced; check whether the request ran",
+            Self::GateTimeout => {
+                "the save did not reach a second instance in time; check whether it was kept"
+            }
+        }
+    }
+}
+
+/// Refusal as the caller gets it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why the request was refused.
+    pub reason: RefusalReason,
+    /// When to try again; `None` when trying again won't help.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// Builds a refusal that trying again won't help.
+    pub const fn last(reason: RefusalReason) -> Self {
+        Self {
+            reason,
+            retry_after: None,
+        }
+    }
+
+    /// Builds a refusal that says when to try again.
+    pub const fn retry(reason: RefusalReason, after: Duration) -> Self {
+        Self {
+            reason,
+            retry_after: Some(after),
+        }
+    }
+
+    /// Returns the message that the caller gets.
+    pub fn message(&self) -> String {
+        let outcome = self.reason.outcome();
+        let explanation = self.reason.explanation();
+        match self.retry_after {
+            Some(after) => format!(
+                "{outcome}: {explanation}; retry in {} ms",
+                after.as_millis()
+            ),
+            None => format!("{outcome}: {explanation}"),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/traffic/refusal/tests.rs
@@ -0,0 +1,19 @@
+use strum::IntoEnumIterator;
+
+use super::*;
+
+#[test]
+fn only_an_unknown_outcome_uses_08007() {
+    for reason in RefusalReason::iter() {
+        let unknown = reason.outcome() == Outcome::Unknown;
+        assert_eq!(reason.sqlstate() == "08007", unknown, "{reason}");
+        let message = Refusal::last(reason).message();
+        assert_eq!(message.starts_with("not run: "), !unknown, "{message}");
+    }
+}
+
+#[test]
+fn says_when_to_try_again() {
+    let refusal = Refusal::retry(RefusalReason::RateExceeded, Duration::from_millis(120));
+    assert!(refusal.message().ends_with("retry in 120 ms"));
+}
