--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -3,5 +3,5 @@
 pub mod exchange;
 pub mod refusal;
 
-pub use exchange::{Access, ExchangeHead, ExchangeId};
+pub use exchange::{Access, CallerFrame, ExchangeHead, ExchangeId, HomeFrame, SessionSetting};
 pub use refusal::{Refusal, RefusalReason};
--- a/src/traffic/exchange.rs
+++ b/src/traffic/exchange.rs
@@ -1,11 +1,13 @@
 //! One transaction of a caller on its way to the home of its database.
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use super::refusal::Refusal;
 use crate::configuration::Revision;
 use crate::control::blackboard::Incarnation;
 use crate::name::{DatabaseName, KeyId, RequestId, RouteName, SessionName, VmName, WorkspaceName};
-use crate::position::SessionToken;
+use crate::position::{LogPosition, SessionToken};
 
 /// Identifier of an exchange, unique over all VMs and their restarts.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -27,6 +29,15 @@
     Write,
 }
 
+/// Run-time setting that a caller's session has changed, such as `search_path`.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct SessionSetting {
+    /// Name of the setting, in lower case.
+    pub name: String,
+    /// Value as text.
+    pub value: String,
+}
+
 /// What the home needs to know of a transaction before it runs.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ExchangeHead {
@@ -48,6 +59,8 @@
     pub token: Option<SessionToken>,
     /// What the transaction may do.
     pub access: Access,
+    /// Settings that the statement must run under, ordered by name.
+    pub settings: Vec<SessionSetting>,
     /// Time left until the caller gives up.
     pub budget_ms: u64,
     /// W3C trace context of the hop before.
@@ -57,3 +70,35 @@
     /// Version of the preset that the request runs under.
     pub preset_version: u64,
 }
+
+/// Part of an exchange on its way from the caller to the home.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CallerFrame {
+    /// Whole frontend messages, with prepared statements under their shared names.
+    Messages(Bytes),
+    /// `Parse` message of a prepared statement that the next messages refer to. The home sends it
+    /// if its connection does not have the statement; the caller expects no answer to it.
+    Definition {
+        /// Shared name of the statement.
+        name: String,
+        /// The `Parse` message.
+        parse: Bytes,
+    },
+    /// The caller asked to cancel what is running.
+    Cancel,
+    /// The caller has gone; what is running must not be reused.
+    Gone,
+}
+
+/// Part of an exchange on its way from the home to the caller.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HomeFrame {
+    /// Whole backend messages.
+    Messages(Bytes),
+    /// What the session has now seen of the database.
+    Seen(LogPosition),
+    /// The request was refused, or its outcome is unknown; nothing more follows but `End`.
+    Refused(Refusal),
+    /// The exchange has ended between transactions.
+    End,
+}
--- a/src/traffic/refusal.rs
+++ b/src/traffic/refusal.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use strum::{Display, EnumIter};
 
 /// Whether the request ran.
@@ -16,7 +17,7 @@
 }
 
 /// Why a request was refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumIter)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, Display, EnumIter)]
 #[strum(serialize_all = "snake_case")]
 pub enum RefusalReason {
     /// The workspace is over its rate and burst.
@@ -101,7 +102,7 @@
 }
 
 /// Refusal as the caller gets it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
     /// Why the request was refused.
     pub reason: RefusalReason,
