--- a/src/traffic/exchange.rs
+++ b/src/traffic/exchange.rs
@@ -9,6 +9,9 @@
 use crate::name::{DatabaseName, KeyId, RequestId, RouteName, SessionName, VmName, WorkspaceName};
 use crate::position::{LogPosition, SessionToken};
 
+/// Largest number of bytes that one frame carries, so that it fits the window of a stream.
+pub const MAX_FRAME_BYTES: usize = 64 * 1024;
+
 /// Identifier of an exchange, unique over all VMs and their restarts.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ExchangeId {
@@ -74,7 +77,8 @@
 /// Part of an exchange on its way from the caller to the home.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CallerFrame {
-    /// Whole frontend messages, with prepared statements under their shared names.
+    /// Frontend messages, with prepared statements under their shared names. Whole ones, but that a
+    /// message larger than [`MAX_FRAME_BYTES`] may be continued in the next frame.
     Messages(Bytes),
     /// `Parse` message of a prepared statement that the next messages refer to. The home sends it
     /// if its connection does not have the statement; the caller expects no answer to it.
@@ -93,7 +97,8 @@
 /// Part of an exchange on its way from the home to the caller.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum HomeFrame {
-    /// Whole backend messages.
+    /// Backend messages. Whole ones, but that a message larger than [`MAX_FRAME_BYTES`] may be
+    /// continued in the next frame.
     Messages(Bytes),
     /// What the session has now seen of the database.
     Seen(LogPosition),
