--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -4,6 +4,7 @@
 pub mod home;
 pub mod io;
 pub mod refusal;
+pub mod scram;
 
 pub use exchange::{Access, CallerFrame, ExchangeHead, ExchangeId, HomeFrame, SessionSetting};
 pub use home::{ExchangeEnd, Homes};
