Carry exchanges and control messages between VMs

Cause: the VM that a caller reaches is seldom the home of the database. Change: signed datagrams; one authenticated TCP connection a pair of VMs with streams, a window a stream and one a connection, a tag a frame, signs of life while streams are open. Conclusion: forwarding and control messages have their transport.

--- /dev/null
+++ b/src/peer/server.rs
@@ -0,0 +1,253 @@
+//! Receiving side of the messages between VMs.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use snafu::{ResultExt, Snafu};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::task::{AbortHandle, JoinSet};
+
+use super::PeerMessage;
+use super::auth::Secrets;
+use super::client::PeerClient;
+use super::datagram::{self, Envelope};
+use super::frame::LinkFrame;
+use super::handshake::{self, Introduction, Session};
+use super::link::{self, Reading};
+use super::stream::{HomeEnd, LinkSender, StreamTable};
+use crate::control::blackboard::{Incarnation, LocalVm};
+use crate::controller::SharedSnapshot;
+use crate::name::VmName;
+use crate::settings::PeerSettings;
+use crate::traffic::{CallerFrame, ExchangeHead, HomeFrame};
+
+/// Result of starting the messages between VMs.
+pub type Result<T, E = ServerError> = std::result::Result<T, E>;
+
+/// Why the messages between VMs can't start.
+#[derive(Debug, Snafu)]
+pub enum ServerError {
+    /// The address can't be used.
+    #[snafu(display("can't listen on {address} for peers; choose a free address: {source}"))]
+    Listen {
+        /// Address from the settings.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+}
+
+/// What is done with that which peers send; each function must return at once.
+pub struct PeerHandlers {
+    /// Takes a control message.
+    pub message: Box<dyn Fn(VmName, Incarnation, PeerMessage) + Send + Sync>,
+    /// Takes an exchange that this VM is asked to run as the home.
+    pub exchange: Box<dyn Fn(ExchangeHead, HomeEnd) + Send + Sync>,
+}
+
+impl fmt::Debug for PeerHandlers {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PeerHandlers").finish_non_exhaustive()
+    }
+}
+
+/// Sockets for peers, bound but not yet served.
+#[derive(Debug)]
+pub struct PeerSockets {
+    listener: TcpListener,
+    socket: Arc<UdpSocket>,
+    local: Introduction,
+    secrets: Secrets,
+    address: SocketAddr,
+}
+
+impl PeerSockets {
+    /// Binds the sockets; port 0 chooses one port for both.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address can't be used.
+    pub async fn bind(settings: &PeerSettings, local: &LocalVm) -> Result<Self> {
+        let listen = ListenSnafu {
+            address: settings.listen_address,
+        };
+        let listener = TcpListener::bind(settings.listen_address)
+            .await
+            .context(listen)?;
+        let address = listener.local_addr().context(listen)?;
+        let socket = Arc::new(UdpSocket::bind(address).await.context(listen)?);
+        // Sending never waits, and fails until the socket has once been seen ready.
+        socket.writable().await.context(listen)?;
+        let local = Introduction {
+            vm: local.name.clone(),
+            incarnation: local.incarnation,
+            window_bytes: settings.stream_window_bytes,
+        };
+        let secrets = Secrets::new(&settings.secrets);
+        Ok(Self {
+            listener,
+            socket,
+            local,
+            secrets,
+            address,
+        })
+    }
+
+    /// Returns the address that the sockets are bound to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the handle that sends to other VMs.
+    pub fn client(&self, snapshot: SharedSnapshot) -> PeerClient {
+        let socket = Arc::clone(&self.socket);
+        PeerClient::new(self.local.clone(), self.secrets.clone(), snapshot, socket)
+    }
+
+    /// Serves peers until the returned server is dropped.
+    pub fn serve(self, handlers: PeerHandlers) -> PeerServer {
+        let handlers = Arc::new(handlers);
+        let deliver = Arc::clone(&handlers);
+        let secrets = self.secrets.clone();
+        let datagrams = datagram::receive(self.socket, secrets, move |envelope| {
+            deliver_message(&deliver, envelope);
+        });
+        let acceptor = Acceptor {
+            local: self.local,
+            secrets: self.secrets,
+            handlers,
+        };
+        PeerServer {
+            tasks: [
+                tokio::spawn(datagrams).abort_handle(),
+                tokio::spawn(acceptor.run(self.listener)).abort_handle(),
+            ],
+        }
+    }
+}
+
+/// Running server; dropping it closes the sockets and every connection.
+#[derive(Debug)]
+pub struct PeerServer {
+    tasks: [AbortHandle; 2],
+}
+
+impl Drop for PeerServer {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Acceptor {
+    local: Introduction,
+    secrets: Secrets,
+    handlers: Arc<PeerHandlers>,
+}
+
+impl Acceptor {
+    async fn run(self, listener: TcpListener) {
+        let mut connections = JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let Ok((tcp, from)) = accepted else {
+                        // Running out of file descriptors fails at once; others may finish first.
+                        tokio::task::yield_now().await;
+                        continue;
+                    };
+                    let (local, secrets) = (self.local.clone(), self.secrets.clone());
+                    let handlers = Arc::clone(&self.handlers);
+                    connections.spawn(serve_connection(tcp, from, local, secrets, handlers));
+                }
+                Some(_ended) = connections.join_next() => {}
+            }
+        }
+    }
+}
+
+async fn serve_connection(
+    mut tcp: TcpStream,
+    from: SocketAddr,
+    local: Introduction,
+    secrets: Secrets,
+    handlers: Arc<PeerHandlers>,
+) {
+    let _ = tcp.set_nodelay(true);
+    let session = match handshake::accept(&mut tcp, &secrets, &local).await {
+        Ok(session) => session,
+        Err(error) => {
+            log::warn!("event=peer_refused from={from} error=\"{error}\"");
+            return;
+        }
+    };
+    let Session {
+        peer,
+        sealer,
+        opener,
+    } = session;
+    let (sender, frames) = link::link_queue();
+    let streams = Arc::new(StreamTable::new(local.window_bytes));
+    let (reading, writing) = tcp.into_split();
+    let busy = Arc::clone(&streams);
+    let writer = link::write_frames(writing, sealer, frames, move || !busy.is_empty());
+    let busy = Arc::clone(&streams);
+    let is_busy = move || !busy.is_empty();
+    let connection = Connection {
+        peer,
+        sender,
+        streams: Arc::clone(&streams),
+        handlers,
+    };
+    let reader = link::read_frames(reading, opener, is_busy, |frame| connection.handle(frame));
+    tokio::select! {
+        () = writer => {}
+        () = reader => {}
+    }
+    streams.close();
+}
+
+struct Connection {
+    peer: Introduction,
+    sender: LinkSender,
+    streams: Arc<StreamTable<CallerFrame>>,
+    handlers: Arc<PeerHandlers>,
+}
+
+impl Connection {
+    fn handle(&self, frame: LinkFrame) -> Reading {
+        match frame {
+            LinkFrame::Open { stream, head } => {
+                let (sender, window) = (self.sender.clone(), self.peer.window_bytes);
+                let wrap = |stream, frame: HomeFrame| LinkFrame::Home { stream, frame };
+                let Ok(end) = self.streams.open(stream, sender, window, wrap) else {
+                    return Reading::Stop;
+                };
+                (self.handlers.exchange)(*head, end);
+            }
+            LinkFrame::Caller { stream, frame } => {
+                if !self.streams.deliver(stream, frame) {
+                    return Reading::Stop;
+                }
+            }
+            LinkFrame::Taken { stream, bytes } => self.streams.taken(stream, bytes),
+            LinkFrame::Reset { stream } => {
+                self.streams.remove(stream);
+            }
+            LinkFrame::Control { envelope } => deliver_message(&self.handlers, *envelope),
+            LinkFrame::Ping => {}
+            LinkFrame::Home { .. } => return Reading::Stop,
+        }
+        Reading::Continue
+    }
+}
+
+fn deliver_message(handlers: &PeerHandlers, envelope: Envelope) {
+    (handlers.message)(envelope.from, envelope.incarnation, envelope.message);
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/peer/server/tests.rs
@@ -0,0 +1,225 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use super::*;
+use crate::configuration::{Configuration, Revision};
+use crate::control::Snapshot;
+use crate::control::configuration::ConfigurationMessage;
+use crate::control::snapshot::{PeerView, Standing};
+use crate::peer::client::PeerError;
+use crate::time::Timestamp;
+use crate::traffic::{Access, ExchangeId};
+
+const SECRET: &str = "secret";
+
+/// Time that a test may wait for something that must happen.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+struct Vm {
+    client: PeerClient,
+    _server: PeerServer,
+    exchanges: mpsc::UnboundedReceiver<HomeEnd>,
+    messages: mpsc::UnboundedReceiver<PeerMessage>,
+}
+
+fn local(name: &str) -> LocalVm {
+    LocalVm {
+        name: name.into(),
+        incarnation: Incarnation(1),
+        availability_zone: "zone".into(),
+        region: "region".into(),
+        cell: "cell".into(),
+    }
+}
+
+fn settings() -> PeerSettings {
+    PeerSettings {
+        listen_address: SocketAddr::from(([127, 0, 0, 1], 0)),
+        secrets: vec![SECRET.to_owned()],
+        ..PeerSettings::default()
+    }
+}
+
+fn snapshot(name: &str, peers: &[(&str, SocketAddr)]) -> SharedSnapshot {
+    let view = |address| PeerView {
+        address,
+        incarnation: None,
+        availability_zone: "zone".into(),
+    };
+    let peers: BTreeMap<_, _> = peers
+        .iter()
+        .map(|&(name, address)| (VmName::from(name), view(address)))
+        .collect();
+    Arc::new(ArcSwap::from_pointee(Snapshot {
+        taken_at: Timestamp::ZERO,
+        local: local(name),
+        standing: Standing::Serving,
+        configuration: Arc::new(Configuration::default()),
+        homes: Arc::default(),
+        databases: BTreeMap::new(),
+        peers: Arc::new(peers),
+    }))
+}
+
+async fn pair() -> (Vm, Vm) {
+    let one = PeerSockets::bind(&settings(), &local("vm-1"))
+        .await
+        .unwrap();
+    let two = PeerSockets::bind(&settings(), &local("vm-2"))
+        .await
+        .unwrap();
+    let peers = [("vm-1", one.address()), ("vm-2", two.address())];
+    (
+        vm(one, snapshot("vm-1", &peers)),
+        vm(two, snapshot("vm-2", &peers)),
+    )
+}
+
+fn vm(sockets: PeerSockets, snapshot: SharedSnapshot) -> Vm {
+    let client = sockets.client(snapshot);
+    let (exchange_sender, exchanges) = mpsc::unbounded_channel();
+    let (message_sender, messages) = mpsc::unbounded_channel();
+    let server = sockets.serve(PeerHandlers {
+        message: Box::new(move |_from, _incarnation, message| {
+            let _ = message_sender.send(message);
+        }),
+        exchange: Box::new(move |_head, end| {
+            let _ = exchange_sender.send(end);
+        }),
+    });
+    Vm {
+        client,
+        _server: server,
+        exchanges,
+        messages,
+    }
+}
+
+fn head() -> ExchangeHead {
+    ExchangeHead {
+        id: ExchangeId {
+            vm: "vm-1".into(),
+            incarnation: Incarnation(1),
+            number: 1,
+        },
+        workspace: "workspace".into(),
+        key: "key".into(),
+        database: "database".into(),
+        session: None,
+        route: None,
+        request: None,
+        token: None,
+        access: Access::Read,
+        settings: Vec::new(),
+        budget_ms: 1_000,
+        traceparent: None,
+        revision: Revision(1),
+        preset_version: 1,
+    }
+}
+
+async fn within<T>(future: impl Future<Output = T>) -> T {
+    timeout(PATIENCE, future).await.expect("this must happen")
+}
+
+#[tokio::test]
+async fn an_exchange_goes_both_ways_and_ends() {
+    let (one, mut two) = pair().await;
+    let mut caller = one.client.open(&"vm-2".into(), head()).await.unwrap();
+    let mut home = within(two.exchanges.recv()).await.unwrap();
+
+    let question = CallerFrame::Messages(Bytes::from_static(b"question"));
+    within(caller.send(question.clone())).await.unwrap();
+    assert_eq!(within(home.recv()).await.unwrap(), question);
+
+    let answer = HomeFrame::Messages(Bytes::from_static(b"answer"));
+    within(home.send(answer.clone())).await.unwrap();
+    within(home.send(HomeFrame::End)).await.unwrap();
+    drop(home);
+    assert_eq!(within(caller.recv()).await.unwrap(), answer);
+    assert_eq!(within(caller.recv()).await.unwrap(), HomeFrame::End);
+    assert!(within(caller.recv()).await.is_err());
+}
+
+#[tokio::test]
+async fn a_slow_receiver_stops_the_sender_within_one_window() {
+    let (one, mut two) = pair().await;
+    let mut caller = one.client.open(&"vm-2".into(), head()).await.unwrap();
+    let mut home = within(two.exchanges.recv()).await.unwrap();
+    let window = settings().stream_window_bytes as usize;
+    let chunk = Bytes::from(vec![0; 16 * 1024]);
+
+    let mut sent = 0;
+    while let Ok(done) = timeout(
+        Duration::from_millis(200),
+        home.send(HomeFrame::Messages(chunk.clone())),
+    )
+    .await
+    {
+        done.unwrap();
+        sent += chunk.len();
+        assert!(
+            sent <= window,
+            "{sent} bytes were sent into a window of {window}"
+        );
+    }
+    assert!(sent > window / 2);
+
+    let sending = tokio::spawn(async move {
+        home.send(HomeFrame::Messages(chunk)).await.unwrap();
+        home.send(HomeFrame::End).await.unwrap();
+        home
+    });
+    let mut received = 0;
+    loop {
+        match within(caller.recv()).await.unwrap() {
+            HomeFrame::Messages(messages) => received += messages.len(),
+            other => {
+                assert_eq!(other, HomeFrame::End);
+                break;
+            }
+        }
+    }
+    assert_eq!(received, sent + 16 * 1024);
+    drop(sending.await.unwrap());
+}
+
+#[tokio::test]
+async fn a_frame_larger_than_the_window_passes() {
+    let (one, mut two) = pair().await;
+    let mut caller = one.client.open(&"vm-2".into(), head()).await.unwrap();
+    let mut home = within(two.exchanges.recv()).await.unwrap();
+    let large = CallerFrame::Messages(Bytes::from(vec![1; 3 * 1024 * 1024]));
+    for _ in 0..3 {
+        let sending = caller.send(large.clone());
+        let (sent, received) = within(async { tokio::join!(sending, home.recv()) }).await;
+        sent.unwrap();
+        assert_eq!(received.unwrap(), large);
+    }
+}
+
+#[tokio::test]
+async fn a_stopped_peer_is_seen_as_lost() {
+    let (one, mut two) = pair().await;
+    let mut caller = one.client.open(&"vm-2".into(), head()).await.unwrap();
+    let home = within(two.exchanges.recv()).await.unwrap();
+    drop(two);
+    assert!(within(caller.recv()).await.is_err());
+    drop(home);
+    let again = one.client.open(&"vm-2".into(), head()).await;
+    assert!(matches!(again, Err(PeerError::Connect { .. })));
+}
+
+#[tokio::test]
+async fn a_message_arrives() {
+    let (one, mut two) = pair().await;
+    let revision = Revision(9);
+    let small = PeerMessage::Configuration(ConfigurationMessage::Digest { revision });
+    one.client.send(&"vm-2".into(), small.clone());
+    assert_eq!(within(two.messages.recv()).await.unwrap(), small);
+}
--- a/src/peer/stream.rs
+++ b/src/peer/stream.rs
@@ -1,13 +1,18 @@
 //! One exchange carried between two VMs over their shared TCP connection.
 
-use std::sync::Arc;
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::{Arc, Mutex};
 
-use bytes::Bytes;
 use snafu::Snafu;
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 
+use super::frame::{LinkFrame, StreamId};
 use crate::traffic::{CallerFrame, HomeFrame};
 
+/// Bytes that every frame counts for beside its content.
+const FRAME_OVERHEAD_BYTES: usize = 64;
+
 /// Result of using a stream.
 pub type Result<T, E = StreamError> = std::result::Result<T, E>;
 
@@ -21,45 +26,231 @@
 
 /// Message on a stream, with the bytes that it takes of the stream's window.
 pub trait StreamFrame: Send + 'static {
-    /// Returns the bytes that the frame counts for in flow control.
-    fn window_bytes(&self) -> usize;
-}
-
-fn messages_bytes(messages: &Bytes) -> usize {
-    messages.len()
+    /// Returns the bytes of the frame's content.
+    fn content_bytes(&self) -> usize;
 }
 
 impl StreamFrame for CallerFrame {
-    fn window_bytes(&self) -> usize {
+    fn content_bytes(&self) -> usize {
         match self {
             Self::Messages(messages)
             | Self::Definition {
                 parse: messages, ..
-            } => messages_bytes(messages),
+            } => messages.len(),
             Self::Cancel | Self::Gone => 0,
         }
     }
 }
 
 impl StreamFrame for HomeFrame {
-    fn window_bytes(&self) -> usize {
+    fn content_bytes(&self) -> usize {
         match self {
-            Self::Messages(messages) => messages_bytes(messages),
+            Self::Messages(messages) => messages.len(),
             Self::Seen(_) | Self::Refused(_) | Self::End => 0,
         }
     }
 }
 
+/// Frame that waits to be written, with its share of the connection's window.
+#[derive(Debug)]
+pub(crate) struct QueuedFrame {
+    pub(crate) frame: LinkFrame,
+    pub(crate) _permit: Option<OwnedSemaphorePermit>,
+}
+
+/// Sending side of a connection, shared by its streams.
+#[derive(Debug, Clone)]
+pub(crate) struct LinkSender {
+    pub(crate) queue: mpsc::UnboundedSender<QueuedFrame>,
+    /// Bytes that all streams together may have queued.
+    pub(crate) window: Arc<Semaphore>,
+    pub(crate) window_bytes: u32,
+}
+
+impl LinkSender {
+    /// Queues a frame that counts for no window.
+    pub(crate) fn send(&self, frame: LinkFrame) -> Result<()> {
+        let queued = QueuedFrame {
+            frame,
+            _permit: None,
+        };
+        self.queue.send(queued).map_err(|_closed| StreamError::Lost)
+    }
+
+    async fn send_counted(&self, frame: LinkFrame, bytes: u32) -> Result<()> {
+        let window = Arc::clone(&self.window);
+        let bytes = bytes.min(self.window_bytes);
+        let permit = window
+            .acquire_many_owned(bytes)
+            .await
+            .map_err(|_closed| StreamError::Lost)?;
+        let queued = QueuedFrame {
+            frame,
+            _permit: Some(permit),
+        };
+        self.queue.send(queued).map_err(|_closed| StreamError::Lost)
+    }
+}
+
+struct StreamEntry<R> {
+    incoming: mpsc::UnboundedSender<R>,
+    window: Arc<Semaphore>,
+    /// Bytes received and not yet given back; more than the window is a breach.
+    held_bytes: u32,
+}
+
+/// Open streams of one connection, which receive frames of type `R`.
+pub(crate) struct StreamTable<R> {
+    entries: Mutex<Entries<R>>,
+    receive_window_bytes: u32,
+}
+
+struct Entries<R> {
+    open: HashMap<StreamId, StreamEntry<R>>,
+    is_closed: bool,
+}
+
+impl<R> fmt::Debug for StreamTable<R> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("StreamTable").finish_non_exhaustive()
+    }
+}
+
+impl<R: StreamFrame> StreamTable<R> {
+    /// Builds an empty table whose streams each hold at most `receive_window_bytes`.
+    pub(crate) fn new(receive_window_bytes: u32) -> Self {
+        let entries = Entries {
+            open: HashMap::new(),
+            is_closed: false,
+        };
+        Self {
+            entries: Mutex::new(entries),
+            receive_window_bytes,
+        }
+    }
+
+    /// Returns whether no stream is open.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.lock().open.is_empty()
+    }
+
+    /// Opens this end of a stream; its frames are wrapped by `wrap` and sent through `link`.
+    pub(crate) fn open<S: StreamFrame>(
+        self: &Arc<Self>,
+        id: StreamId,
+        link: LinkSender,
+        send_window_bytes: u32,
+        wrap: fn(StreamId, S) -> LinkFrame,
+    ) -> Result<PeerStream<S, R>> {
+        let (sender, incoming) = mpsc::unbounded_channel();
+        let window = Arc::new(Semaphore::new(send_window_bytes as usize));
+        let entry = StreamEntry {
+            incoming: sender,
+            window: Arc::clone(&window),
+            held_bytes: 0,
+        };
+        let mut entries = self.lock();
+        if entries.is_closed {
+            return Err(StreamError::Lost);
+        }
+        entries.open.insert(id, entry);
+        drop(entries);
+        let table = Arc::clone(self);
+        Ok(PeerStream {
+            id,
+            link,
+            wrap,
+            window,
+            send_window_bytes,
+            incoming,
+            untold_bytes: 0,
+            table,
+        })
+    }
+
+    /// Hands a frame to its stream; frames of streams that have ended are dropped.
+    ///
+    /// Returns whether the sender kept within the window.
+    pub(crate) fn deliver(&self, id: StreamId, frame: R) -> bool {
+        let bytes = cost(&frame, self.receive_window_bytes);
+        let mut entries = self.lock();
+        let Some(entry) = entries.open.get_mut(&id) else {
+            return true;
+        };
+        entry.held_bytes += bytes;
+        if entry.held_bytes > self.receive_window_bytes {
+            return false;
+        }
+        let _ = entry.incoming.send(frame);
+        true
+    }
+
+    /// Widens the send window of a stream by what its receiver has taken.
+    pub(crate) fn taken(&self, id: StreamId, bytes: u32) {
+        if let Some(entry) = self.lock().open.get(&id) {
+            entry.window.add_permits(bytes as usize);
+        }
+    }
+
+    /// Ends a stream; its owner sees it as lost after the frames that have arrived.
+    pub(crate) fn remove(&self, id: StreamId) -> bool {
+        let removed = self.lock().open.remove(&id);
+        if let Some(entry) = &removed {
+            entry.window.close();
+        }
+        removed.is_some()
+    }
+
+    /// Ends every stream, and lets no other be opened.
+    pub(crate) fn close(&self) {
+        let mut entries = self.lock();
+        entries.is_closed = true;
+        for (_, entry) in entries.open.drain() {
+            entry.window.close();
+        }
+    }
+
+    fn release(&self, id: StreamId, bytes: u32) {
+        if let Some(entry) = self.lock().open.get_mut(&id) {
+            entry.held_bytes = entry.held_bytes.saturating_sub(bytes);
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Entries<R>> {
+        self.entries
+            .lock()
+            .expect("no code panics while it holds the table")
+    }
+}
+
+fn cost(frame: &impl StreamFrame, window_bytes: u32) -> u32 {
+    let bytes = u32::try_from(frame.content_bytes() + FRAME_OVERHEAD_BYTES).unwrap_or(u32::MAX);
+    // A frame larger than the window travels alone.
+    bytes.min(window_bytes)
+}
+
 /// One end of a stream: sends `S`, receives `R`.
 ///
 /// Sending waits while the other end has not taken what was sent before, so that a slow receiver
-/// holds at most one window of memory.
-#[derive(Debug)]
-pub struct PeerStream<S, R> {
-    pub(crate) outgoing: mpsc::Sender<S>,
-    pub(crate) incoming: mpsc::Receiver<R>,
-    pub(crate) window: Arc<Semaphore>,
-    pub(crate) taken: mpsc::UnboundedSender<u32>,
+/// holds at most one window of memory. Dropping an end ends the stream.
+pub struct PeerStream<S, R: StreamFrame> {
+    id: StreamId,
+    link: LinkSender,
+    wrap: fn(StreamId, S) -> LinkFrame,
+    window: Arc<Semaphore>,
+    send_window_bytes: u32,
+    incoming: mpsc::UnboundedReceiver<R>,
+    /// Bytes taken that the other end has not been told of.
+    untold_bytes: u32,
+    table: Arc<StreamTable<R>>,
+}
+
+impl<S, R: StreamFrame> fmt::Debug for PeerStream<S, R> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PeerStream")
+            .field("id", &self.id)
+            .finish_non_exhaustive()
+    }
 }
 
 /// End of a stream at the VM that the caller is connected to.
@@ -73,35 +264,48 @@
     ///
     /// # Errors
     ///
-    /// Fails when the connection to the peer was lost.
+    /// Fails when the connection to the peer was lost, or the peer ended the stream.
     pub async fn send(&mut self, frame: S) -> Result<()> {
-        let bytes = u32::try_from(frame.window_bytes()).unwrap_or(u32::MAX);
-        if bytes > 0 {
-            let permit = self
-                .window
-                .acquire_many(bytes)
-                .await
-                .map_err(|_closed| StreamError::Lost)?;
-            permit.forget();
-        }
-        self.outgoing
-            .send(frame)
+        let bytes = cost(&frame, self.send_window_bytes);
+        let permit = self
+            .window
+            .acquire_many(bytes)
             .await
-            .map_err(|_closed| StreamError::Lost)
+            .map_err(|_closed| StreamError::Lost)?;
+        self.link
+            .send_counted((self.wrap)(self.id, frame), bytes)
+            .await?;
+        permit.forget();
+        Ok(())
     }
 
     /// Receives the next frame. Cancelling the returned future loses no frame.
     ///
     /// # Errors
     ///
-    /// Fails when the connection to the peer was lost.
+    /// Fails when the connection to the peer was lost, or the peer ended the stream.
     pub async fn recv(&mut self) -> Result<R> {
         let frame = self.incoming.recv().await.ok_or(StreamError::Lost)?;
-        let bytes = u32::try_from(frame.window_bytes()).unwrap_or(u32::MAX);
-        if bytes > 0 {
-            // The other side has gone when this fails, which the next receive reports.
-            let _ = self.taken.send(bytes);
+        let window_bytes = self.table.receive_window_bytes;
+        let bytes = cost(&frame, window_bytes);
+        self.table.release(self.id, bytes);
+        self.untold_bytes += bytes;
+        if self.untold_bytes >= window_bytes / 4 {
+            let bytes = std::mem::take(&mut self.untold_bytes);
+            // A lost connection shows at the next receive.
+            let _ = self.link.send(LinkFrame::Taken {
+                stream: self.id,
+                bytes,
+            });
         }
         Ok(frame)
     }
 }
+
+impl<S, R: StreamFrame> Drop for PeerStream<S, R> {
+    fn drop(&mut self) {
+        if self.table.remove(self.id) {
+            let _ = self.link.send(LinkFrame::Reset { stream: self.id });
+        }
+    }
+}
