Add token bucket, fair queue and the shares that homes admit by

Cause: homes need admission by rate and burst, and a fair order for the few slots of an instance. Conclusion: property tests hold over any window and any order of steps.

--- a/src/control.rs
+++ b/src/control.rs
@@ -4,9 +4,12 @@
 //! replayed, model-checked and measured without a socket.
 
 pub mod blackboard;
+pub mod bucket;
 pub mod command;
+pub mod concurrency;
 pub mod configuration;
 pub mod event;
+pub mod fairness;
 pub mod home;
 pub mod limit;
 pub mod membership;
--- a/src/control/blackboard.rs
+++ b/src/control/blackboard.rs
@@ -74,7 +74,7 @@
             membership: MembershipState::default(),
             homes: HomeState::default(),
             terms: TermState::default(),
-            limits: LimitState,
+            limits: LimitState::default(),
             standing: Standing::Starting,
             next_call: 0,
         }
@@ -96,6 +96,7 @@
             configuration: Arc::clone(&self.configuration.current),
             homes: self.homes.views(),
             databases,
+            shares: self.limits.views(),
             peers: self.membership.views(),
         }
     }
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -7,6 +7,7 @@
 use crate::name::{DatabaseName, InstanceName, VmName, WorkspaceName};
 use crate::peer::PeerMessage;
 use crate::position::Term;
+use crate::time::Timestamp;
 
 /// Something to be done outside the control code.
 #[derive(Debug, Clone, PartialEq)]
@@ -130,6 +131,8 @@
         workspace: WorkspaceName,
         /// Tokens to add.
         tokens: f64,
+        /// When tokens beyond the bucket's own burst are dropped.
+        until: Timestamp,
     },
     /// Takes tokens from a bucket of a home, as many as it can spare.
     Withdraw {
@@ -142,6 +145,14 @@
         /// Tokens wanted.
         tokens: f64,
     },
+    /// Admits nothing more at one home, which is about to move, ends its running work and then
+    /// reports `TrafficEvent::HomeReleased`.
+    ReleaseHome {
+        /// Database of the home.
+        database: DatabaseName,
+        /// Epoch of the home.
+        epoch: u64,
+    },
     /// Ends running work and then reports `TrafficEvent::Drained`.
     Drain,
 }
--- /dev/null
+++ b/src/control/concurrency.rs
@@ -0,0 +1,78 @@
+//! Statements that an instance is given at once, following what it really serves.
+
+use std::time::Duration;
+
+/// Samples after which the limit is reconsidered.
+const WINDOW_SAMPLES: u32 = 16;
+
+/// Mean slowdown of a window above which the limit falls.
+const SLOW_RATIO: f64 = 2.0;
+
+/// Mean slowdown of a window below which the limit rises.
+const HEALTHY_RATIO: f64 = 1.3;
+
+/// Factor by which the limit falls.
+const DECREASE: f64 = 0.75;
+
+/// Largest slowdown that one sample counts for.
+const MAX_SAMPLE_RATIO: f64 = 8.0;
+
+/// Limit of concurrent statements between one and the slots of an instance.
+///
+/// Each statement's time is compared with what its workspace's statements usually take, so that a
+/// workspace of slow statements isn't mistaken for a slow instance.
+#[derive(Debug, Clone)]
+pub struct ConcurrencyLimit {
+    slots: u32,
+    limit: f64,
+    samples: u32,
+    ratio_sum: f64,
+}
+
+impl ConcurrencyLimit {
+    /// Starts at all slots of the instance.
+    pub fn new(slots: u32) -> Self {
+        let slots = slots.max(1);
+        Self {
+            slots,
+            limit: f64::from(slots),
+            samples: 0,
+            ratio_sum: 0.0,
+        }
+    }
+
+    /// Returns how many statements may run at once.
+    pub const fn limit(&self) -> usize {
+        self.limit as usize
+    }
+
+    /// Changes the slots of the instance.
+    pub fn set_slots(&mut self, slots: u32) {
+        let slots = slots.max(1);
+        if slots != self.slots {
+            *self = Self::new(slots);
+        }
+    }
+
+    /// Takes note of a statement's time beside the time that was expected.
+    pub fn observe(&mut self, measured: Duration, expected: Duration) {
+        let expected_us = expected.as_micros().max(1) as f64;
+        let ratio = measured.as_micros() as f64 / expected_us;
+        self.ratio_sum += ratio.min(MAX_SAMPLE_RATIO);
+        self.samples += 1;
+        if self.samples < WINDOW_SAMPLES {
+            return;
+        }
+        let mean = self.ratio_sum / f64::from(self.samples);
+        self.samples = 0;
+        self.ratio_sum = 0.0;
+        if mean > SLOW_RATIO {
+            self.limit = (self.limit * DECREASE).max(1.0);
+        } else if mean < HEALTHY_RATIO {
+            self.limit = (self.limit + 0.5).min(f64::from(self.slots));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -200,6 +200,13 @@
         /// Tokens deducted; may be less than was asked.
         tokens: f64,
     },
+    /// A home that was to be released runs nothing any more.
+    HomeReleased {
+        /// Database of the home.
+        database: DatabaseName,
+        /// Epoch of the home.
+        epoch: u64,
+    },
     /// All running work of a draining VM has ended.
     Drained,
 }
--- /dev/null
+++ b/src/control/fairness/tests.rs
@@ -0,0 +1,359 @@
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+
+use super::*;
+
+const FAR: Timestamp = Timestamp::from_millis(60_000);
+const STATEMENT: Duration = Duration::from_millis(10);
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn arrival(workspace: &str, class: RouteClass) -> Arrival {
+    Arrival {
+        workspace: workspace.into(),
+        class,
+        weight: 1,
+        deadline: FAR,
+    }
+}
+
+fn normal(workspace: &str) -> Arrival {
+    arrival(workspace, RouteClass::Normal)
+}
+
+/// Lets every running and waiting request run for `cost`; returns the tickets as they started.
+fn run_all(queue: &mut FairQueue<&'static str>, cost: Duration) -> Vec<&'static str> {
+    let mut order = Vec::new();
+    while let Some(started) = queue.start() {
+        order.push(started.ticket);
+        queue.finish(started.run, cost);
+    }
+    order
+}
+
+#[test]
+fn slots_are_never_exceeded() {
+    let mut queue = FairQueue::new(FairQueueSettings::default(), 2);
+    for _ in 0..5 {
+        queue.enter(&normal("a"), "a", at(0)).unwrap();
+    }
+    let first = queue.start().unwrap();
+    queue.start().unwrap();
+    assert!(queue.start().is_none());
+    queue.finish(first.run, STATEMENT);
+    assert!(queue.start().is_some());
+    assert_eq!((queue.running(), queue.waiting()), (2, 2));
+}
+
+#[test]
+fn slot_time_is_shared_by_weight() {
+    struct Case {
+        weight: u32,
+        cost_ms: u64,
+        served: usize,
+    }
+    let cases = [
+        Case {
+            weight: 1,
+            cost_ms: 10,
+            served: 20,
+        },
+        Case {
+            weight: 3,
+            cost_ms: 10,
+            served: 30,
+        },
+        Case {
+            weight: 1,
+            cost_ms: 40,
+            served: 8,
+        },
+    ];
+    for case in cases {
+        let mut queue = FairQueue::new(FairQueueSettings::default(), 1);
+        for _ in 0..100 {
+            queue.enter(&normal("a"), "a", at(0)).unwrap();
+            let weighted = Arrival {
+                weight: case.weight,
+                ..normal("b")
+            };
+            queue.enter(&weighted, "b", at(0)).unwrap();
+        }
+        let mut served = BTreeMap::new();
+        for _ in 0..40 {
+            let started = queue.start().unwrap();
+            *served.entry(started.ticket).or_insert(0_usize) += 1;
+            let cost_ms = if started.ticket == "b" {
+                case.cost_ms
+            } else {
+                10
+            };
+            queue.finish(started.run, Duration::from_millis(cost_ms));
+        }
+        assert!(
+            served["b"].abs_diff(case.served) <= 1,
+            "{served:?}, expected {}",
+            case.served
+        );
+    }
+}
+
+#[test]
+fn a_workspace_with_thousands_waiting_delays_another_by_one_statement() {
+    let mut queue = FairQueue::new(FairQueueSettings::default(), 1);
+    for _ in 0..500 {
+        queue.enter(&normal("large"), "large", at(0)).unwrap();
+    }
+    for _ in 0..50 {
+        let started = queue.start().unwrap();
+        queue.finish(started.run, STATEMENT);
+    }
+    queue.enter(&normal("small"), "small", at(0)).unwrap();
+    let order = run_all(&mut queue, STATEMENT);
+    let place = order.iter().position(|ticket| *ticket == "small").unwrap();
+    assert!(place <= 1, "served after {place} others");
+}
+
+#[test]
+fn urgent_requests_go_first_and_leave_the_others_their_part() {
+    let mut queue = FairQueue::new(FairQueueSettings::default(), 1);
+    for _ in 0..200 {
+        queue
+            .enter(&arrival("a", RouteClass::Urgent), "urgent", at(0))
+            .unwrap();
+        queue.enter(&normal("b"), "normal", at(0)).unwrap();
+        queue
+            .enter(&arrival("c", RouteClass::Background), "background", at(0))
+            .unwrap();
+    }
+    let order = run_all(&mut queue, STATEMENT);
+    let count = |ticket| {
+        order[..100]
+            .iter()
+            .filter(|served| **served == ticket)
+            .count()
+    };
+    assert_eq!(order[0], "urgent");
+    assert!(count("urgent") >= 74, "{}", count("urgent"));
+    assert!(count("normal") >= 18, "{}", count("normal"));
+    assert!(count("background") >= 3, "{}", count("background"));
+}
+
+#[test]
+fn slow_statements_of_one_workspace_leave_a_slot_free() {
+    let mut queue = FairQueue::new(FairQueueSettings::default(), 3);
+    for _ in 0..200 {
+        queue.enter(&normal("quick"), "quick", at(0)).unwrap();
+        run_all(&mut queue, Duration::from_millis(2));
+    }
+    queue.enter(&normal("slow"), "slow", at(0)).unwrap();
+    run_all(&mut queue, Duration::from_secs(1));
+    for _ in 0..10 {
+        queue.enter(&normal("slow"), "slow", at(0)).unwrap();
+    }
+    let running = std::iter::from_fn(|| queue.start()).count();
+    assert_eq!(running, 2);
+    queue.enter(&normal("quick"), "quick", at(0)).unwrap();
+    assert_eq!(queue.start().unwrap().ticket, "quick");
+}
+
+#[test]
+fn a_request_that_can_not_start_in_time_is_refused_at_entry() {
+    let mut queue = FairQueue::new(FairQueueSettings::default(), 1);
+    for _ in 0..30 {
+        queue.enter(&normal("a"), "a", at(0)).unwrap();
+        run_all(&mut queue, STATEMENT);
+    }
+    for _ in 0..10 {
+        queue.enter(&normal("a"), "a", at(0)).unwrap();
+    }
+    let hasty = Arrival {
+        deadline: at(50),
+        ..normal("a")
+    };
+    let shed = queue.enter(&hasty, "hasty", at(0)).unwrap_err();
+    assert_eq!(shed.refusal.reason, RefusalReason::DeadlineUnreachable);
+    assert!(shed.refusal.retry_after.unwrap() >= Duration::from_millis(90));
+    let other = Arrival {
+        deadline: at(50),
+        ..normal("b")
+    };
+    assert!(
+        queue.enter(&other, "b", at(0)).is_ok(),
+        "another workspace's turn comes in time"
+    );
+}
+
+#[test]
+fn a_full_queue_sheds_the_least_urgent_first() {
+    struct Case {
+        waiting: RouteClass,
+        arriving: RouteClass,
+        shed: Option<&'static str>,
+    }
+    use RouteClass::{Background, Normal, Urgent};
+    let cases = [
+        Case {
+            waiting: Background,
+            arriving: Normal,
+            shed: Some("waiting"),
+        },
+        Case {
+            waiting: Background,
+            arriving: Urgent,
+            shed: Some("waiting"),
+        },
+        Case {
+            waiting: Normal,
+            arriving: Urgent,
+            shed: Some("waiting"),
+        },
+        Case {
+            waiting: Normal,
+            arriving: Normal,
+            shed: Some("waiting"),
+        },
+        Case {
+            waiting: Normal,
+            arriving: Background,
+            shed: None,
+        },
+        Case {
+            waiting: Urgent,
+            arriving: Normal,
+            shed: None,
+        },
+    ];
+    let settings = FairQueueSettings {
+        max_waiting: 4,
+        max_waiting_per_flow: 4,
+    };
+    for case in cases {
+        let mut queue = FairQueue::new(settings, 1);
+        for _ in 0..4 {
+            queue
+                .enter(&arrival("a", case.waiting), "waiting", at(0))
+                .unwrap();
+        }
+        let result = queue.enter(&arrival("b", case.arriving), "arriving", at(0));
+        let shed = match result {
+            Ok(entered) => entered.shed.map(|shed| shed.ticket),
+            Err(refused) => {
+                assert_eq!(refused.refusal.reason, RefusalReason::Overloaded);
+                None
+            }
+        };
+        assert_eq!(shed, case.shed, "{} before {}", case.waiting, case.arriving);
+        assert_eq!(queue.waiting(), 4);
+    }
+}
+
+#[test]
+fn a_request_past_its_deadline_is_told_so() {
+    let mut queue = FairQueue::new(FairQueueSettings::default(), 1);
+    let short = Arrival {
+        deadline: at(100),
+        ..normal("a")
+    };
+    queue.enter(&short, "short", at(0)).unwrap();
+    queue.enter(&normal("a"), "long", at(0)).unwrap();
+    assert_eq!(queue.next_deadline(), Some(at(100)));
+    assert!(queue.expire(at(99)).is_empty());
+    let expired = queue.expire(at(100));
+    assert_eq!(expired.len(), 1);
+    assert_eq!(expired[0].ticket, "short");
+    assert_eq!(queue.start().unwrap().ticket, "long");
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Enter {
+        workspace: u8,
+        class: u8,
+        deadline_ms: u64,
+    },
+    Leave(usize),
+    Start,
+    Finish {
+        run: usize,
+        cost_ms: u64,
+    },
+    Expire(u64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        4 => (0_u8..5, 0_u8..3, 1_u64..500).prop_map(|(workspace, class, deadline_ms)| {
+            Step::Enter { workspace, class, deadline_ms }
+        }),
+        1 => (0_usize..20).prop_map(Step::Leave),
+        3 => Just(Step::Start),
+        3 => (0_usize..4, 1_u64..200).prop_map(|(run, cost_ms)| Step::Finish { run, cost_ms }),
+        1 => (1_u64..50).prop_map(Step::Expire),
+    ];
+    prop::collection::vec(step, 1..300)
+}
+
+proptest! {
+    /// Every request is answered exactly once, and nothing waits while a slot is free for it.
+    #[test]
+    fn every_ticket_ends_once(steps in steps()) {
+        let settings = FairQueueSettings { max_waiting: 12, max_waiting_per_flow: 6 };
+        let mut queue = FairQueue::new(settings, 3);
+        let (mut now, mut entered, mut ended) = (at(0), 0_usize, 0_usize);
+        let (mut waiters, mut runs) = (Vec::new(), Vec::new());
+        for step in steps {
+            match step {
+                Step::Enter { workspace, class, deadline_ms } => {
+                    entered += 1;
+                    let arrival = Arrival {
+                        workspace: format!("workspace-{workspace}").into(),
+                        class: CLASSES[usize::from(class)],
+                        weight: 1 + u32::from(workspace),
+                        deadline: now + Duration::from_millis(deadline_ms),
+                    };
+                    match queue.enter(&arrival, (), now) {
+                        Ok(accepted) => {
+                            ended += usize::from(accepted.shed.is_some());
+                            waiters.push(accepted.waiter);
+                        }
+                        Err(_refused) => ended += 1,
+                    }
+                }
+                Step::Leave(place) => {
+                    let gone = waiters.get(place).and_then(|waiter| queue.leave(*waiter));
+                    ended += usize::from(gone.is_some());
+                }
+                Step::Start => {
+                    if let Some(started) = queue.start() {
+                        ended += 1;
+                        runs.push(started.run);
+                    }
+                }
+                Step::Finish { run, cost_ms } => {
+                    if run < runs.len() {
+                        queue.finish(runs.remove(run), Duration::from_millis(cost_ms));
+                    }
+                }
+                Step::Expire(millis) => {
+                    now = now + Duration::from_millis(millis);
+                    ended += queue.expire(now).len();
+                }
+            }
+            prop_assert!(queue.running() <= 3 && queue.waiting() <= 12);
+            prop_assert_eq!(queue.waiting(), entered - ended);
+        }
+        for run in runs {
+            queue.finish(run, STATEMENT);
+        }
+        while let Some(started) = queue.start() {
+            ended += 1;
+            queue.finish(started.run, STATEMENT);
+        }
+        prop_assert_eq!(ended, entered);
+        prop_assert!(queue.classes.iter().all(|class| class.weight == 0));
+    }
+}
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -7,8 +7,9 @@
 use strum::Display;
 
 use super::blackboard::{Incarnation, LocalVm};
+use super::bucket::Share;
 use crate::configuration::Configuration;
-use crate::name::{DatabaseName, InstanceName, VmName, ZoneName};
+use crate::name::{DatabaseName, InstanceName, VmName, WorkspaceName, ZoneName};
 use crate::position::{LogPosition, Term};
 use crate::time::Timestamp;
 
@@ -92,6 +93,9 @@
     pub availability_zone: ZoneName,
 }
 
+/// Shares of the workspaces that may use a database.
+pub type ShareTable = BTreeMap<WorkspaceName, Share>;
+
 /// What the traffic threads read; replaced as a whole.
 #[derive(Debug, Clone)]
 pub struct Snapshot {
@@ -107,6 +111,8 @@
     pub homes: Arc<BTreeMap<DatabaseName, HomeView>>,
     /// Databases that this VM is the home of.
     pub databases: BTreeMap<DatabaseName, Arc<DatabaseView>>,
+    /// What each workspace may spend at the databases that this VM is the home of.
+    pub shares: Arc<BTreeMap<DatabaseName, Arc<ShareTable>>>,
     /// Other VMs by name.
     pub peers: Arc<BTreeMap<VmName, PeerView>>,
 }
