--- a/src/peer/server/tests.rs
+++ b/src/peer/server/tests.rs
@@ -62,6 +62,7 @@
         configuration: Arc::new(Configuration::default()),
         homes: Arc::default(),
         databases: BTreeMap::new(),
+        shares: Arc::default(),
         peers: Arc::new(peers),
     }))
 }
