Add the answer gate, session marks, routing and the retry budget

Cause: the home needs these decisions before it can answer a save or place a read. Change: pure modules control::{quorum,gate,session,routing,retry}; CommandEnded names its command, the view of a database says which replicas follow and whether writes wait for a switchover.

--- a/src/control.rs
+++ b/src/control.rs
@@ -10,9 +10,14 @@
 pub mod configuration;
 pub mod event;
 pub mod fairness;
+pub mod gate;
 pub mod home;
 pub mod limit;
 pub mod membership;
+pub mod quorum;
+pub mod retry;
+pub mod routing;
+pub mod session;
 pub mod snapshot;
 pub mod term;
 
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -5,6 +5,7 @@
 use snafu::Snafu;
 
 use super::blackboard::{CallId, Incarnation};
+use super::command::InstanceRequest;
 use crate::configuration::Revision;
 use crate::name::{DatabaseName, InstanceName, VmName, WorkspaceName};
 use crate::peer::PeerMessage;
@@ -170,8 +171,8 @@
         database: DatabaseName,
         /// The instance.
         instance: InstanceName,
-        /// Term of the command.
-        term: Term,
+        /// The command.
+        request: InstanceRequest,
         /// What the instance says afterwards; `None` when it gave no answer.
         report: Option<InstanceReport>,
     },
@@ -207,6 +208,14 @@
         /// Epoch of the home.
         epoch: u64,
     },
+    /// No transaction that may write runs any more, and none starts, because
+    /// `DatabaseView::writes_paused` is set.
+    WritesEnded {
+        /// Database of the home.
+        database: DatabaseName,
+        /// Epoch of the home lease.
+        epoch: u64,
+    },
     /// All running work of a draining VM has ended.
     Drained,
 }
--- /dev/null
+++ b/src/control/gate.rs
@@ -0,0 +1,225 @@
+//! The answer gate: holds the answer of a save until enough instances hold the save.
+
+use std::collections::BTreeSet;
+
+use slotmap::{SlotMap, new_key_type};
+
+use super::event::InstanceReport;
+use super::quorum;
+use crate::name::InstanceName;
+use crate::position::{LogPosition, Term};
+use crate::time::Timestamp;
+use crate::traffic::RefusalReason;
+
+new_key_type! {
+    /// Handle of an answer that the gate holds.
+    pub struct WaiterKey;
+}
+
+/// What a primary said at the end of a transaction that may have written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Save {
+    /// Position that the primary reported with its answer.
+    pub at: LogPosition,
+    /// Term under which the instance was known to be the primary when the transaction started.
+    pub under: Term,
+    /// The primary.
+    pub primary: InstanceName,
+}
+
+/// Whether an answer may be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Held {
+    /// The save stands on enough instances.
+    Passed,
+    /// The answer must wait.
+    Waiting(WaiterKey),
+    /// The answer must never be sent as a success.
+    Refused(RefusalReason),
+}
+
+/// Answer that no longer waits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Release {
+    /// Handle of the answer.
+    pub waiter: WaiterKey,
+    /// `Ok` when the answer may be sent.
+    pub verdict: Result<(), RefusalReason>,
+}
+
+#[derive(Debug)]
+struct Waiter {
+    at: LogPosition,
+    deadline: Timestamp,
+}
+
+#[derive(Debug)]
+struct Progress {
+    instance: InstanceName,
+    adopted: Option<Term>,
+    last: Option<LogPosition>,
+}
+
+/// The answer gate of one database.
+#[derive(Debug)]
+pub struct AnswerGate {
+    group: Vec<Progress>,
+    term: Option<Term>,
+    durable: Option<LogPosition>,
+    waiters: SlotMap<WaiterKey, Waiter>,
+    by_position: BTreeSet<(LogPosition, WaiterKey)>,
+    by_deadline: BTreeSet<(Timestamp, WaiterKey)>,
+}
+
+impl AnswerGate {
+    /// Builds the gate of a group of instances, of which nothing is known yet.
+    pub fn new(instances: impl IntoIterator<Item = InstanceName>) -> Self {
+        let progress = |instance| Progress {
+            instance,
+            adopted: None,
+            last: None,
+        };
+        Self {
+            group: instances.into_iter().map(progress).collect(),
+            term: None,
+            durable: None,
+            waiters: SlotMap::with_key(),
+            by_position: BTreeSet::new(),
+            by_deadline: BTreeSet::new(),
+        }
+    }
+
+    /// Returns the highest position under the current term that enough instances hold.
+    pub const fn durable(&self) -> Option<&LogPosition> {
+        self.durable.as_ref()
+    }
+
+    /// Returns how many answers wait.
+    pub fn len(&self) -> usize {
+        self.waiters.len()
+    }
+
+    /// Returns whether no answer waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiters.is_empty()
+    }
+
+    /// Decides on the answer of a transaction that may have written.
+    pub fn hold(&mut self, save: &Save, deadline: Timestamp, now: Timestamp) -> Held {
+        // An older term in the log of a primary of `under` means that nothing was written.
+        if save.at.term < save.under {
+            return Held::Passed;
+        }
+        if self.term.as_ref().is_some_and(|term| save.at.term < *term) {
+            return Held::Refused(RefusalReason::TermChanged);
+        }
+        self.note(&save.primary, &save.at.term, &save.at);
+        if self.durable.as_ref().is_some_and(|at| *at >= save.at) {
+            return Held::Passed;
+        }
+        if deadline <= now {
+            return Held::Refused(RefusalReason::GateTimeout);
+        }
+        let at = save.at.clone();
+        let waiter = self.waiters.insert(Waiter {
+            at: at.clone(),
+            deadline,
+        });
+        self.by_position.insert((at, waiter));
+        self.by_deadline.insert((deadline, waiter));
+        Held::Waiting(waiter)
+    }
+
+    /// Takes an instance's report and returns every answer that it releases.
+    pub fn report(&mut self, instance: &InstanceName, report: &InstanceReport) -> Vec<Release> {
+        self.note(instance, &report.adopted, &report.last);
+        let mut released = Vec::new();
+        while let Some((at, waiter)) = self.by_position.first() {
+            let waiter = *waiter;
+            let verdict = if self.durable.as_ref().is_some_and(|durable| at <= durable)
+                && Some(&at.term) == self.term.as_ref()
+            {
+                Ok(())
+            } else if self.term.as_ref().is_some_and(|term| at.term < *term) {
+                Err(RefusalReason::TermChanged)
+            } else {
+                break;
+            };
+            self.forget(waiter);
+            released.push(Release { waiter, verdict });
+        }
+        released
+    }
+
+    /// Refuses every answer whose deadline has passed.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<Release> {
+        let mut released = Vec::new();
+        while let Some((deadline, waiter)) = self.by_deadline.first().copied() {
+            if deadline > now {
+                break;
+            }
+            self.forget(waiter);
+            released.push(Release {
+                waiter,
+                verdict: Err(RefusalReason::GateTimeout),
+            });
+        }
+        released
+    }
+
+    /// Returns when [`AnswerGate::expire`] has something to do, if no report comes first.
+    pub fn next_deadline(&self) -> Option<Timestamp> {
+        self.by_deadline.first().map(|(deadline, _)| *deadline)
+    }
+
+    /// Drops an answer that nobody waits for any more.
+    pub fn forget(&mut self, waiter: WaiterKey) {
+        let Some(Waiter { at, deadline }) = self.waiters.remove(waiter) else {
+            return;
+        };
+        self.by_position.remove(&(at, waiter));
+        self.by_deadline.remove(&(deadline, waiter));
+    }
+
+    fn note(&mut self, instance: &InstanceName, adopted: &Term, last: &LogPosition) {
+        let Some(progress) = self.group.iter_mut().find(|p| p.instance == *instance) else {
+            return;
+        };
+        // A late report of an older term says nothing about the current one.
+        if progress.adopted.as_ref().is_some_and(|term| adopted < term) {
+            return;
+        }
+        let newer = progress.adopted.as_ref() != Some(adopted);
+        if newer || progress.last.as_ref().is_none_or(|known| last > known) {
+            progress.adopted = Some(adopted.clone());
+            progress.last = Some(last.clone());
+        }
+        if self.term.as_ref().is_none_or(|term| adopted > term) {
+            self.term = Some(adopted.clone());
+            self.durable = None;
+        }
+        self.advance();
+    }
+
+    fn advance(&mut self) {
+        let Some(term) = &self.term else {
+            return;
+        };
+        let current = |progress: &&Progress| progress.adopted.as_ref() == Some(term);
+        let mut held: Vec<_> = self
+            .group
+            .iter()
+            .filter(current)
+            .filter_map(|progress| progress.last.as_ref())
+            .filter(|last| last.term == *term)
+            .collect();
+        held.sort_unstable_by(|a, b| b.cmp(a));
+        let copies = quorum::copies(self.group.len());
+        if let Some(at) = held.get(copies - 1) {
+            self.durable = Some((*at).clone());
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/control/routing/history.rs
@@ -0,0 +1,82 @@
+//! Where a primary's log stood when: turns staleness in time into positions, and back.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::position::LogPosition;
+use crate::time::Timestamp;
+
+const MAX_SAMPLES: usize = 512;
+const MIN_SPACING: Duration = Duration::from_millis(2);
+
+#[derive(Debug)]
+struct Sample {
+    at: Timestamp,
+    position: LogPosition,
+}
+
+/// Positions of a primary over time, as its home has seen them.
+///
+/// Every statement of the database runs through the home, so that no acknowledged save is missing.
+/// Where samples are merged or dropped, a replica seems staler than it is, never fresher.
+#[derive(Debug, Default)]
+pub struct PositionHistory {
+    samples: VecDeque<Sample>,
+}
+
+impl PositionHistory {
+    /// Records that the primary has reached a position.
+    pub fn note(&mut self, position: &LogPosition, now: Timestamp) {
+        if let Some(last) = self.samples.back_mut() {
+            if *position <= last.position {
+                return;
+            }
+            if now.since(last.at) < MIN_SPACING {
+                last.position = position.clone();
+                return;
+            }
+        }
+        if self.samples.len() == MAX_SAMPLES {
+            self.samples.pop_front();
+        }
+        self.samples.push_back(Sample {
+            at: now,
+            position: position.clone(),
+        });
+    }
+
+    /// Starts anew at the first position of a new term: entries of the former primary that were
+    /// never acknowledged may lie beyond it.
+    pub fn restart(&mut self, position: &LogPosition, now: Timestamp) {
+        self.samples.clear();
+        self.note(position, now);
+    }
+
+    /// Returns the latest position known.
+    pub fn latest(&self) -> Option<&LogPosition> {
+        self.samples.back().map(|sample| &sample.position)
+    }
+
+    /// Returns a position that holds everything written up to `at`; `None` when nothing is known.
+    pub fn position_at(&self, at: Timestamp) -> Option<&LogPosition> {
+        let after = self.samples.partition_point(|sample| sample.at <= at);
+        let index = after.saturating_sub(1);
+        self.samples.get(index).map(|sample| &sample.position)
+    }
+
+    /// Returns when the primary went beyond `position`; `None` when it hasn't.
+    pub fn passed_at(&self, position: &LogPosition) -> Option<Timestamp> {
+        let index = self
+            .samples
+            .partition_point(|sample| sample.position <= *position);
+        self.samples.get(index).map(|sample| sample.at)
+    }
+
+    /// Returns when the primary reached `position`; `None` when it hasn't.
+    pub fn reached_at(&self, position: &LogPosition) -> Option<Timestamp> {
+        let index = self
+            .samples
+            .partition_point(|sample| sample.position < *position);
+        self.samples.get(index).map(|sample| sample.at)
+    }
+}
--- /dev/null
+++ b/src/control/routing/rotation.rs
@@ -0,0 +1,215 @@
+//! Progress of the replicas of one database, and which of them are in rotation for reads.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::history::PositionHistory;
+use crate::name::InstanceName;
+use crate::position::LogPosition;
+use crate::time::Timestamp;
+
+/// Bounds of [`Rotation`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RotationSettings {
+    /// Lag beyond which a replica leaves rotation.
+    pub leave_lag_ms: u64,
+    /// Lag that a replica must stay below to return.
+    pub return_lag_ms: u64,
+    /// Time for which it must stay below.
+    pub return_after_ms: u64,
+}
+
+impl Default for RotationSettings {
+    fn default() -> Self {
+        Self {
+            leave_lag_ms: 2_000,
+            return_lag_ms: 500,
+            return_after_ms: 1_000,
+        }
+    }
+}
+
+/// What is known of a replica.
+#[derive(Debug, Clone)]
+pub struct ReplicaProgress {
+    /// Position that the replica has reached.
+    pub reached: LogPosition,
+    /// Typical time from a save on the primary to the report that the replica has it.
+    pub delay: Duration,
+    left_at: Option<Timestamp>,
+    caught_up_since: Option<Timestamp>,
+}
+
+/// Replicas of one database, as their reports show them.
+#[derive(Debug, Default)]
+pub struct Rotation {
+    settings: RotationSettings,
+    history: PositionHistory,
+    replicas: BTreeMap<InstanceName, ReplicaProgress>,
+}
+
+impl Rotation {
+    /// Builds the rotation of a database of which nothing is known yet.
+    pub fn new(settings: RotationSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Returns where the primary's log stood when.
+    pub const fn history(&self) -> &PositionHistory {
+        &self.history
+    }
+
+    /// Records that the primary has reached a position.
+    pub fn primary_reached(&mut self, position: &LogPosition, now: Timestamp) {
+        self.history.note(position, now);
+    }
+
+    /// Starts a new term, in which what is known of the replicas holds no longer.
+    pub fn start_term(&mut self, primary_at: &LogPosition, now: Timestamp) {
+        self.history.restart(primary_at, now);
+        self.replicas.clear();
+    }
+
+    /// Drops a replica that no longer follows the primary or can't be reached.
+    pub fn remove(&mut self, replica: &InstanceName) {
+        self.replicas.remove(replica);
+    }
+
+    /// Records a report of a replica that follows the primary of the current term.
+    pub fn replica_reached(
+        &mut self,
+        replica: &InstanceName,
+        reached: &LogPosition,
+        now: Timestamp,
+    ) {
+        let lag = self.lag_behind(reached, now);
+        let observed = self.history.reached_at(reached).map(|at| now.since(at));
+        let progress = self
+            .replicas
+            .entry(replica.clone())
+            .or_insert_with(|| ReplicaProgress {
+                reached: reached.clone(),
+                delay: observed.unwrap_or_default(),
+                left_at: None,
+                caught_up_since: None,
+            });
+        if *reached > progress.reached {
+            progress.reached = reached.clone();
+            if let Some(observed) = observed {
+                // Quick to rise and slow to fall, so that a wait is rarely too short.
+                progress.delay = if observed > progress.delay {
+                    (progress.delay + observed) / 2
+                } else {
+                    (progress.delay * 7 + observed) / 8
+                };
+            }
+        }
+        rotate(progress, lag, &self.settings, now);
+    }
+
+    /// Looks at every replica's lag anew; called at intervals, for replicas that went silent.
+    pub fn refresh(&mut self, now: Timestamp) {
+        let Self {
+            settings,
+            history,
+            replicas,
+        } = self;
+        for progress in replicas.values_mut() {
+            let lag = lag_behind(history, &progress.reached, now);
+            rotate(progress, lag, settings, now);
+        }
+    }
+
+    /// Returns whether the replica may serve reads.
+    pub fn in_rotation(&self, replica: &InstanceName) -> bool {
+        let progress = self.replicas.get(replica);
+        progress.is_some_and(|progress| progress.left_at.is_none())
+    }
+
+    /// Returns the position that a read must see: what its session has seen, and what stood on
+    /// the primary `max_staleness` ago.
+    pub fn need(
+        &self,
+        session: Option<LogPosition>,
+        max_staleness: Duration,
+        now: Timestamp,
+    ) -> Option<LogPosition> {
+        let session = session?;
+        let earlier = Timestamp::ZERO + now.since(Timestamp::ZERO + max_staleness);
+        let bound = self.history.position_at(earlier);
+        Some(bound.map_or(session.clone(), |bound| session.max(bound.clone())))
+    }
+
+    /// Returns the time until the replica is expected to reach a position; zero when it has,
+    /// `None` when it isn't in rotation or the position isn't known to exist.
+    pub fn fresh_in(
+        &self,
+        replica: &InstanceName,
+        need: &LogPosition,
+        now: Timestamp,
+    ) -> Option<Duration> {
+        let progress = self.replicas.get(replica)?;
+        if progress.left_at.is_some() {
+            return None;
+        }
+        if progress.reached >= *need {
+            return Some(Duration::ZERO);
+        }
+        let expected = self.history.reached_at(need)? + progress.delay;
+        if expected > now {
+            return Some(expected.since(now));
+        }
+        // The longer an arrival is overdue, the longer it is expected to take yet.
+        Some(now.since(expected) + Duration::from_millis(1))
+    }
+
+    /// Returns the lowest position of the replicas in rotation, which every session may take as
+    /// its floor at no cost; `None` when no replica is in rotation.
+    pub fn lowest(&self) -> Option<&LogPosition> {
+        self.replicas
+            .values()
+            .filter(|progress| progress.left_at.is_none())
+            .map(|progress| &progress.reached)
+            .min()
+    }
+
+    /// Returns what is known of a replica.
+    pub fn progress(&self, replica: &InstanceName) -> Option<&ReplicaProgress> {
+        self.replicas.get(replica)
+    }
+
+    fn lag_behind(&self, reached: &LogPosition, now: Timestamp) -> Duration {
+        lag_behind(&self.history, reached, now)
+    }
+}
+
+fn lag_behind(history: &PositionHistory, reached: &LogPosition, now: Timestamp) -> Duration {
+    history
+        .passed_at(reached)
+        .map_or(Duration::ZERO, |at| now.since(at))
+}
+
+fn rotate(
+    progress: &mut ReplicaProgress,
+    lag: Duration,
+    settings: &RotationSettings,
+    now: Timestamp,
+) {
+    if lag > Duration::from_millis(settings.leave_lag_ms) {
+        progress.left_at.get_or_insert(now);
+    }
+    if lag > Duration::from_millis(settings.return_lag_ms) {
+        progress.caught_up_since = None;
+        return;
+    }
+    let since = *progress.caught_up_since.get_or_insert(now);
+    if now.since(since) >= Duration::from_millis(settings.return_after_ms) {
+        progress.left_at = None;
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/control/routing/tests.rs
@@ -0,0 +1,192 @@
+use super::*;
+use crate::position::Term;
+
+fn at(position: u64) -> LogPosition {
+    LogPosition {
+        term: Term {
+            number: 1,
+            promoter: "vm-1".into(),
+        },
+        position,
+    }
+}
+
+fn request() -> ReadRequest {
+    ReadRequest {
+        need: Some(at(10)),
+        lease_valid: true,
+        availability_zone: "zone-a".into(),
+        time_left: Duration::from_secs(1),
+    }
+}
+
+fn primary() -> Candidate {
+    Candidate {
+        instance: "primary".into(),
+        availability_zone: "zone-a".into(),
+        is_primary: true,
+        in_flight: 0,
+        slots: 3,
+        fresh_in: None,
+    }
+}
+
+fn replica(name: &str, zone: &str, in_flight: u32, fresh_in_ms: Option<u64>) -> Candidate {
+    Candidate {
+        instance: name.into(),
+        availability_zone: zone.into(),
+        is_primary: false,
+        in_flight,
+        slots: 3,
+        fresh_in: fresh_in_ms.map(Duration::from_millis),
+    }
+}
+
+fn run(name: &str) -> Choice {
+    Choice::Run {
+        instance: name.into(),
+    }
+}
+
+struct Case {
+    name: &'static str,
+    request: ReadRequest,
+    candidates: Vec<Candidate>,
+    choice: Choice,
+}
+
+fn check(cases: impl IntoIterator<Item = Case>) {
+    let settings = RoutingSettings::default();
+    for case in cases {
+        let choice = choose(&case.request, &case.candidates, &settings);
+        assert_eq!(choice, case.choice, "{}", case.name);
+    }
+}
+
+#[test]
+fn prefers_near_and_idle_replicas() {
+    check([
+        Case {
+            name: "own zone first",
+            request: request(),
+            candidates: vec![
+                primary(),
+                replica("far", "zone-b", 0, Some(0)),
+                replica("near", "zone-a", 2, Some(0)),
+            ],
+            choice: run("near"),
+        },
+        Case {
+            name: "another zone rather than a queue",
+            request: request(),
+            candidates: vec![
+                primary(),
+                replica("far", "zone-b", 0, Some(0)),
+                replica("near", "zone-a", 3, Some(0)),
+            ],
+            choice: run("far"),
+        },
+        Case {
+            name: "least loaded within a zone",
+            request: request(),
+            candidates: vec![
+                primary(),
+                replica("busy", "zone-a", 2, Some(0)),
+                replica("calm", "zone-a", 1, Some(0)),
+            ],
+            choice: run("calm"),
+        },
+    ]);
+}
+
+#[test]
+fn weighs_waiting_against_the_primary() {
+    check([
+        Case {
+            name: "waits briefly for a replica",
+            request: request(),
+            candidates: vec![primary(), replica("near", "zone-a", 0, Some(8))],
+            choice: Choice::Wait {
+                instance: "near".into(),
+                at_most: Duration::from_millis(16),
+            },
+        },
+        Case {
+            name: "an idle primary rather than a long wait",
+            request: request(),
+            candidates: vec![primary(), replica("near", "zone-a", 0, Some(30))],
+            choice: run("primary"),
+        },
+        Case {
+            name: "a long wait rather than a busy primary",
+            request: request(),
+            candidates: vec![
+                Candidate {
+                    in_flight: 3,
+                    ..primary()
+                },
+                replica("near", "zone-a", 0, Some(30)),
+            ],
+            choice: Choice::Wait {
+                instance: "near".into(),
+                at_most: Duration::from_millis(60),
+            },
+        },
+        Case {
+            name: "a replica that can't be fresh in time",
+            request: ReadRequest {
+                time_left: Duration::from_millis(5),
+                ..request()
+            },
+            candidates: vec![primary(), replica("near", "zone-a", 0, Some(8))],
+            choice: run("primary"),
+        },
+    ]);
+}
+
+#[test]
+fn goes_to_the_primary_when_in_doubt() {
+    check([
+        Case {
+            name: "primary when it isn't known what the session has seen",
+            request: ReadRequest {
+                need: None,
+                ..request()
+            },
+            candidates: vec![primary(), replica("near", "zone-a", 0, Some(0))],
+            choice: run("primary"),
+        },
+        Case {
+            name: "primary with confirmation when the lease is in doubt",
+            request: ReadRequest {
+                lease_valid: false,
+                ..request()
+            },
+            candidates: vec![primary(), replica("near", "zone-a", 0, Some(0))],
+            choice: Choice::RunConfirmed {
+                instance: "primary".into(),
+            },
+        },
+        Case {
+            name: "replicas go on while there is no primary",
+            request: request(),
+            candidates: vec![replica("near", "zone-a", 0, Some(0))],
+            choice: run("near"),
+        },
+        Case {
+            name: "nothing fresh and no primary",
+            request: request(),
+            candidates: vec![replica("near", "zone-a", 0, None)],
+            choice: Choice::Nowhere,
+        },
+        Case {
+            name: "lease in doubt and no primary",
+            request: ReadRequest {
+                lease_valid: false,
+                ..request()
+            },
+            candidates: vec![replica("near", "zone-a", 0, Some(0))],
+            choice: Choice::Nowhere,
+        },
+    ]);
+}
--- /dev/null
+++ b/src/control/session/tests.rs
@@ -0,0 +1,113 @@
+use proptest::prelude::*;
+
+use super::*;
+use crate::position::Term;
+
+fn at(position: u64) -> LogPosition {
+    LogPosition {
+        term: Term {
+            number: 1,
+            promoter: "vm-1".into(),
+        },
+        position,
+    }
+}
+
+fn session(number: u64) -> SessionKey {
+    SessionKey {
+        workspace: "crew".into(),
+        session: (number > 0).then(|| format!("s{number}").into()),
+    }
+}
+
+#[test]
+fn a_read_needs_the_highest_of_floor_mark_and_token() {
+    struct Case {
+        name: &'static str,
+        floor: Option<u64>,
+        mark: Option<u64>,
+        token: Option<u64>,
+        need: Option<u64>,
+    }
+    let cases = [
+        Case {
+            name: "without a floor nothing is known, whatever the token says",
+            floor: None,
+            mark: Some(5),
+            token: Some(9),
+            need: None,
+        },
+        Case {
+            name: "a session without a mark needs the floor",
+            floor: Some(3),
+            mark: None,
+            token: None,
+            need: Some(3),
+        },
+        Case {
+            name: "own write",
+            floor: Some(3),
+            mark: Some(5),
+            token: Some(4),
+            need: Some(5),
+        },
+        Case {
+            name: "token from elsewhere",
+            floor: Some(3),
+            mark: Some(5),
+            token: Some(9),
+            need: Some(9),
+        },
+    ];
+    for case in cases {
+        let mut marks = SessionMarks::new(SessionSettings::default());
+        if let Some(mark) = case.mark {
+            marks.saw(&session(1), &at(mark));
+        }
+        if let Some(floor) = case.floor {
+            marks.raise_floor(&at(floor));
+        }
+        let token = case.token.map(at);
+        let need = marks.need(&session(1), token.as_ref());
+        assert_eq!(need, case.need.map(at), "{}", case.name);
+    }
+}
+
+#[test]
+fn a_token_of_one_request_does_not_bind_the_next() {
+    let mut marks = SessionMarks::new(SessionSettings::default());
+    marks.raise_floor(&at(1));
+    assert_eq!(
+        marks.need(&session(0), Some(&at(u64::MAX))),
+        Some(at(u64::MAX))
+    );
+    assert_eq!(marks.need(&session(0), None), Some(at(1)));
+}
+
+proptest! {
+    /// No session is ever asked for less than it has seen, within the bound on memory, whether
+    /// or not a floor is known at first; and sessions that were not evicted lose nothing.
+    #[test]
+    fn never_forgets_below_what_was_seen(
+        steps in prop::collection::vec((0..12_u64, 1..100_u64, 0..10_u8), 1..80),
+        max_marks in 1..6_usize,
+    ) {
+        let mut marks = SessionMarks::new(SessionSettings { max_marks });
+        let mut seen: BTreeMap<u64, u64> = BTreeMap::new();
+        for (number, position, kind) in steps {
+            if kind == 0 {
+                marks.raise_floor(&at(position));
+            } else {
+                marks.saw(&session(number), &at(position));
+                let mark = seen.entry(number).or_default();
+                *mark = position.max(*mark);
+            }
+            prop_assert!(marks.len() <= max_marks);
+            for (number, mark) in &seen {
+                if let Some(need) = marks.need(&session(*number), None) {
+                    prop_assert!(need >= at(*mark), "session {number} saw {mark}, needs {need}");
+                }
+            }
+        }
+    }
+}
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -62,6 +62,9 @@
     pub accepts_work: bool,
     /// Whether the instance has answered lately.
     pub reachable: bool,
+    /// Whether the instance is known to replicate from the primary of the current term, so that
+    /// its log holds nothing which that primary lacks. Other replicas must not serve reads.
+    pub follows: bool,
 }
 
 /// One database that this VM is the home of.
@@ -75,6 +78,9 @@
     pub term: Option<Term>,
     /// Primary of that term; `None` while a promotion is under way.
     pub primary: Option<InstanceName>,
+    /// Whether new transactions that may write wait in the queue, because a planned switchover is
+    /// under way; running ones go on to their end.
+    pub writes_paused: bool,
     /// Place in the log that covers every save acknowledged before this VM became the home;
     /// `None` until it is known.
     pub floor: Option<LogPosition>,
--- a/src/control/term.rs
+++ b/src/control/term.rs
@@ -82,11 +82,13 @@
                 accepts_work: instance.state == InstanceState::Live
                     && !configuration.current.in_maintenance(&instance.name),
                 reachable: self.evidence_of(name, &instance.name).is_some(),
+                follows: false,
             });
             let view = DatabaseView {
                 name: name.clone(),
                 lease: *lease,
                 primary: primary.map(|instance| instance.name.clone()),
+                writes_paused: false,
                 floor: reports().map(|evidence| evidence.report.last.clone()).max(),
                 instances: instances.collect(),
                 term,
