Add the stand-in database group

Cause: parts that speak to instances need something to be tested against. Change: instances over SQLite with the PostgreSQL protocol, asynchronous replication, terms, position reports, fencing, faults and checks. Conclusion: what docs/DATABASE.md asks of an instance can be tested.

--- /dev/null
+++ b/lab/src/database.rs
@@ -0,0 +1,385 @@
+//! Stand-in for a database group: instances that speak the PostgreSQL protocol over SQLite.
+//!
+//! Replication is asynchronous with a settable lag; links can be cut, instances killed, paused and
+//! slowed. What a VM must never do to an instance is recorded as a [`Violation`].
+
+mod checks;
+mod copy;
+mod error;
+mod extended;
+mod instance;
+mod log;
+mod login;
+mod network;
+mod replication;
+mod rewrite;
+mod run;
+mod session;
+mod sql;
+mod store;
+mod transaction;
+mod types;
+mod value;
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use currantlb::position::LogPosition;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::watch;
+use tokio::task::{AbortHandle, JoinSet};
+
+pub use checks::{Violation, ViolationKind};
+pub use instance::{InstanceShape, Report};
+
+use checks::Checks;
+use instance::{Instance, InstanceParts};
+
+/// One instance of a group.
+#[derive(Debug, Clone)]
+pub struct InstanceSettings {
+    /// Name of the instance.
+    pub name: String,
+    /// Address to listen on; port 0 picks a free one.
+    pub address: SocketAddr,
+    /// Limits and delays.
+    pub shape: InstanceShape,
+}
+
+impl Default for InstanceSettings {
+    fn default() -> Self {
+        Self {
+            name: "instance-1".to_owned(),
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            shape: InstanceShape::default(),
+        }
+    }
+}
+
+/// Settings of a group; the first instance starts as primary.
+#[derive(Debug, Clone)]
+pub struct DatabaseGroupSettings {
+    /// The instances.
+    pub instances: Vec<InstanceSettings>,
+    /// Password that VMs log in with; any is accepted when `None`.
+    pub password: Option<String>,
+    /// Keys of callers, which must never be seen.
+    pub forbidden: Vec<String>,
+    /// Replication lag of every replica.
+    pub replication_lag: Duration,
+    /// Time that a packet between a VM and an instance takes each way.
+    pub delay: Duration,
+    /// Statements that every instance has run before the group starts, outside the log.
+    pub schema: Vec<String>,
+}
+
+impl Default for DatabaseGroupSettings {
+    fn default() -> Self {
+        let instance = |name: &str| InstanceSettings {
+            name: name.to_owned(),
+            ..InstanceSettings::default()
+        };
+        Self {
+            instances: vec![
+                instance("instance-1"),
+                instance("instance-2"),
+                instance("instance-3"),
+            ],
+            password: None,
+            forbidden: Vec::new(),
+            replication_lag: Duration::ZERO,
+            delay: Duration::ZERO,
+            schema: Vec::new(),
+        }
+    }
+}
+
+/// Running group; dropping it ends its instances.
+#[derive(Debug)]
+pub struct DatabaseGroup {
+    instances: Vec<Arc<Instance>>,
+    checks: Arc<Checks>,
+    listeners: Mutex<Vec<AbortHandle>>,
+    _replication: JoinSet<()>,
+}
+
+impl DatabaseGroup {
+    /// Starts the instances of a group.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be bound or the schema is no valid SQL.
+    pub async fn start(settings: DatabaseGroupSettings) -> std::io::Result<Self> {
+        let checks = Arc::new(Checks::new(settings.forbidden));
+        let changed = watch::Sender::new(0);
+        let primary = settings
+            .instances
+            .first()
+            .map(|first| first.name.clone())
+            .unwrap_or_default();
+        let mut instances = Vec::new();
+        let mut listeners = Vec::new();
+        for instance in settings.instances {
+            let listener = TcpListener::bind(instance.address).await?;
+            let parts = InstanceParts {
+                name: instance.name,
+                address: listener.local_addr()?,
+                shape: instance.shape,
+                password: settings.password.clone(),
+                checks: Arc::clone(&checks),
+                changed: changed.clone(),
+                primary: primary.clone(),
+                lag: settings.replication_lag,
+                delay: settings.delay,
+            };
+            let instance = Arc::new(Instance::new(parts).map_err(std::io::Error::other)?);
+            listeners.push(accept(&instance, listener));
+            instances.push(instance);
+        }
+        let mut replication = JoinSet::new();
+        let peers: Vec<_> = instances.iter().map(Arc::downgrade).collect();
+        for instance in &instances {
+            replication.spawn(replication::run(Arc::downgrade(instance), peers.clone()));
+        }
+        let group = Self {
+            instances,
+            checks,
+            listeners: Mutex::new(listeners),
+            _replication: replication,
+        };
+        group
+            .run_schema(&settings.schema)
+            .map_err(std::io::Error::other)?;
+        Ok(group)
+    }
+
+    fn run_schema(&self, schema: &[String]) -> error::Result<()> {
+        let Some(primary) = self.instances.first() else {
+            return Ok(());
+        };
+        let mut statements = Vec::new();
+        for text in schema {
+            for plan in sql::parse(text)? {
+                statements.push(log::LoggedStatement {
+                    sql: plan.sql,
+                    parameters: Vec::new(),
+                });
+            }
+        }
+        let generation = primary.begin_write()?;
+        {
+            let core = primary.core();
+            for statement in &statements {
+                core.store.run(true, &statement.sql, &[])?;
+            }
+        }
+        primary.commit(generation, statements)
+    }
+
+    fn instance(&self, name: &str) -> &Arc<Instance> {
+        let found = self.instances.iter().find(|instance| instance.name == name);
+        found
+            .unwrap_or_else(|| panic!("the group has no instance {name}; name one of its settings"))
+    }
+
+    /// Returns names and addresses of the instances.
+    pub fn addresses(&self) -> Vec<(String, SocketAddr)> {
+        self.instances
+            .iter()
+            .map(|instance| (instance.name.clone(), instance.address))
+            .collect()
+    }
+
+    /// Returns what an instance says of itself.
+    pub fn report(&self, instance: &str) -> Report {
+        self.instance(instance).report()
+    }
+
+    /// Returns the primary of the highest term that has one.
+    pub fn primary(&self) -> Option<String> {
+        let primaries = self
+            .instances
+            .iter()
+            .filter(|instance| instance.report().is_primary);
+        primaries
+            .max_by_key(|instance| instance.report().adopted)
+            .map(|instance| instance.name.clone())
+    }
+
+    /// Cuts an instance from VMs and other instances: packets vanish, connections stay open.
+    pub fn isolate(&self, instance: &str) {
+        self.instance(instance).network.change(|links| {
+            links.cut_from_vms = true;
+            links.cut_from_instances = true;
+        });
+    }
+
+    /// Cuts an instance from VMs only.
+    pub fn isolate_from_vms(&self, instance: &str) {
+        self.instance(instance)
+            .network
+            .change(|links| links.cut_from_vms = true);
+    }
+
+    /// Cuts an instance from one VM.
+    pub fn isolate_from_vm(&self, instance: &str, vm: &str) {
+        self.instance(instance).network.change(|links| {
+            links.cut_vms.insert(vm.to_owned());
+        });
+    }
+
+    /// Cuts an instance from the other instances only.
+    pub fn isolate_from_instances(&self, instance: &str) {
+        self.instance(instance)
+            .network
+            .change(|links| links.cut_from_instances = true);
+    }
+
+    /// Mends every link of an instance.
+    pub fn heal(&self, instance: &str) {
+        let instance = self.instance(instance);
+        instance.network.change(|links| {
+            links.cut_from_vms = false;
+            links.cut_from_instances = false;
+            links.cut_vms.clear();
+        });
+        instance.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Stops an instance as a signal would: it neither reads, works nor writes.
+    pub fn pause(&self, instance: &str) {
+        self.instance(instance)
+            .network
+            .change(|links| links.paused = true);
+    }
+
+    /// Lets a paused instance go on.
+    pub fn resume(&self, instance: &str) {
+        let instance = self.instance(instance);
+        instance.network.change(|links| links.paused = false);
+        instance.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Ends an instance at once: connections close, its log and term stay.
+    pub fn kill(&self, instance: &str) {
+        let index = self.index(instance);
+        self.listeners.lock().expect("no holder panics")[index].abort();
+        let instance = &self.instances[index];
+        instance.network.change(|links| links.alive = false);
+        instance.drop_sessions();
+    }
+
+    /// Starts a killed instance again on its address, as a replica.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address can't be bound.
+    pub fn restart(&self, instance: &str) -> std::io::Result<()> {
+        let index = self.index(instance);
+        let instance = &self.instances[index];
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(instance.address)?;
+        let listener = socket.listen(128)?;
+        self.listeners.lock().expect("no holder panics")[index] = accept(instance, listener);
+        instance.network.change(|links| links.alive = true);
+        instance.changed.send_modify(|count| *count += 1);
+        Ok(())
+    }
+
+    fn index(&self, name: &str) -> usize {
+        let found = self
+            .instances
+            .iter()
+            .position(|instance| instance.name == name);
+        found
+            .unwrap_or_else(|| panic!("the group has no instance {name}; name one of its settings"))
+    }
+
+    /// Sets the replication lag of an instance.
+    pub fn set_lag(&self, instance: &str, lag: Duration) {
+        let instance = self.instance(instance);
+        instance
+            .lag_ms
+            .store(lag.as_millis() as u64, Ordering::Relaxed);
+        instance.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Makes every statement of an instance take longer.
+    pub fn slow(&self, instance: &str, extra: Duration) {
+        self.instance(instance)
+            .slow_ms
+            .store(extra.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Returns everything that VMs must not have done.
+    pub fn violations(&self) -> Vec<Violation> {
+        self.checks.violations()
+    }
+
+    /// Returns how many connections an instance has.
+    pub fn connections(&self, instance: &str) -> usize {
+        self.instance(instance).sessions().len()
+    }
+
+    /// Returns the positions of an instance's log.
+    pub fn log(&self, instance: &str) -> Vec<LogPosition> {
+        self.instance(instance)
+            .core()
+            .log
+            .iter()
+            .map(|entry| entry.position.clone())
+            .collect()
+    }
+
+    /// Reads what an instance has committed, past every check, as text.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the text is no valid query.
+    pub fn query(&self, instance: &str, text: &str) -> std::io::Result<Vec<Vec<String>>> {
+        let read = || -> error::Result<Vec<Vec<String>>> {
+            let plans = sql::parse(text)?;
+            let core = self.instance(instance).core();
+            let rows = core.store.run(false, &plans[0].sql, &[])?;
+            let texts = |row: Vec<_>| {
+                row.iter()
+                    .map(|value| value::text_of(value::TEXT, value))
+                    .collect()
+            };
+            Ok(rows.rows.into_iter().map(texts).collect())
+        };
+        read().map_err(std::io::Error::other)
+    }
+}
+
+impl Drop for DatabaseGroup {
+    fn drop(&mut self) {
+        for listener in self.listeners.lock().expect("no holder panics").iter() {
+            listener.abort();
+        }
+        for instance in &self.instances {
+            instance.drop_sessions();
+        }
+    }
+}
+
+fn accept(instance: &Arc<Instance>, listener: TcpListener) -> AbortHandle {
+    let instance = Arc::downgrade(instance);
+    let accepting = tokio::spawn(async move {
+        while let Ok((socket, _)) = listener.accept().await {
+            let Some(instance) = instance.upgrade() else {
+                return;
+            };
+            tokio::spawn(async move {
+                let name = instance.name.clone();
+                if let Err(error) = login::serve(instance, socket).await {
+                    ::log::debug!("event=connection_ended instance={name} error={error:?}");
+                }
+            });
+        }
+    });
+    accepting.abort_handle()
+}
--- /dev/null
+++ b/lab/src/database/instance.rs
@@ -0,0 +1,317 @@
+//! One instance: its log, tables, term and the sessions on it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicI32, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use currantlb::position::{LogPosition, Term};
+use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use super::checks::Checks;
+use super::error::{Result, SqlError};
+use super::log::{Entry, LoggedStatement, first_term, last_position};
+use super::network::Network;
+use super::store::Store;
+
+/// What an instance says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// Highest term that the instance has adopted.
+    pub adopted: Term,
+    /// Whether it is the primary of that term.
+    pub is_primary: bool,
+    /// Last position of its log.
+    pub last: LogPosition,
+}
+
+/// Session as others may end it.
+#[derive(Debug)]
+pub(crate) struct SessionHandle {
+    pub(crate) application_name: String,
+    pub(crate) secret: i32,
+    pub(crate) cancel: Arc<Notify>,
+    pub(crate) end: CancellationToken,
+}
+
+/// Limits and delays of an instance.
+#[derive(Debug, Clone)]
+pub struct InstanceShape {
+    /// Statements that may run at once.
+    pub slots: u32,
+    /// Connections that may be open.
+    pub connections: u32,
+    /// Time that a new connection takes.
+    pub connect_time_ms: u64,
+    /// Time that each statement takes beside running it.
+    pub service_time_ms: u64,
+}
+
+impl Default for InstanceShape {
+    fn default() -> Self {
+        Self {
+            slots: 3,
+            connections: 20,
+            connect_time_ms: 10,
+            service_time_ms: 0,
+        }
+    }
+}
+
+/// State that changes with every commit.
+pub(crate) struct Core {
+    pub(crate) store: Store,
+    pub(crate) log: Vec<Arc<Entry>>,
+    pub(crate) adopted: Term,
+    pub(crate) is_primary: bool,
+    pub(crate) following: Option<String>,
+    /// Whether entries that the primary doesn't have were dropped in this term.
+    pub(crate) synced: bool,
+    /// Raised when the open write transaction was ended from outside.
+    pub(crate) generation: u64,
+    /// What `now()` and random functions give in the open write transaction.
+    started: (i64, u64),
+}
+
+/// One instance.
+pub(crate) struct Instance {
+    pub(crate) name: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) shape: InstanceShape,
+    pub(crate) password: Option<String>,
+    pub(crate) network: Network,
+    pub(crate) checks: Arc<Checks>,
+    pub(crate) writer: Arc<tokio::sync::Mutex<()>>,
+    pub(crate) sessions: Mutex<HashMap<i32, SessionHandle>>,
+    pub(crate) running: AtomicU32,
+    pub(crate) slow_ms: AtomicU64,
+    pub(crate) lag_ms: AtomicU64,
+    /// Counts changes of the whole group, which wake its replicas.
+    pub(crate) changed: watch::Sender<u64>,
+    core: Mutex<Core>,
+    report: watch::Sender<Report>,
+    next_pid: AtomicI32,
+}
+
+impl std::fmt::Debug for Instance {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Instance")
+            .field("name", &self.name)
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+/// What an instance is made of.
+#[derive(Debug)]
+pub(crate) struct InstanceParts {
+    pub(crate) name: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) shape: InstanceShape,
+    pub(crate) password: Option<String>,
+    pub(crate) checks: Arc<Checks>,
+    pub(crate) changed: watch::Sender<u64>,
+    pub(crate) primary: String,
+    pub(crate) lag: Duration,
+    pub(crate) delay: Duration,
+}
+
+impl Instance {
+    pub(crate) fn new(parts: InstanceParts) -> Result<Self> {
+        let is_primary = parts.name == parts.primary;
+        let report = Report {
+            adopted: first_term(),
+            is_primary,
+            last: last_position(&[]),
+        };
+        let core = Core {
+            store: Store::new()?,
+            log: Vec::new(),
+            adopted: first_term(),
+            is_primary,
+            following: (!is_primary).then_some(parts.primary),
+            synced: false,
+            generation: 0,
+            started: (0, 0),
+        };
+        Ok(Self {
+            name: parts.name,
+            address: parts.address,
+            shape: parts.shape,
+            password: parts.password,
+            network: Network::new(parts.delay),
+            checks: parts.checks,
+            writer: Arc::default(),
+            sessions: Mutex::default(),
+            running: AtomicU32::new(0),
+            slow_ms: AtomicU64::new(0),
+            lag_ms: AtomicU64::new(parts.lag.as_millis() as u64),
+            changed: parts.changed,
+            core: Mutex::new(core),
+            report: watch::Sender::new(report),
+            next_pid: AtomicI32::new(1),
+        })
+    }
+
+    pub(crate) fn core(&self) -> MutexGuard<'_, Core> {
+        self.core.lock().expect("no holder panics")
+    }
+
+    pub(crate) fn sessions(&self) -> MutexGuard<'_, HashMap<i32, SessionHandle>> {
+        self.sessions.lock().expect("no holder panics")
+    }
+
+    pub(crate) fn next_pid(&self) -> i32 {
+        self.next_pid.fetch_add(1, Ordering::Relaxed)
+    }
+
+    pub(crate) fn report(&self) -> Report {
+        self.report.borrow().clone()
+    }
+
+    pub(crate) fn reports(&self) -> watch::Receiver<Report> {
+        self.report.subscribe()
+    }
+
+    /// Tells sessions and replicas what has changed.
+    pub(crate) fn announce(&self, core: &Core) {
+        let report = Report {
+            adopted: core.adopted.clone(),
+            is_primary: core.is_primary,
+            last: last_position(&core.log),
+        };
+        self.report.send_if_modified(|current| {
+            let differs = *current != report;
+            *current = report;
+            differs
+        });
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Starts a write transaction; the caller holds the writer's lock. Returns its generation.
+    pub(crate) fn begin_write(&self) -> Result<u64> {
+        let mut core = self.core();
+        if !core.is_primary {
+            return Err(SqlError::read_only());
+        }
+        core.started = (now_ms(), seed_of(&self.name, core.log.len()));
+        let Core {
+            store,
+            log,
+            started: (now_ms, seed),
+            ..
+        } = &mut *core;
+        store.begin(log, *now_ms, *seed)?;
+        Ok(core.generation)
+    }
+
+    /// Commits a write transaction.
+    pub(crate) fn commit(&self, generation: u64, statements: Vec<LoggedStatement>) -> Result<()> {
+        let mut core = self.core();
+        if core.generation != generation {
+            return Err(SqlError::read_only());
+        }
+        if statements.is_empty() {
+            return core.store.commit(None);
+        }
+        let position = LogPosition {
+            term: core.adopted.clone(),
+            position: core.log.len() as u64 + 1,
+        };
+        let (now_ms, seed) = core.started;
+        let entry = Entry {
+            position,
+            statements,
+            now_ms,
+            seed,
+            committed_at: Instant::now(),
+        };
+        core.store.commit(Some(&entry))?;
+        core.log.push(Arc::new(entry));
+        self.announce(&core);
+        Ok(())
+    }
+
+    /// Rolls a write transaction back, unless it was ended from outside.
+    pub(crate) fn roll_back(&self, generation: u64) {
+        let mut core = self.core();
+        if core.generation == generation {
+            core.store.roll_back();
+        }
+    }
+
+    /// Adopts a term if it is higher than the one adopted; returns whether it was.
+    pub(crate) fn adopt(&self, term: &Term) -> bool {
+        let mut core = self.core();
+        if *term <= core.adopted {
+            return false;
+        }
+        core.adopted = term.clone();
+        core.synced = false;
+        core.following = None;
+        if std::mem::take(&mut core.is_primary) {
+            core.store.roll_back();
+            core.generation += 1;
+        }
+        self.announce(&core);
+        true
+    }
+
+    /// Becomes the primary of a term that was adopted.
+    pub(crate) fn promote(&self, term: &Term) {
+        let mut core = self.core();
+        if core.adopted == *term && core.following.is_none() {
+            core.is_primary = true;
+            self.announce(&core);
+        }
+    }
+
+    /// Follows the primary of a term.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a higher term has been adopted.
+    pub(crate) fn follow(&self, term: &Term, primary: &str) -> Result<()> {
+        self.adopt(term);
+        let mut core = self.core();
+        if core.adopted > *term {
+            return Err(SqlError::new(
+                "55000",
+                format!("term {} has been adopted", core.adopted),
+            ));
+        }
+        if !core.is_primary && primary != self.name {
+            core.following = Some(primary.to_owned());
+            self.announce(&core);
+        }
+        Ok(())
+    }
+
+    /// Ends every session at once, as when the process dies.
+    pub(crate) fn drop_sessions(&self) {
+        for session in self.sessions().values() {
+            session.end.cancel();
+        }
+    }
+
+    /// Returns the time that a statement takes beside running it.
+    pub(crate) fn service_time(&self) -> Duration {
+        Duration::from_millis(self.shape.service_time_ms + self.slow_ms.load(Ordering::Relaxed))
+    }
+}
+
+fn now_ms() -> i64 {
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    elapsed.as_millis() as i64
+}
+
+fn seed_of(name: &str, entries: usize) -> u64 {
+    name.bytes().fold(entries as u64 * 1_000_003, |seed, byte| {
+        seed.wrapping_mul(31).wrapping_add(byte.into())
+    })
+}
--- /dev/null
+++ b/lab/src/database/run.rs
@@ -0,0 +1,380 @@
+//! Runs planned statements for a session.
+
+use std::sync::atomic::Ordering;
+
+use currantlb::position::Term;
+use pgwire::messages::PgWireBackendMessage;
+use pgwire::messages::response::{CommandComplete, EmptyQueryResponse};
+use rusqlite::types::Value;
+
+use super::checks::{ViolationKind, caller_tag};
+use super::error::{Result, SqlError};
+use super::session::{FLUSH_BYTES, Session};
+use super::sql::{Kind, Plan, TermCall};
+use super::store::ResultSet;
+use super::value::{self, Oid};
+
+/// Result of a statement, before it is sent.
+#[derive(Debug, Default)]
+pub(crate) struct Outcome {
+    /// Rows, `None` when the statement gives none.
+    pub(crate) rows: Option<ResultSet>,
+    /// Tag of `CommandComplete`, with its count.
+    pub(crate) tag: String,
+}
+
+impl Session {
+    /// Runs the statements of a simple query and answers.
+    pub(crate) async fn simple_query(&mut self, text: &str) -> std::io::Result<()> {
+        self.skipping = false;
+        self.look_at(text);
+        let result = match super::sql::parse(text) {
+            Ok(plans) => self.run_all(&plans).await,
+            Err(error) => Err(error),
+        };
+        if let Err(error) = result {
+            self.transaction.fail();
+            self.put_error(&error);
+        }
+        if self.copy_in.is_none() {
+            self.end_simple_query();
+        }
+        Ok(())
+    }
+
+    /// Commits what ran outside a block and says that the session is ready.
+    pub(crate) fn end_simple_query(&mut self) {
+        if !self.transaction.in_block
+            && let Err(error) = self.transaction.commit()
+        {
+            self.put_error(&error);
+        }
+        self.put_ready();
+    }
+
+    async fn run_all(&mut self, plans: &[Plan]) -> Result<()> {
+        for plan in plans {
+            match &plan.kind {
+                Kind::Empty => {
+                    let empty = EmptyQueryResponse::new();
+                    self.put(&PgWireBackendMessage::EmptyQueryResponse(empty));
+                    continue;
+                }
+                Kind::CopyIn { .. } => return self.start_copy_in(plan, true),
+                Kind::CopyOut => {
+                    self.copy_out(plan).await?;
+                    continue;
+                }
+                _ => {}
+            }
+            let outcome = self.run_plan(plan, &[]).await?;
+            if let Some(rows) = &outcome.rows {
+                let oids = self.result_types(plan, rows, &[]);
+                self.put_row_description(&rows.names, &oids, &[]);
+                self.put_rows(&rows.rows, &oids, &[]).await;
+            }
+            self.put_complete(&outcome.tag);
+        }
+        Ok(())
+    }
+
+    /// Checks a statement's text.
+    pub(crate) fn look_at(&mut self, text: &str) {
+        let instance = &self.instance;
+        instance
+            .checks
+            .look_for_keys(&instance.name, "statement", text);
+        let Some(caller) = caller_tag(text) else {
+            return;
+        };
+        match &self.transaction.caller {
+            Some(first) if self.transaction.in_block && first != caller => {
+                let detail = format!("{caller} inside a transaction of {first}");
+                instance
+                    .checks
+                    .record(ViolationKind::TransactionsMixed, &instance.name, detail);
+            }
+            _ => self.transaction.caller = Some(caller.to_owned()),
+        }
+    }
+
+    /// Runs one statement.
+    pub(crate) async fn run_plan(&mut self, plan: &Plan, parameters: &[Value]) -> Result<Outcome> {
+        if self.transaction.failed
+            && !matches!(plan.kind, Kind::Commit | Kind::Rollback | Kind::Savepoint)
+        {
+            return Err(SqlError::aborted());
+        }
+        match &plan.kind {
+            Kind::Read | Kind::Write | Kind::Savepoint | Kind::Sleep { .. } => {
+                self.run_sql(plan, parameters).await
+            }
+            Kind::Begin { read_only } => {
+                self.transaction.begin(*read_only);
+                Ok(tagged(plan.tag))
+            }
+            Kind::Commit => {
+                let committed = self.transaction.commit()?;
+                Ok(tagged(if committed { "COMMIT" } else { "ROLLBACK" }))
+            }
+            Kind::Rollback => {
+                self.transaction.roll_back();
+                Ok(tagged(plan.tag))
+            }
+            Kind::Term(call) => self.run_term_call(call),
+            Kind::Terminate { like, except } => Ok(self.terminate(like, except.as_deref())),
+            _ => Ok(self.run_setting(plan)),
+        }
+    }
+
+    fn run_setting(&mut self, plan: &Plan) -> Outcome {
+        match &plan.kind {
+            Kind::Set { name, value } => {
+                self.settings.insert(name.clone(), value.clone());
+            }
+            Kind::Reset => {
+                self.settings.clear();
+                if plan.tag.starts_with("DISCARD") {
+                    self.prepared.clear();
+                    self.listening = false;
+                }
+            }
+            Kind::Show { name } => {
+                let value = self.setting(name);
+                let rows = ResultSet {
+                    names: vec![name.clone()],
+                    rows: vec![vec![Value::Text(value)]],
+                    ..ResultSet::default()
+                };
+                return Outcome {
+                    rows: Some(rows),
+                    tag: plan.tag.to_owned(),
+                };
+            }
+            Kind::Listen { .. } => self.listening = true,
+            Kind::Unlisten => self.listening = false,
+            Kind::Deallocate { name: Some(name) } => {
+                self.prepared.remove(name);
+            }
+            Kind::Deallocate { name: None } => self.prepared.clear(),
+            _ => {}
+        }
+        tagged(plan.tag)
+    }
+
+    fn setting(&self, name: &str) -> String {
+        if let Some(value) = self.settings.get(name) {
+            return value.clone();
+        }
+        let default = match name {
+            "server_version" => "16.0",
+            "transaction_isolation" | "transaction_isolation_level" => "read committed",
+            "transaction_read_only" if !self.instance.report().is_primary => "on",
+            "transaction_read_only" => "off",
+            "timezone" => "UTC",
+            "client_encoding" | "server_encoding" => "UTF8",
+            "search_path" => "\"$user\", public",
+            "standard_conforming_strings" => "on",
+            _ => "",
+        };
+        default.to_owned()
+    }
+
+    fn run_term_call(&mut self, call: &TermCall) -> Result<Outcome> {
+        let parse = |text: &str| {
+            text.parse::<Term>()
+                .map_err(|error| SqlError::new("22023", error.to_string()))
+        };
+        match call {
+            TermCall::Status => {}
+            TermCall::Adopt { term } => {
+                self.instance.adopt(&parse(term)?);
+            }
+            TermCall::Promote { term } => self.instance.promote(&parse(term)?),
+            TermCall::Follow { term, primary } => self.instance.follow(&parse(term)?, primary)?,
+        }
+        let report = self.instance.report();
+        let is_primary = if report.is_primary { "t" } else { "f" };
+        let texts = [
+            report.adopted.to_string(),
+            is_primary.to_owned(),
+            report.last.to_string(),
+        ];
+        let rows = ResultSet {
+            names: ["adopted", "is_primary", "last"]
+                .map(str::to_owned)
+                .to_vec(),
+            rows: vec![texts.map(Value::Text).to_vec()],
+            ..ResultSet::default()
+        };
+        Ok(Outcome {
+            rows: Some(rows),
+            tag: "SELECT 1".to_owned(),
+        })
+    }
+
+    fn terminate(&self, like: &str, except: Option<&str>) -> Outcome {
+        let prefix = like.trim_end_matches('%');
+        let mut ended = 0;
+        for (pid, session) in &*self.instance.sessions() {
+            let name = &session.application_name;
+            if *pid != self.pid && name.starts_with(prefix) && Some(name.as_str()) != except {
+                session.end.cancel();
+                ended += 1;
+            }
+        }
+        let rows = ResultSet {
+            names: vec!["pg_terminate_backend".to_owned()],
+            rows: vec![vec![Value::Text("t".to_owned())]; ended],
+            ..ResultSet::default()
+        };
+        Outcome {
+            rows: Some(rows),
+            tag: format!("SELECT {ended}"),
+        }
+    }
+
+    async fn run_sql(&mut self, plan: &Plan, parameters: &[Value]) -> Result<Outcome> {
+        let cancel = std::sync::Arc::clone(&self.cancel);
+        let cancelled = cancel.notified();
+        let running = Running::start(self);
+        let work = async {
+            let service = self.instance.service_time();
+            if !service.is_zero() {
+                tokio::time::sleep(service).await;
+            }
+            if let Kind::Sleep { seconds } = &plan.kind {
+                let seconds = seconds.parse().unwrap_or(0.0_f64).clamp(0.0, 3600.0);
+                tokio::time::sleep(std::time::Duration::from_secs_f64(seconds)).await;
+            }
+            if matches!(plan.kind, Kind::Write | Kind::Savepoint) {
+                self.transaction.start_write(&self.instance).await?;
+            }
+            Ok(())
+        };
+        let result = tokio::select! {
+            result = work => result,
+            () = cancelled => Err(SqlError::cancelled()),
+        };
+        drop(running);
+        result?;
+        self.run_in_store(plan, parameters)
+    }
+
+    fn run_in_store(&mut self, plan: &Plan, parameters: &[Value]) -> Result<Outcome> {
+        let rows = {
+            let core = self.instance.core();
+            self.transaction.check_generation(core.generation)?;
+            core.store
+                .run(self.transaction.writes(), &plan.sql, parameters)?
+        };
+        if plan.kind == Kind::Savepoint {
+            self.transaction.failed = false;
+        }
+        if matches!(plan.kind, Kind::Write | Kind::Savepoint) && !plan.sql.starts_with("SELECT") {
+            self.transaction.log(&plan.sql, parameters);
+        }
+        let counted = matches!(plan.tag, "SELECT" | "INSERT 0" | "UPDATE" | "DELETE");
+        let count = if plan.tag == "SELECT" {
+            rows.rows.len()
+        } else {
+            rows.changed
+        };
+        let tag = if counted {
+            format!("{} {count}", plan.tag)
+        } else {
+            plan.tag.to_owned()
+        };
+        let rows = (!rows.names.is_empty()).then_some(rows);
+        Ok(Outcome { rows, tag })
+    }
+
+    /// Returns the types of a statement's results.
+    pub(crate) fn result_types(
+        &self,
+        plan: &Plan,
+        rows: &ResultSet,
+        parameters: &[Oid],
+    ) -> Vec<Oid> {
+        let hints = match &plan.statement {
+            Some(statement) => {
+                let core = self.instance.core();
+                let connection = core.store.connection(self.transaction.writes());
+                let columns = super::types::Columns::of(statement, connection);
+                super::types::results(statement, &columns, parameters)
+            }
+            None => Vec::new(),
+        };
+        let oid = |index: usize| {
+            if plan.kind
+                == (Kind::Sleep {
+                    seconds: String::new(),
+                })
+            {
+                return value::VOID;
+            }
+            let declared = rows.declared.get(index).and_then(Option::as_deref);
+            let hint = hints.get(index).copied().flatten();
+            let first = || {
+                rows.rows
+                    .first()
+                    .map(|row| value::oid_of_value(&row[index]))
+            };
+            declared
+                .map(value::oid_of_declaration)
+                .or(hint)
+                .or_else(first)
+                .unwrap_or(value::TEXT)
+        };
+        (0..rows.names.len()).map(oid).collect()
+    }
+
+    /// Appends rows, sending them on as they add up.
+    pub(crate) async fn put_rows(&mut self, rows: &[Vec<Value>], oids: &[Oid], formats: &[i16]) {
+        for row in rows {
+            super::extended::put_row(&mut self.out, row, oids, formats);
+            if self.out.len() >= FLUSH_BYTES && self.flush().await.is_err() {
+                // The next read finds the connection closed.
+                return;
+            }
+        }
+    }
+
+    /// Appends `CommandComplete`.
+    pub(crate) fn put_complete(&mut self, tag: &str) {
+        let complete = CommandComplete::new(tag.to_owned());
+        self.put(&PgWireBackendMessage::CommandComplete(complete));
+    }
+}
+
+fn tagged(tag: &str) -> Outcome {
+    Outcome {
+        rows: None,
+        tag: tag.to_owned(),
+    }
+}
+
+/// Counts a running statement while it lives.
+struct Running {
+    instance: std::sync::Arc<super::instance::Instance>,
+}
+
+impl Running {
+    fn start(session: &Session) -> Self {
+        let instance = std::sync::Arc::clone(&session.instance);
+        let before = instance.running.fetch_add(1, Ordering::AcqRel);
+        if before >= instance.shape.slots && !session.vm.is_empty() {
+            let detail = format!("{} statements run", before + 1);
+            instance
+                .checks
+                .record(ViolationKind::TooManyStatements, &instance.name, detail);
+        }
+        Self { instance }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.instance.running.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/lab/src/deployment.rs
@@ -0,0 +1,1 @@
+//! The deployments.
--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,10 @@
+//! Stand-ins for what surrounds currantlb, with the demo, replay and measurements built on them.
+
+#![allow(
+    clippy::cast_possible_wrap,
+    reason = "the sizes that the stand-ins handle stay far below the limits of the casts"
+)]
+
+pub mod database;
+pub mod deployment;
+pub mod platform;
--- /dev/null
+++ b/lab/src/platform.rs
@@ -0,0 +1,1 @@
+//! Platform.
