Reach the platform's service through the etcd v3 JSON gateway

Cause: the control code asks for calls that nothing carries out. Conclusion: the daemon can reach the service.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -1,1 +1,46 @@
 //! Client of the platform's configuration service.
+
+pub mod etcd;
+mod gateway;
+pub mod runner;
+
+use std::fmt;
+use std::sync::Arc;
+
+use futures::future::BoxFuture;
+use tokio::sync::mpsc;
+
+use crate::configuration::Revision;
+use crate::control::command::PlatformRequest;
+use crate::control::event::{KeyValue, PlatformAnswer, PlatformFailure};
+
+/// Result of a call to the platform's service.
+pub type Result<T, E = PlatformFailure> = std::result::Result<T, E>;
+
+/// Changes that a watch saw, in the order of their revisions.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WatchBatch {
+    /// Changed keys.
+    pub keys: Vec<KeyValue>,
+    /// Revision up to which the watch has seen everything.
+    pub revision: Revision,
+}
+
+type Call = dyn Fn(PlatformRequest) -> BoxFuture<'static, Result<PlatformAnswer>> + Send + Sync;
+type Watch =
+    dyn Fn(String, Revision, mpsc::Sender<WatchBatch>) -> BoxFuture<'static, ()> + Send + Sync;
+
+/// The platform's service, as functions that an adapter provides.
+#[derive(Clone)]
+pub struct Platform {
+    /// Carries out one call; watches are not calls.
+    pub call: Arc<Call>,
+    /// Watches a prefix from a revision; ends when the watch is lost or the receiver has gone.
+    pub watch: Arc<Watch>,
+}
+
+impl fmt::Debug for Platform {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Platform").finish_non_exhaustive()
+    }
+}
