Start the daemon from a checked settings file

Cause: nothing connects the control thread, the peers, the homes and the platform's service. Conclusion: the parts have a place to be connected; callers follow.

--- a/src/bin/currantlb/main.rs
+++ b/src/bin/currantlb/main.rs
@@ -1,3 +1,71 @@
 //! The daemon.
 
-fn main() {}
+mod app;
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use currantlb::daemon::{self, Daemon};
+use currantlb::error::{Result, ThreadsSnafu};
+use currantlb::settings::Settings;
+use currantlb::settings::file::{self, FileError};
+use snafu::ResultExt;
+use tokio::runtime::Builder;
+
+use crate::app::{Action, App};
+
+/// Exit code for settings that can't be used.
+const EXIT_SETTINGS: u8 = 2;
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let app: App = argh::from_env();
+    match app.action {
+        Some(Action::Check(_)) => check(&app.config),
+        None if app.version => {
+            println!("currantlb {}", env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
+        }
+        None => run(&app.config),
+    }
+}
+
+fn check(config: &Path) -> ExitCode {
+    match file::load(config) {
+        Ok(_) => {
+            println!("{}: the settings are valid", config.display());
+            ExitCode::SUCCESS
+        }
+        Err(error) => settings_failure(&error),
+    }
+}
+
+fn run(config: &Path) -> ExitCode {
+    let settings = match file::load(config) {
+        Ok(settings) => settings,
+        Err(error) => return settings_failure(&error),
+    };
+    let waiting = Builder::new_current_thread().enable_all().build();
+    let result = waiting
+        .context(ThreadsSnafu)
+        .and_then(|waiting| waiting.block_on(serve(settings)));
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(settings: Settings) -> Result<()> {
+    let daemon = Daemon::start(settings).await?;
+    daemon::wait_for_signal().await?;
+    daemon.stop().await;
+    Ok(())
+}
+
+fn settings_failure(error: &FileError) -> ExitCode {
+    eprintln!("{error}");
+    ExitCode::from(EXIT_SETTINGS)
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -18,6 +18,7 @@
 pub mod retry;
 pub mod routing;
 pub mod session;
+pub mod shutdown;
 pub mod snapshot;
 pub mod term;
 
@@ -37,5 +38,6 @@
     commands.extend(home::handle(board, event, now));
     commands.extend(term::handle(board, event, now));
     commands.extend(limit::handle(board, event, now));
+    commands.extend(shutdown::handle(board, event));
     commands
 }
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -41,6 +41,8 @@
     Publish,
     /// Writes a line to the log.
     Log(LogEvent),
+    /// Ends the process: nothing is left to do.
+    Exit,
 }
 
 /// Call to the platform's service.
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -28,6 +28,8 @@
     pub instance: Box<dyn Fn(DatabaseName, InstanceName, InstanceRequest) + Send>,
     /// Tells the traffic threads something.
     pub traffic: Box<dyn Fn(TrafficRequest) + Send>,
+    /// Ends the process.
+    pub exit: Box<dyn Fn() + Send>,
 }
 
 impl fmt::Debug for Outlets {
@@ -119,6 +121,7 @@
                 event,
                 fields,
             }) => log_line(level, event, &fields),
+            Command::Exit => (self.outlets.exit)(),
             Command::Publish => {}
         }
     }
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,255 @@
+//! The daemon: one thread for control, a runtime for traffic, and what connects them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use arc_swap::ArcSwap;
+use snafu::{OptionExt, ResultExt};
+use tokio::runtime::{Builder, Runtime};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Notify, watch};
+use tokio::time::{MissedTickBehavior, interval, timeout};
+
+use crate::control::Event;
+use crate::control::blackboard::{Blackboard, Incarnation, LocalVm};
+use crate::control::command::LogField;
+use crate::controller::{ControlActor, ControlMailbox, EventSender, Outlets, control_mailbox};
+use crate::error::{EndedSnafu, PeersSnafu, PlatformSnafu, Result, SignalsSnafu, ThreadsSnafu};
+use crate::peer::{PeerHandlers, PeerServer, PeerSockets};
+use crate::platform::etcd;
+use crate::platform::runner::PlatformRunner;
+use crate::settings::{Settings, VmSettings};
+use crate::telemetry::log_line;
+use crate::time::Clock;
+use crate::traffic::home::Homes;
+use crate::traffic::io::HomeIo;
+
+/// Most threads that serve traffic.
+const MAX_TRAFFIC_THREADS: usize = 8;
+
+/// Running daemon. Dropping it ends it at once, as a crash would.
+#[derive(Debug)]
+pub struct Daemon {
+    runtime: Option<Runtime>,
+    parts: Parts,
+    shutdown_timeout: Duration,
+}
+
+#[derive(Debug)]
+struct Parts {
+    peer_address: SocketAddr,
+    events: EventSender,
+    exit: Arc<Notify>,
+    _peers: PeerServer,
+}
+
+impl Daemon {
+    /// Starts the daemon; it serves as soon as it has a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails when threads can't be started or an address of the settings can't be used.
+    pub async fn start(settings: Settings) -> Result<Self> {
+        let threads = std::thread::available_parallelism().map_or(1, usize::from);
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(threads.min(MAX_TRAFFIC_THREADS))
+            .thread_name("traffic")
+            .enable_all()
+            .build()
+            .context(ThreadsSnafu)?;
+        let shutdown_timeout = Duration::from_millis(settings.control.shutdown_timeout_ms);
+        let starting = runtime.spawn(start_parts(settings));
+        let parts = starting.await.ok().context(EndedSnafu)?;
+        match parts {
+            Ok(parts) => Ok(Self {
+                runtime: Some(runtime),
+                parts,
+                shutdown_timeout,
+            }),
+            Err(error) => {
+                runtime.shutdown_background();
+                Err(error)
+            }
+        }
+    }
+
+    /// Returns the address that peers connect to.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.parts.peer_address
+    }
+
+    /// Ends running work, then the daemon; cuts no request that ends within the time allowed.
+    pub async fn stop(self) {
+        self.parts.events.post(Event::Shutdown);
+        let exit = self.parts.exit.notified();
+        if timeout(self.shutdown_timeout, exit).await.is_err() {
+            log::warn!(
+                "event=shutdown_timeout limit_ms={}",
+                self.shutdown_timeout.as_millis()
+            );
+        }
+    }
+
+    /// Ends the daemon at once, as a crash would.
+    pub fn kill(self) {
+        drop(self);
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// Waits until the process is asked to stop, by SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Fails when signals can't be received.
+pub async fn wait_for_signal() -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context(SignalsSnafu)?;
+    let mut interrupt = signal(SignalKind::interrupt()).context(SignalsSnafu)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+async fn start_parts(settings: Settings) -> Result<Parts> {
+    let local = local_vm(&settings.vm);
+    let clock = Clock::start();
+    let board = Blackboard::new(local.clone(), settings.control.clone());
+    let snapshot = Arc::new(ArcSwap::from_pointee(board.snapshot(clock.now())));
+    let (events, mailbox) = control_mailbox();
+
+    let sockets = PeerSockets::bind(&settings.peers, &local)
+        .await
+        .context(PeersSnafu)?;
+    let peer_address = sockets.address();
+    let peers = sockets.client(Arc::clone(&snapshot));
+    let homes = Homes::new(
+        settings.clone(),
+        Arc::clone(&snapshot),
+        clock,
+        events.clone(),
+    );
+    let platform = etcd::platform(&settings.platform).context(PlatformSnafu)?;
+    let runner = PlatformRunner::new(platform, clock, events.clone());
+    let exit = Arc::new(Notify::new());
+
+    let outlets = outlets(peers, runner, homes.clone(), Arc::clone(&exit));
+    let actor = ControlActor::new(board, clock, outlets, Arc::clone(&snapshot));
+    let tick = Duration::from_millis(settings.control.tick_ms);
+    start_control(actor, mailbox, events.clone(), tick)?;
+    let server = sockets.serve(peer_handlers(events.clone(), homes));
+
+    let started = [
+        LogField {
+            name: "vm",
+            value: local.name.to_string(),
+        },
+        LogField {
+            name: "peer_address",
+            value: peer_address.to_string(),
+        },
+    ];
+    log_line(log::Level::Info, "started", &started);
+    Ok(Parts {
+        peer_address,
+        events,
+        exit,
+        _peers: server,
+    })
+}
+
+fn local_vm(settings: &VmSettings) -> LocalVm {
+    // A later start has a greater count as long as the machine's clock does not go back over it.
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    LocalVm {
+        name: settings.name.clone(),
+        incarnation: Incarnation(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)),
+        availability_zone: settings.availability_zone.clone(),
+        region: settings.region.clone(),
+        cell: settings.cell.clone(),
+    }
+}
+
+fn outlets(
+    peers: crate::peer::PeerClient,
+    runner: PlatformRunner,
+    homes: Homes,
+    exit: Arc<Notify>,
+) -> Outlets {
+    let instances = homes.clone();
+    Outlets {
+        send: Box::new(move |to, message| peers.send(&to, message)),
+        platform: Box::new(move |call, request| runner.start(call, request)),
+        instance: Box::new(move |database, instance, request| {
+            instances.instance(&database, &instance, &request);
+        }),
+        traffic: Box::new(move |request| homes.request(&request)),
+        exit: Box::new(move || exit.notify_one()),
+    }
+}
+
+fn peer_handlers(events: EventSender, homes: Homes) -> PeerHandlers {
+    PeerHandlers {
+        message: Box::new(move |from, incarnation, message| {
+            events.post(Event::Peer {
+                from,
+                incarnation,
+                message,
+            });
+        }),
+        exchange: Box::new(move |head, mut end| {
+            let homes = homes.clone();
+            tokio::spawn(async move { homes.run(head, &mut HomeIo::Remote(&mut end)).await });
+        }),
+    }
+}
+
+/// Runs the control code on a thread of its own, until the traffic runtime ends.
+fn start_control(
+    actor: ControlActor,
+    mailbox: ControlMailbox,
+    events: EventSender,
+    tick: Duration,
+) -> Result<()> {
+    let runtime = Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .context(ThreadsSnafu)?;
+    // The traffic runtime owns the sender: when it is shut down the control thread ends.
+    let (alive, mut ended) = watch::channel(());
+    tokio::spawn(async move {
+        let _alive = alive;
+        std::future::pending::<()>().await;
+    });
+    let ticking = async move {
+        let mut ticks = interval(tick);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            events.post(Event::Tick);
+        }
+    };
+    let running = async move {
+        tokio::select! {
+            () = actor.run(mailbox) => {}
+            () = ticking => {}
+            _ = ended.changed() => {}
+        }
+    };
+    let thread = std::thread::Builder::new().name("control".to_owned());
+    thread
+        .spawn(move || runtime.block_on(running))
+        .context(ThreadsSnafu)?;
+    Ok(())
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -1,1 +1,52 @@
 //! Errors of the daemon, each with its remedy.
+
+use std::net::SocketAddr;
+
+use snafu::Snafu;
+
+use crate::control::event::PlatformFailure;
+use crate::peer::server::ServerError;
+
+/// Result of starting or running the daemon.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Why the daemon can't run.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum Error {
+    /// The threads can't be started.
+    #[snafu(display("can't start threads; raise the limit of processes: {source}"))]
+    Threads {
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// Signals can't be received.
+    #[snafu(display("can't receive signals: {source}"))]
+    Signals {
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The listener for callers can't be started.
+    #[snafu(display("can't listen on {address} for callers; choose a free address: {source}"))]
+    ListenCallers {
+        /// Address from the settings.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The messages between VMs can't be started.
+    #[snafu(display("{source}"))]
+    Peers {
+        /// The cause.
+        source: ServerError,
+    },
+    /// The client of the platform's service can't be built.
+    #[snafu(display("{source}"))]
+    Platform {
+        /// The cause.
+        source: PlatformFailure,
+    },
+    /// The daemon ended while it was being started.
+    #[snafu(display("the daemon ended while it was being started; see its log"))]
+    Ended,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod configuration;
 pub mod control;
 pub mod controller;
+pub mod daemon;
 pub mod error;
 pub mod name;
 pub mod peer;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,5 +1,8 @@
 //! Settings of one daemon, read from a file of JSON with comments.
 
+mod check;
+pub mod file;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
