Promote by the system itself, with evidence, floor and planned switchover

Cause: nobody else orders a promotion; a failed primary left its database without one. Change: the term controller judges instances by probes, pushes, traffic and peers' answers, has enough of the group adopt a unique term, promotes the highest position among them and has the rest follow. The platform's record is written beside that and never waited for. Probes of idle instances come every 5 s (1 s before) to stay within the byte budget. Conclusion: table tests and random sequences hold; the whole path is to be measured.

--- a/src/control/blackboard.rs
+++ b/src/control/blackboard.rs
@@ -88,7 +88,13 @@
 
     /// Builds what the traffic threads read.
     pub fn snapshot(&self, now: Timestamp) -> Snapshot {
-        let databases: BTreeMap<_, _> = self.terms.views(&self.configuration, &self.homes);
+        let databases: BTreeMap<_, _> = self.terms.views(
+            &self.local,
+            &self.settings,
+            &self.configuration,
+            &self.homes,
+            now,
+        );
         Snapshot {
             taken_at: now,
             local: self.local.clone(),
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -178,6 +178,24 @@
     },
 }
 
+impl InstanceEvent {
+    /// Returns the database and the instance that the event is about.
+    pub const fn subject(&self) -> (&DatabaseName, &InstanceName) {
+        match self {
+            Self::Reported {
+                database, instance, ..
+            }
+            | Self::Silent {
+                database, instance, ..
+            }
+            | Self::Closed { database, instance }
+            | Self::CommandEnded {
+                database, instance, ..
+            } => (database, instance),
+        }
+    }
+}
+
 /// Something that the traffic threads report.
 #[derive(Debug, Clone, PartialEq)]
 pub enum TrafficEvent {
--- /dev/null
+++ b/src/control/term/inquiry.rs
@@ -0,0 +1,165 @@
+//! Inquiries between VMs: whether an instance that one of them can't reach answers another.
+//!
+//! An answer makes the home more patient with the instance, since its own path may be at fault; it
+//! never forbids a promotion, because an instance that the home can't reach serves nobody.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::TermState;
+use crate::control::blackboard::Blackboard;
+use crate::control::command::{Command, InstanceRequest};
+use crate::control::event::InstanceEvent;
+use crate::control::home::weight;
+use crate::control::membership::VmState;
+use crate::name::{DatabaseName, InstanceName, VmName};
+use crate::peer::PeerMessage;
+use crate::time::Timestamp;
+
+/// VMs of the cell that are asked.
+const ASKED_VMS: usize = 2;
+
+/// Time after which an inquiry is no longer answered.
+const INQUIRY_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Inquiries of other VMs that may wait at once.
+const MAX_INQUIRIES: usize = 256;
+
+/// Messages about terms between VMs.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum TermMessage {
+    /// The sender can't reach an instance and asks whether the receiver can.
+    Ask {
+        /// Database of the instance.
+        database: DatabaseName,
+        /// The instance.
+        instance: InstanceName,
+    },
+    /// The instance has answered the sender since it was asked.
+    Answered {
+        /// Database of the instance.
+        database: DatabaseName,
+        /// The instance.
+        instance: InstanceName,
+    },
+}
+
+#[derive(Debug)]
+struct Inquiry {
+    asker: VmName,
+    asked_at: Timestamp,
+}
+
+/// Inquiries of other VMs that wait for an instance's answer.
+#[derive(Debug, Default)]
+pub struct Inquiries {
+    waiting: BTreeMap<(DatabaseName, InstanceName), Inquiry>,
+}
+
+impl Inquiries {
+    /// Drops inquiries that were not answered in time.
+    pub fn expire(&mut self, now: Timestamp) {
+        self.waiting
+            .retain(|_, inquiry| now.since(inquiry.asked_at) < INQUIRY_TIMEOUT);
+    }
+
+    /// Answers the inquiry that an instance's report satisfies.
+    pub fn answer(&mut self, event: &InstanceEvent) -> Vec<Command> {
+        let InstanceEvent::Reported {
+            database,
+            instance,
+            asked_at,
+            ..
+        } = event
+        else {
+            return Vec::new();
+        };
+        let key = (database.clone(), instance.clone());
+        if self
+            .waiting
+            .get(&key)
+            .is_none_or(|inquiry| *asked_at < inquiry.asked_at)
+        {
+            return Vec::new();
+        }
+        let inquiry = self.waiting.remove(&key);
+        let answer = inquiry.map(|inquiry| Command::Send {
+            to: inquiry.asker,
+            message: PeerMessage::Term(TermMessage::Answered {
+                database: database.clone(),
+                instance: instance.clone(),
+            }),
+        });
+        answer.into_iter().collect()
+    }
+}
+
+/// Asks other VMs of the cell about an instance.
+pub fn ask_peers(
+    board: &Blackboard,
+    database: &DatabaseName,
+    instance: &InstanceName,
+) -> Vec<Command> {
+    let local = &board.local;
+    let vms = board.membership.vms.values();
+    let mut peers: Vec<_> = vms
+        .filter(|vm| vm.cell == local.cell && vm.name != local.name && vm.state == VmState::Live)
+        .map(|vm| (weight(database, &vm.name), &vm.name))
+        .collect();
+    peers.sort_unstable_by(|a, b| b.cmp(a));
+    let ask = |peer: &VmName| Command::Send {
+        to: peer.clone(),
+        message: PeerMessage::Term(TermMessage::Ask {
+            database: database.clone(),
+            instance: instance.clone(),
+        }),
+    };
+    peers
+        .into_iter()
+        .take(ASKED_VMS)
+        .map(|(_, peer)| ask(peer))
+        .collect()
+}
+
+impl TermState {
+    /// Handles a message of another VM.
+    pub(super) fn message(
+        &mut self,
+        board: &Blackboard,
+        from: &VmName,
+        message: &TermMessage,
+        now: Timestamp,
+    ) -> Vec<Command> {
+        match message {
+            TermMessage::Ask { database, instance } => {
+                let configuration = &board.configuration.current;
+                let group = configuration.databases.get(database);
+                let is_member =
+                    group.is_some_and(|group| group.instances.iter().any(|i| i.name == *instance));
+                if !is_member || self.inquiries.waiting.len() >= MAX_INQUIRIES {
+                    return Vec::new();
+                }
+                let inquiry = Inquiry {
+                    asker: from.clone(),
+                    asked_at: now,
+                };
+                let key = (database.clone(), instance.clone());
+                self.inquiries.waiting.insert(key, inquiry);
+                vec![Command::Instance {
+                    database: database.clone(),
+                    instance: instance.clone(),
+                    request: InstanceRequest::Probe,
+                }]
+            }
+            TermMessage::Answered { database, instance } => {
+                let group = self.groups.get_mut(database);
+                if let Some(evidence) = group.and_then(|group| group.evidence.get_mut(instance)) {
+                    evidence.answered_peer_at = Some(now);
+                }
+                Vec::new()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/control/term/tests.rs
@@ -0,0 +1,16 @@
+//! Drives the controller against a group of instances that answer at once, late or not at all.
+
+use std::collections::BTreeSet;
+
+use crate::configuration::{Configuration, InstanceState, Revision};
+use crate::control::snapshot::{DatabaseView, HomeLease};
+use crate::position::Term;
+use crate::settings::ControlSettings;
+
+use super::*;
+
+mod failover;
+mod fixture;
+mod random;
+
+use fixture::{Fixture, NAMES};
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -296,7 +296,7 @@
             heartbeat_ms: 500,
             lease_ms: 3_000,
             lease_margin_ms: 500,
-            probe_interval_ms: 1_000,
+            probe_interval_ms: 5_000,
             suspect_probe_interval_ms: 40,
             suspect_after_ms: 100,
             fail_after_ms: 200,
