--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -1,5 +1,6 @@
 //! Callers, databases and the statements between them.
 
+pub mod caller;
 pub mod exchange;
 pub mod home;
 pub mod io;
