Serve callers: login, sessions and dispatch to the home

Cause: callers need a listener that logs them in and brings their transactions to the home. Change: listener with limits, TLS, SCRAM login, sessions that translate messages into frames, shared names for prepared statements, cancel keys that name their VM, dispatch here or over one hop.

--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -7,6 +7,7 @@
 use crate::control::limit::LimitMessage;
 use crate::control::membership::MembershipMessage;
 use crate::control::term::TermMessage;
+use crate::traffic::caller::CancelKey;
 
 /// Control message; it may be lost, doubled, delayed or overtaken.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -21,4 +22,6 @@
     Term(TermMessage),
     /// To the limit controller.
     Limit(LimitMessage),
+    /// To the callers of the VM that gave the key.
+    Cancel(CancelKey),
 }
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -1,6 +1,7 @@
 //! Callers, databases and the statements between them.
 
 pub mod caller;
+pub(crate) mod dispatch;
 pub mod exchange;
 pub mod home;
 pub mod io;
--- a/src/traffic/caller.rs
+++ b/src/traffic/caller.rs
@@ -1,7 +1,27 @@
 //! Callers: their connections, what they send and what they get.
 
 mod classify;
+mod exchange_state;
 mod functions;
+pub mod listener;
+mod login;
+mod negotiation;
+mod prepared;
+mod reader;
+pub mod registry;
+mod response;
+mod session;
 mod session_statement;
 mod setting;
+mod shared;
+mod socket;
+mod startup;
+mod statement;
 mod tag;
+pub mod tls;
+mod unit;
+
+pub use listener::{CallerListener, CallerParts, serve};
+pub use registry::{CallerRegistry, CancelKey};
+pub use session::CallerSession;
+pub(crate) use shared::HOME_RETRY_AFTER;
--- a/src/traffic/caller/session_statement.rs
+++ b/src/traffic/caller/session_statement.rs
@@ -63,7 +63,8 @@
     }
     match value_text(value) {
         Some(text) if setting.accepts(&text) => {
-            Plan::Change(vec![SessionChange::Set(setting, text)])
+            let value = setting.normalized(&text).to_owned();
+            Plan::Change(vec![SessionChange::Set(setting, value)])
         }
         _ => REJECTED,
     }
--- a/src/traffic/caller/setting.rs
+++ b/src/traffic/caller/setting.rs
@@ -112,6 +112,11 @@
         }
     }
 
+    /// Returns every setting that the server reports, with the name that it reports.
+    pub(crate) fn all_reported() -> impl Iterator<Item = (Self, &'static str)> {
+        Self::iter().filter_map(|setting| Some((setting, setting.reported_name()?)))
+    }
+
     const fn reported_default(self) -> &'static str {
         match self {
             Self::ClientEncoding => "UTF8",
@@ -172,6 +177,18 @@
     }
 }
 
+impl Setting {
+    /// Returns the form of a value that the server reports.
+    pub(crate) fn normalized(self, value: &str) -> &str {
+        match self {
+            Self::ClientEncoding => "UTF8",
+            Self::StandardConformingStrings => "on",
+            Self::DateStyle if value.eq_ignore_ascii_case("iso") => "ISO, MDY",
+            _ => value,
+        }
+    }
+}
+
 fn accepts_date_style(lower: &str) -> bool {
     let known = ["iso", "sql", "postgres", "german", "mdy", "dmy", "ymd"];
     lower.split(',').all(|part| known.contains(&part.trim()))
@@ -238,14 +255,6 @@
             .get(&setting)
             .map_or(setting.reported_default(), String::as_str)
     }
-
-    /// Returns every reported setting with its name and value.
-    pub(crate) fn all_reported(&self) -> impl Iterator<Item = (&'static str, &str)> {
-        Setting::iter().filter_map(|setting| {
-            let name = setting.reported_name()?;
-            Some((name, self.reported(setting)))
-        })
-    }
 }
 
 #[cfg(test)]
--- a/src/traffic/caller/tag/tests.rs
+++ b/src/traffic/caller/tag/tests.rs
@@ -1,14 +1,29 @@
 use super::*;
 
+struct Case {
+    text: &'static str,
+    statement: &'static str,
+    route: Option<&'static str>,
+    session: Option<&'static str>,
+}
+
+fn check(cases: &[Case]) {
+    for case in cases {
+        let tagged = split(case.text);
+        assert_eq!(tagged.statement, case.statement, "{}", case.text);
+        assert_eq!(tagged.tags.route.as_deref(), case.route, "{}", case.text);
+        assert_eq!(
+            tagged.tags.session.as_deref(),
+            case.session,
+            "{}",
+            case.text
+        );
+    }
+}
+
 #[test]
 fn splits_tags_from_statements() {
-    struct Case {
-        text: &'static str,
-        statement: &'static str,
-        route: Option<&'static str>,
-        session: Option<&'static str>,
-    }
-    let cases = [
+    check(&[
         Case {
             text: "SELECT 1 /*route='order-lock',session='desk%207'*/",
             statement: "SELECT 1 ",
@@ -27,6 +42,12 @@
             route: Some("a"),
             session: None,
         },
+    ]);
+}
+
+#[test]
+fn leaves_other_comments_alone() {
+    check(&[
         Case {
             text: "SELECT 1 /* a plain comment */",
             statement: "SELECT 1 /* a plain comment */",
@@ -57,18 +78,7 @@
             route: None,
             session: None,
         },
-    ];
-    for case in cases {
-        let tagged = split(case.text);
-        assert_eq!(tagged.statement, case.statement, "{}", case.text);
-        assert_eq!(tagged.tags.route.as_deref(), case.route, "{}", case.text);
-        assert_eq!(
-            tagged.tags.session.as_deref(),
-            case.session,
-            "{}",
-            case.text
-        );
-    }
+    ]);
 }
 
 #[test]
--- /dev/null
+++ b/src/traffic/dispatch.rs
@@ -0,0 +1,147 @@
+//! Brings an exchange to the home of its database: on this VM, or over one hop.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::caller::{CallerSession, HOME_RETRY_AFTER};
+use super::{CallerFrame, ExchangeHead, HomeFrame, HomeIo, Refusal, RefusalReason};
+use crate::name::VmName;
+use crate::peer::CallerEnd;
+
+/// Time for which an exchange that has not run is brought to another home.
+const MOVE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time between looking up a home again.
+const LOOKUP_INTERVAL: Duration = Duration::from_millis(20);
+
+/// How one attempt to run an exchange ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Attempt {
+    /// The caller has its answer, or has gone.
+    Ended,
+    /// The exchange was refused.
+    Refused(Refusal),
+}
+
+/// Where the home of a database is.
+enum Place {
+    Here,
+    Peer(VmName),
+    Unknown,
+}
+
+/// Runs one exchange to its end.
+pub(crate) async fn run(session: &mut CallerSession, head: ExchangeHead) {
+    let budget = Duration::from_millis(head.budget_ms).min(MOVE_TIMEOUT);
+    let deadline = Instant::now() + budget;
+    loop {
+        let Attempt::Refused(refusal) = attempt(session, &head).await else {
+            session.end_exchange(None);
+            return;
+        };
+        let may_move = refusal.reason == RefusalReason::HomeUnknown && session.rewind();
+        if !may_move || Instant::now() + LOOKUP_INTERVAL >= deadline {
+            session.end_exchange(Some(refusal));
+            return;
+        }
+        if !pause(session).await {
+            session.end_exchange(None);
+            return;
+        }
+    }
+}
+
+/// Waits before the home is looked up again; returns whether the caller still wants its answer.
+async fn pause(session: &mut CallerSession) -> bool {
+    let until = Instant::now() + LOOKUP_INTERVAL;
+    tokio::time::timeout_at(until, session.cancelled())
+        .await
+        .is_err()
+}
+
+async fn attempt(session: &mut CallerSession, head: &ExchangeHead) -> Attempt {
+    match place(session, head) {
+        Place::Here => {
+            let homes = session.homes();
+            // What the end says reached the session as frames.
+            homes.run(head.clone(), &mut HomeIo::Local(session)).await;
+            outcome(session)
+        }
+        Place::Peer(vm) => {
+            let peers = session.peers();
+            match peers.open(&vm, head.clone()).await {
+                Ok(end) => forward(session, end).await,
+                Err(error) => {
+                    log::debug!(
+                        "event=peer_unreachable vm={vm} error={:?}",
+                        error.to_string()
+                    );
+                    Attempt::Refused(home_unknown())
+                }
+            }
+        }
+        Place::Unknown => Attempt::Refused(home_unknown()),
+    }
+}
+
+fn place(session: &CallerSession, head: &ExchangeHead) -> Place {
+    let snapshot = session.snapshot();
+    match snapshot.homes.get(&head.database) {
+        Some(home) if home.vm == snapshot.local.name => Place::Here,
+        Some(home) => Place::Peer(home.vm.clone()),
+        None => Place::Unknown,
+    }
+}
+
+fn home_unknown() -> Refusal {
+    Refusal::retry(RefusalReason::HomeUnknown, HOME_RETRY_AFTER)
+}
+
+/// Tells from the session how an exchange ended that the home says no more about.
+fn outcome(session: &CallerSession) -> Attempt {
+    match session.refused() {
+        Some(refusal) => Attempt::Refused(refusal),
+        None if session.is_open() => Attempt::Refused(lost(session)),
+        None => Attempt::Ended,
+    }
+}
+
+/// Returns the refusal of an exchange whose home was lost.
+fn lost(session: &CallerSession) -> Refusal {
+    if session.has_sent() {
+        Refusal::last(RefusalReason::AnswerLost)
+    } else {
+        home_unknown()
+    }
+}
+
+async fn forward(session: &mut CallerSession, mut end: CallerEnd) -> Attempt {
+    loop {
+        tokio::select! {
+            biased;
+            frame = end.recv() => {
+                let ended = matches!(frame, Err(_) | Ok(HomeFrame::End));
+                if let Ok(frame) = frame
+                    && session.send(frame).await.is_err()
+                {
+                    return Attempt::Ended;
+                }
+                if ended {
+                    return outcome(session);
+                }
+            }
+            frame = session.recv() => {
+                let Ok(frame) = frame else {
+                    return Attempt::Ended;
+                };
+                let gone = frame == CallerFrame::Gone;
+                if end.send(frame).await.is_err() {
+                    return outcome(session);
+                }
+                if gone {
+                    return Attempt::Ended;
+                }
+            }
+        }
+    }
+}
--- a/src/traffic/io.rs
+++ b/src/traffic/io.rs
@@ -2,6 +2,7 @@
 
 use crate::peer::HomeEnd;
 use crate::peer::stream::Result;
+use crate::traffic::caller::CallerSession;
 use crate::traffic::{CallerFrame, HomeFrame};
 
 /// Caller of an exchange, as the home sees it.
@@ -13,6 +14,8 @@
 pub enum HomeIo<'a> {
     /// Caller that is connected to another VM.
     Remote(&'a mut HomeEnd),
+    /// Caller that is connected to this VM; the home runs in its task.
+    Local(&'a mut CallerSession),
 }
 
 impl HomeIo<'_> {
@@ -24,6 +27,7 @@
     pub async fn recv(&mut self) -> Result<CallerFrame> {
         match self {
             Self::Remote(end) => end.recv().await,
+            Self::Local(session) => session.recv().await,
         }
     }
 
@@ -36,6 +40,7 @@
     pub async fn send(&mut self, frame: HomeFrame) -> Result<()> {
         match self {
             Self::Remote(end) => end.send(frame).await,
+            Self::Local(session) => session.send(frame).await,
         }
     }
 
@@ -47,7 +52,8 @@
     pub async fn flush(&mut self) -> Result<()> {
         match self {
             // A stream sends each frame at once.
-            Self::Remote(_) => std::future::ready(Ok(())).await,
+            Self::Remote(_) => Ok(()),
+            Self::Local(session) => session.flush().await,
         }
     }
 }
