--- a/src/control/home.rs
+++ b/src/control/home.rs
@@ -27,6 +27,7 @@
 pub mod record;
 mod release;
 
+pub use assignment::weight;
 pub use message::HomeMessage;
 
 use election::ElectionState;
