Serve callers from the daemon

Cause: the listener for callers was not started by anything. Change: the daemon starts it, hands cancel requests of peers to it and waits for its last caller when it stops. Conclusion: with a home behind it, the path is connected.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -15,13 +15,16 @@
 use crate::control::blackboard::{Blackboard, Incarnation, LocalVm};
 use crate::control::command::LogField;
 use crate::controller::{ControlActor, ControlMailbox, EventSender, Outlets, control_mailbox};
-use crate::error::{EndedSnafu, PeersSnafu, PlatformSnafu, Result, SignalsSnafu, ThreadsSnafu};
-use crate::peer::{PeerHandlers, PeerServer, PeerSockets};
+use crate::error::{
+    CallersSnafu, EndedSnafu, PeersSnafu, PlatformSnafu, Result, SignalsSnafu, ThreadsSnafu,
+};
+use crate::peer::{PeerClient, PeerHandlers, PeerMessage, PeerServer, PeerSockets};
 use crate::platform::etcd;
 use crate::platform::runner::PlatformRunner;
 use crate::settings::{Settings, VmSettings};
 use crate::telemetry::log_line;
 use crate::time::Clock;
+use crate::traffic::caller::{self, CallerListener, CallerParts, CallerRegistry};
 use crate::traffic::home::Homes;
 use crate::traffic::io::HomeIo;
 
@@ -31,13 +34,30 @@
 /// Running daemon. Dropping it ends it at once, as a crash would.
 #[derive(Debug)]
 pub struct Daemon {
-    runtime: Option<Runtime>,
     parts: Parts,
     shutdown_timeout: Duration,
+    /// Comes last, so that the parts are dropped first.
+    _runtime: TrafficRuntime,
+}
+
+/// Runtime that is ended without waiting for its tasks.
+#[derive(Debug)]
+struct TrafficRuntime {
+    runtime: Option<Runtime>,
+}
+
+impl Drop for TrafficRuntime {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
 }
 
 #[derive(Debug)]
 struct Parts {
+    callers: CallerListener,
+    shutdown: watch::Sender<bool>,
     peer_address: SocketAddr,
     events: EventSender,
     exit: Arc<Notify>,
@@ -60,18 +80,20 @@
             .context(ThreadsSnafu)?;
         let shutdown_timeout = Duration::from_millis(settings.control.shutdown_timeout_ms);
         let starting = runtime.spawn(start_parts(settings));
-        let parts = starting.await.ok().context(EndedSnafu)?;
-        match parts {
-            Ok(parts) => Ok(Self {
-                runtime: Some(runtime),
-                parts,
-                shutdown_timeout,
-            }),
-            Err(error) => {
-                runtime.shutdown_background();
-                Err(error)
-            }
-        }
+        let runtime = TrafficRuntime {
+            runtime: Some(runtime),
+        };
+        let parts = starting.await.ok().context(EndedSnafu)??;
+        Ok(Self {
+            parts,
+            shutdown_timeout,
+            _runtime: runtime,
+        })
+    }
+
+    /// Returns the address that callers connect to.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.parts.callers.address
     }
 
     /// Returns the address that peers connect to.
@@ -81,9 +103,12 @@
 
     /// Ends running work, then the daemon; cuts no request that ends within the time allowed.
     pub async fn stop(self) {
-        self.parts.events.post(Event::Shutdown);
-        let exit = self.parts.exit.notified();
-        if timeout(self.shutdown_timeout, exit).await.is_err() {
+        let parts = self.parts;
+        // The receivers live as long as the listener.
+        let _ = parts.shutdown.send(true);
+        parts.events.post(Event::Shutdown);
+        let stopping = async { tokio::join!(parts.callers.stopped(), parts.exit.notified()) };
+        if timeout(self.shutdown_timeout, stopping).await.is_err() {
             log::warn!(
                 "event=shutdown_timeout limit_ms={}",
                 self.shutdown_timeout.as_millis()
@@ -97,14 +122,6 @@
     }
 }
 
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        if let Some(runtime) = self.runtime.take() {
-            runtime.shutdown_background();
-        }
-    }
-}
-
 /// Waits until the process is asked to stop, by SIGTERM or SIGINT.
 ///
 /// # Errors
@@ -142,11 +159,21 @@
     let runner = PlatformRunner::new(platform, clock, events.clone());
     let exit = Arc::new(Notify::new());
 
-    let outlets = outlets(peers, runner, homes.clone(), Arc::clone(&exit));
+    let outlets = outlets(peers.clone(), runner, homes.clone(), Arc::clone(&exit));
     let actor = ControlActor::new(board, clock, outlets, Arc::clone(&snapshot));
     let tick = Duration::from_millis(settings.control.tick_ms);
     start_control(actor, mailbox, events.clone(), tick)?;
-    let server = sockets.serve(peer_handlers(events.clone(), homes));
+    let (shutdown, stopping) = watch::channel(false);
+    let callers = CallerParts {
+        settings: settings.callers.clone(),
+        snapshot,
+        homes: homes.clone(),
+        peers: peers.clone(),
+        shutdown: stopping,
+    };
+    let callers = caller::serve(callers).await.context(CallersSnafu)?;
+    let registry = Arc::clone(callers.registry());
+    let server = sockets.serve(peer_handlers(events.clone(), homes, registry));
 
     let started = [
         LogField {
@@ -160,6 +187,8 @@
     ];
     log_line(log::Level::Info, "started", &started);
     Ok(Parts {
+        callers,
+        shutdown,
         peer_address,
         events,
         exit,
@@ -181,12 +210,7 @@
     }
 }
 
-fn outlets(
-    peers: crate::peer::PeerClient,
-    runner: PlatformRunner,
-    homes: Homes,
-    exit: Arc<Notify>,
-) -> Outlets {
+fn outlets(peers: PeerClient, runner: PlatformRunner, homes: Homes, exit: Arc<Notify>) -> Outlets {
     let instances = homes.clone();
     Outlets {
         send: Box::new(move |to, message| peers.send(&to, message)),
@@ -199,14 +223,15 @@
     }
 }
 
-fn peer_handlers(events: EventSender, homes: Homes) -> PeerHandlers {
+fn peer_handlers(events: EventSender, homes: Homes, callers: Arc<CallerRegistry>) -> PeerHandlers {
     PeerHandlers {
-        message: Box::new(move |from, incarnation, message| {
-            events.post(Event::Peer {
+        message: Box::new(move |from, incarnation, message| match message {
+            PeerMessage::Cancel(key) => callers.cancel(key),
+            message => events.post(Event::Peer {
                 from,
                 incarnation,
                 message,
-            });
+            }),
         }),
         exchange: Box::new(move |head, mut end| {
             let homes = homes.clone();
--- a/src/error.rs
+++ b/src/error.rs
@@ -1,11 +1,10 @@
 //! Errors of the daemon, each with its remedy.
 
-use std::net::SocketAddr;
-
 use snafu::Snafu;
 
 use crate::control::event::PlatformFailure;
 use crate::peer::server::ServerError;
+use crate::traffic::caller::listener::ListenError;
 
 /// Result of starting or running the daemon.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -27,12 +26,10 @@
         source: std::io::Error,
     },
     /// The listener for callers can't be started.
-    #[snafu(display("can't listen on {address} for callers; choose a free address: {source}"))]
-    ListenCallers {
-        /// Address from the settings.
-        address: SocketAddr,
+    #[snafu(display("{source}"))]
+    Callers {
         /// The cause.
-        source: std::io::Error,
+        source: ListenError,
     },
     /// The messages between VMs can't be started.
     #[snafu(display("{source}"))]
