--- /dev/null
+++ b/lab/src/app.rs
@@ -0,0 +1,73 @@
+//! Command line of the lab.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+/// Stand-ins, demo, replay and measurements of currantlb.
+#[derive(Debug, FromArgs)]
+pub(crate) struct App {
+    #[argh(subcommand)]
+    pub(crate) action: Action,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum Action {
+    Demo(Demo),
+    StandIns(StandIns),
+}
+
+/// Runs VMs on stand-ins until the process is asked to stop.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "demo")]
+pub(crate) struct Demo {
+    /// save and read through every VM, then exit with 0 or 1
+    #[argh(switch)]
+    pub(crate) check: bool,
+
+    /// file to write for programs that connect, once every VM serves
+    #[argh(option)]
+    pub(crate) connection_file: Option<PathBuf>,
+
+    #[argh(option, default = "3")]
+    /// number of VMs
+    pub(crate) vms: usize,
+
+    /// deployment: semenanjung or bagmati
+    #[argh(option, default = "String::from(\"semenanjung\")")]
+    pub(crate) deployment: String,
+
+    /// replication lag in milliseconds
+    #[argh(option, default = "20")]
+    pub(crate) replication_lag_ms: u64,
+
+    /// time that a packet between a VM and a database takes each way, in milliseconds
+    #[argh(option, default = "0")]
+    pub(crate) vm_delay_ms: u64,
+
+    /// time that each statement takes in a database, in milliseconds
+    #[argh(option, default = "0")]
+    pub(crate) service_time_ms: u64,
+}
+
+/// Runs only the stand-ins, and writes one settings file for each VM.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "stand-ins")]
+pub(crate) struct StandIns {
+    /// directory for the settings files and certificates
+    #[argh(option)]
+    pub(crate) directory: PathBuf,
+
+    /// number of VMs
+    #[argh(option, default = "3")]
+    pub(crate) vms: usize,
+
+    /// deployment: semenanjung or bagmati
+    #[argh(option, default = "String::from(\"semenanjung\")")]
+    pub(crate) deployment: String,
+
+    /// replication lag in milliseconds
+    #[argh(option, default = "20")]
+    pub(crate) replication_lag_ms: u64,
+}
--- /dev/null
+++ b/lab/src/client.rs
@@ -0,0 +1,118 @@
+//! Callers of the lab: ordinary clients over TLS.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+
+use rustls::pki_types::CertificateDer;
+use rustls::pki_types::pem::PemObject;
+use rustls::{ClientConfig, RootCertStore};
+use snafu::{ResultExt, Snafu};
+use tokio_postgres::Client;
+use tokio_postgres::config::{Config, SslMode};
+use tokio_postgres_rustls::MakeRustlsConnect;
+
+use crate::deployment::key_of;
+
+/// Result of connecting.
+pub type Result<T, E = ClientError> = std::result::Result<T, E>;
+
+/// Why a caller could not connect.
+#[derive(Debug, Snafu)]
+pub enum ClientError {
+    /// The authority's certificate can't be used.
+    #[snafu(display("the certificate of the lab can't be read: {source}"))]
+    Certificate {
+        /// Cause.
+        source: rustls::pki_types::pem::Error,
+    },
+    /// The certificate is not accepted.
+    #[snafu(display("the certificate of the lab is not accepted: {source}"))]
+    Authority {
+        /// Cause.
+        source: rustls::Error,
+    },
+    /// The VM refused, or could not be reached.
+    #[snafu(display("the VM at {address} did not let the caller in: {source}"))]
+    Connect {
+        /// Address of the VM.
+        address: SocketAddr,
+        /// Cause.
+        source: tokio_postgres::Error,
+    },
+}
+
+/// Who connects to what.
+#[derive(Debug, Clone, Default)]
+pub struct Login {
+    /// Workspace, whose lab key is used unless `key` is set.
+    pub workspace: String,
+    /// Key.
+    pub key: Option<String>,
+    /// Database.
+    pub database: String,
+    /// Startup options, such as `-c currantlb.route=map-view`.
+    pub options: Option<String>,
+}
+
+/// Makes connections that trust the lab's authority.
+#[derive(Clone)]
+pub struct Connector {
+    tls: MakeRustlsConnect,
+}
+
+impl std::fmt::Debug for Connector {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Connector").finish_non_exhaustive()
+    }
+}
+
+impl Connector {
+    /// Builds a connector that trusts one authority.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file holds no certificate.
+    pub fn new(ca_file: &Path) -> Result<Self> {
+        let mut roots = RootCertStore::empty();
+        let certificate = CertificateDer::from_pem_file(ca_file).context(CertificateSnafu)?;
+        roots.add(certificate).context(AuthoritySnafu)?;
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let config = ClientConfig::builder_with_provider(provider)
+            .with_safe_default_protocol_versions()
+            .context(AuthoritySnafu)?
+            .with_root_certificates(roots)
+            .with_no_client_auth();
+        Ok(Self {
+            tls: MakeRustlsConnect::new(config),
+        })
+    }
+
+    /// Connects a caller to a VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the VM refuses the login or can't be reached.
+    pub async fn connect(&self, address: SocketAddr, login: &Login) -> Result<Client> {
+        let mut config = Config::new();
+        config
+            .host(address.ip().to_string())
+            .port(address.port())
+            .user(&login.workspace)
+            .password(
+                login
+                    .key
+                    .clone()
+                    .unwrap_or_else(|| key_of(&login.workspace)),
+            )
+            .dbname(&login.database)
+            .ssl_mode(SslMode::Require);
+        if let Some(options) = &login.options {
+            config.options(options);
+        }
+        let connecting = config.connect(self.tls.clone()).await;
+        let (client, connection) = connecting.context(ConnectSnafu { address })?;
+        tokio::spawn(connection);
+        Ok(client)
+    }
+}
--- a/lab/src/deployment.rs
+++ b/lab/src/deployment.rs
@@ -249,3 +249,10 @@
         vec![preset("ordinary", "Ordinary days"), peak, maintenance]
     }
 }
+
+/// Returns the deployment of a region.
+pub fn named(region: &str) -> Option<Deployment> {
+    [semenanjung(), bagmati()]
+        .into_iter()
+        .find(|deployment| deployment.region == region)
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -5,6 +5,13 @@
     reason = "the sizes that the stand-ins handle stay far below the limits of the casts"
 )]
 
+pub mod certificate;
+pub mod client;
 pub mod database;
+pub mod demo;
 pub mod deployment;
+pub mod fleet;
+pub mod loopback;
 pub mod platform;
+pub mod processes;
+pub mod stand_ins;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,3 +1,85 @@
 //! Stand-ins, demo, replay and measurements.
 
-fn main() {}
+mod app;
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use currantlb_lab::demo;
+use currantlb_lab::deployment::{self, Deployment};
+use currantlb_lab::fleet::FleetSettings;
+use currantlb_lab::processes;
+use currantlb_lab::stand_ins::StandInSettings;
+
+use crate::app::{Action, App, Demo, StandIns};
+
+/// Exit code for a command line that can't be used.
+const EXIT_USAGE: u8 = 2;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
+    let app: App = argh::from_env();
+    match app.action {
+        Action::Demo(arguments) => run_demo(&arguments).await,
+        Action::StandIns(arguments) => run_stand_ins(&arguments).await,
+    }
+}
+
+async fn run_demo(arguments: &Demo) -> ExitCode {
+    let Some(deployment) = deployment_named(&arguments.deployment) else {
+        return ExitCode::from(EXIT_USAGE);
+    };
+    let settings = FleetSettings {
+        vms: arguments.vms,
+        stand_ins: StandInSettings {
+            deployment,
+            replication_lag: Duration::from_millis(arguments.replication_lag_ms),
+            delay: Duration::from_millis(arguments.vm_delay_ms),
+            service_time_ms: arguments.service_time_ms,
+            ..StandInSettings::default()
+        },
+        ..FleetSettings::default()
+    };
+    let result = if arguments.check {
+        demo::check(settings).await.map(|report| {
+            println!(
+                "{} saves and {} reads through {} VMs, all as promised",
+                report.saves, report.reads, arguments.vms
+            );
+        })
+    } else {
+        demo::run(settings, arguments.connection_file.as_deref()).await
+    };
+    exit_code(result)
+}
+
+async fn run_stand_ins(arguments: &StandIns) -> ExitCode {
+    let Some(deployment) = deployment_named(&arguments.deployment) else {
+        return ExitCode::from(EXIT_USAGE);
+    };
+    let settings = StandInSettings {
+        deployment,
+        replication_lag: Duration::from_millis(arguments.replication_lag_ms),
+        ..StandInSettings::default()
+    };
+    exit_code(processes::run(settings, arguments.vms, &arguments.directory).await)
+}
+
+fn deployment_named(name: &str) -> Option<Deployment> {
+    let found = deployment::named(name);
+    if found.is_none() {
+        eprintln!("there is no deployment {name}; use semenanjung or bagmati");
+    }
+    found
+}
+
+fn exit_code<E: std::fmt::Display>(result: Result<(), E>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/processes.rs
@@ -0,0 +1,146 @@
+//! Stand-ins for VMs that run as processes of their own.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use currantlb::control::membership::VmState;
+use currantlb::daemon;
+use currantlb::settings::Settings;
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
+
+use crate::certificate::{self, CertificateError};
+use crate::fleet::{VmAddresses, vm_record, vm_settings};
+use crate::loopback;
+use crate::stand_ins::{StandInSettings, StandIns};
+
+const CALLER_PORT: u16 = 6432;
+const PEER_PORT: u16 = 7432;
+pub(crate) const ADMINISTRATION_PORT: u16 = 8432;
+
+/// Name of the file that lists what was written; it is written last.
+pub const INDEX_FILE: &str = "vms.json";
+
+/// Result of preparing processes.
+pub type Result<T, E = ProcessError> = std::result::Result<T, E>;
+
+/// Why the stand-ins or the files could not be made.
+#[derive(Debug, Snafu)]
+pub enum ProcessError {
+    /// A stand-in could not start.
+    #[snafu(display("a stand-in can't start: {source}; free the address that it names"))]
+    StandIn {
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// Certificates could not be made.
+    #[snafu(display("{source}"))]
+    Certificate {
+        /// Cause.
+        source: CertificateError,
+    },
+    /// A file could not be written.
+    #[snafu(display("{} can't be written: {source}; create the directory first", file.display()))]
+    Write {
+        /// The file.
+        file: PathBuf,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// Signals can't be received.
+    #[snafu(display("{source}"))]
+    Signal {
+        /// Cause.
+        source: currantlb::error::Error,
+    },
+}
+
+/// What was written for the processes.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ProcessIndex {
+    /// Certificate of the authority that signed the VMs' certificates.
+    pub tls_ca_file: PathBuf,
+    /// The VMs.
+    pub vms: Vec<VmFiles>,
+}
+
+/// Files and addresses of one VM.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct VmFiles {
+    /// Name of the VM.
+    pub name: String,
+    /// Its settings file.
+    pub settings_file: PathBuf,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+}
+
+/// Starts the stand-ins, and writes the settings files of a number of VMs.
+///
+/// Each VM has an IP number of its own on the loopback network, so that ports stay the same.
+///
+/// # Errors
+///
+/// Fails when a stand-in can't start or a file can't be written.
+pub async fn prepare(
+    settings: StandInSettings,
+    vms: usize,
+    directory: &Path,
+) -> Result<(StandIns, ProcessIndex)> {
+    let stand_ins = StandIns::start(settings).await.context(StandInSnafu)?;
+    let hosts: Vec<_> = (0..vms).map(|_| loopback::next_host()).collect();
+    let names = hosts.iter().map(ToString::to_string).collect();
+    let certificates = certificate::create(directory, names).context(CertificateSnafu)?;
+    let mut index = ProcessIndex {
+        tls_ca_file: certificates.ca_file.clone(),
+        vms: Vec::new(),
+    };
+    for (number, host) in (1..).zip(hosts) {
+        let addresses = VmAddresses {
+            callers: SocketAddr::from((host, CALLER_PORT)),
+            peers: SocketAddr::from((host, PEER_PORT)),
+            administration: SocketAddr::from((host, ADMINISTRATION_PORT)),
+        };
+        let vm = vm_settings(&stand_ins, &certificates, number, &addresses);
+        let settings_file = write_settings(directory, &vm)?;
+        let record = vm_record(&vm.vm, addresses.peers, VmState::Live);
+        stand_ins
+            .platform
+            .list_vm(&record, std::time::Duration::ZERO);
+        index.vms.push(VmFiles {
+            name: vm.vm.name.to_string(),
+            settings_file,
+            caller_address: addresses.callers,
+        });
+    }
+    let text = serde_json::to_string_pretty(&index).unwrap_or_default();
+    write(directory.join(INDEX_FILE), &text)?;
+    Ok((stand_ins, index))
+}
+
+/// Runs the stand-ins until the process is asked to stop.
+///
+/// # Errors
+///
+/// Fails when a stand-in can't start or a file can't be written.
+pub async fn run(settings: StandInSettings, vms: usize, directory: &Path) -> Result<()> {
+    let (_stand_ins, index) = prepare(settings, vms, directory).await?;
+    for vm in &index.vms {
+        println!(
+            "currantlb --config {}    # callers: {}",
+            vm.settings_file.display(),
+            vm.caller_address
+        );
+    }
+    daemon::wait_for_signal().await.context(SignalSnafu)
+}
+
+fn write_settings(directory: &Path, settings: &Settings) -> Result<PathBuf> {
+    let text = serde_json::to_string_pretty(settings).unwrap_or_default();
+    write(directory.join(format!("{}.jsonc", settings.vm.name)), &text)
+}
+
+fn write(file: PathBuf, text: &str) -> Result<PathBuf> {
+    std::fs::write(&file, text).with_context(|_| WriteSnafu { file: file.clone() })?;
+    Ok(file)
+}
--- /dev/null
+++ b/lab/src/stand_ins.rs
@@ -0,0 +1,132 @@
+//! Everything around the VMs of one deployment: platform, configuration and databases.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use crate::database::{
+    DatabaseGroup, DatabaseGroupSettings, InstanceSettings, InstanceShape, Violation,
+};
+use crate::deployment::{Deployment, INSTANCES_PER_DATABASE, key_of, semenanjung};
+use crate::platform::Platform;
+
+/// Password that VMs log in to instances with.
+pub const DATABASE_PASSWORD: &str = "lab-database-password";
+
+/// Settings of the stand-ins.
+#[derive(Debug, Clone)]
+pub struct StandInSettings {
+    /// Which deployment.
+    pub deployment: Deployment,
+    /// Replication lag of every replica.
+    pub replication_lag: Duration,
+    /// Time that a packet between a VM and an instance takes each way.
+    pub delay: Duration,
+    /// Time that a new connection takes.
+    pub connect_time_ms: u64,
+    /// Time that each statement takes beside running it.
+    pub service_time_ms: u64,
+}
+
+impl Default for StandInSettings {
+    fn default() -> Self {
+        Self {
+            deployment: semenanjung(),
+            replication_lag: Duration::from_millis(20),
+            delay: Duration::ZERO,
+            connect_time_ms: 10,
+            service_time_ms: 0,
+        }
+    }
+}
+
+/// Running stand-ins; dropping them ends them.
+#[derive(Debug)]
+pub struct StandIns {
+    /// The platform.
+    pub platform: Platform,
+    /// The deployment.
+    pub deployment: Deployment,
+    groups: BTreeMap<String, DatabaseGroup>,
+}
+
+impl StandIns {
+    /// Starts the databases and the platform, and writes the deployment's configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be bound.
+    pub async fn start(settings: StandInSettings) -> std::io::Result<Self> {
+        let deployment = settings.deployment.clone();
+        let mut groups = BTreeMap::new();
+        let mut addresses = BTreeMap::new();
+        for database in &deployment.databases {
+            let group = DatabaseGroup::start(group_settings(database, &settings)).await?;
+            addresses.extend(group.addresses());
+            groups.insert((*database).to_owned(), group);
+        }
+        let platform = Platform::start(SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0)).await?;
+        for record in deployment.records(&addresses) {
+            platform.put_record(&record);
+        }
+        Ok(Self {
+            platform,
+            deployment,
+            groups,
+        })
+    }
+
+    /// Returns a database group.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the deployment has no such database.
+    pub fn group(&self, database: &str) -> &DatabaseGroup {
+        let group = self.groups.get(database);
+        group.unwrap_or_else(|| {
+            panic!("the deployment has no database {database}; name one of its own")
+        })
+    }
+
+    /// Returns all groups by name.
+    pub fn groups(&self) -> impl Iterator<Item = (&str, &DatabaseGroup)> {
+        self.groups
+            .iter()
+            .map(|(name, group)| (name.as_str(), group))
+    }
+
+    /// Returns everything that VMs must not have done.
+    pub fn violations(&self) -> Vec<Violation> {
+        self.groups
+            .values()
+            .flat_map(DatabaseGroup::violations)
+            .collect()
+    }
+}
+
+fn group_settings(database: &str, settings: &StandInSettings) -> DatabaseGroupSettings {
+    let deployment = &settings.deployment;
+    let shape = InstanceShape {
+        slots: deployment.slots,
+        connections: deployment.connections,
+        connect_time_ms: settings.connect_time_ms,
+        service_time_ms: settings.service_time_ms,
+    };
+    let instance = |index: usize| InstanceSettings {
+        name: Deployment::instance_name(database, index),
+        shape: shape.clone(),
+        ..InstanceSettings::default()
+    };
+    DatabaseGroupSettings {
+        instances: (0..INSTANCES_PER_DATABASE).map(instance).collect(),
+        password: Some(DATABASE_PASSWORD.to_owned()),
+        forbidden: deployment
+            .workspaces
+            .iter()
+            .map(|(name, _)| key_of(name))
+            .collect(),
+        replication_lag: settings.replication_lag,
+        delay: settings.delay,
+        schema: deployment.schema.clone(),
+    }
+}
