--- /dev/null
+++ b/src/admin/records.rs
@@ -0,0 +1,94 @@
+//! Reading and writing of whole records, and the routes, which are nothing more.
+
+use axum::Json;
+use axum::extract::{Path, State};
+use axum::http::HeaderMap;
+
+use super::AdminState;
+use super::error::{ApiError, Result};
+use super::model::Versioned;
+use super::request::WriteHeaders;
+use super::write::Accepted;
+use crate::configuration::{Configuration, Record, RecordPath, Route, RoutePolicy};
+use crate::name::RouteName;
+use crate::settings::Role;
+
+/// Reads a record from the service, or from this VM's memory when the service gives no answer.
+pub(super) async fn show<T>(
+    state: &AdminState,
+    path: &RecordPath,
+    select: impl Fn(Record) -> Option<T>,
+    remembered: impl Fn(&Configuration) -> Option<T>,
+) -> Result<Json<Versioned<T>>> {
+    let missing = || ApiError::NotFound { subject: path.to_string() };
+    match state.writer.read(path).await {
+        Ok(Some(current)) => {
+            let revision = Some(current.revision.0);
+            let value = select(current.stored.record).ok_or_else(missing)?;
+            Ok(Json(Versioned { revision, value }))
+        }
+        Ok(None) => Err(missing()),
+        Err(ApiError::Unavailable) => {
+            let value = remembered(&state.snapshot.load().configuration).ok_or_else(missing)?;
+            Ok(Json(Versioned { revision: None, value }))
+        }
+        Err(error) => Err(error),
+    }
+}
+
+/// Removes a record.
+pub(super) async fn remove(
+    state: &AdminState,
+    headers: &HeaderMap,
+    path: RecordPath,
+) -> Result<Json<Accepted>> {
+    state.operators.authorize(headers, Role::Operate)?;
+    let headers = WriteHeaders::read(headers)?;
+    state.writer.remove(&path, &headers).await.map(Json)
+}
+
+pub(super) async fn list_routes(
+    State(state): State<AdminState>,
+    headers: HeaderMap,
+) -> Result<Json<Vec<Route>>> {
+    state.operators.authorize(&headers, Role::Read)?;
+    let snapshot = state.snapshot.load();
+    let routes = snapshot.configuration.routes.values().map(|route| Route::clone(route));
+    Ok(Json(routes.collect()))
+}
+
+pub(super) async fn show_route(
+    State(state): State<AdminState>,
+    headers: HeaderMap,
+    Path(name): Path<RouteName>,
+) -> Result<Json<Versioned<Route>>> {
+    state.operators.authorize(&headers, Role::Read)?;
+    let path = RecordPath::Route(name.clone());
+    let select = |record| match record {
+        Record::Route(route) => Some(route),
+        _ => None,
+    };
+    show(&state, &path, select, |known| known.routes.get(&name).map(|route| Route::clone(route)))
+        .await
+}
+
+pub(super) async fn put_route(
+    State(state): State<AdminState>,
+    headers: HeaderMap,
+    Path(name): Path<RouteName>,
+    Json(policy): Json<RoutePolicy>,
+) -> Result<Json<Accepted>> {
+    state.operators.authorize(&headers, Role::Operate)?;
+    let write = WriteHeaders::read(&headers)?;
+    let path = RecordPath::Route(name.clone());
+    let build = |_previous| Ok(Record::Route(Route { name, policy }));
+    state.writer.write(&path, &write, build).await.map(Json)
+}
+
+pub(super) async fn remove_route(
+    State(state): State<AdminState>,
+    headers: HeaderMap,
+    Path(name): Path<RouteName>,
+) -> Result<Json<Accepted>> {
+    remove(&state, &headers, RecordPath::Route(name)).await
+}
--- /dev/null
+++ b/src/admin/write.rs
@@ -0,0 +1,207 @@
+//! Writing of one record: expected revision, validation, compare-and-swap, and lost answers found
+//! again by the operation's id.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use super::error::{ApiError, Result};
+use super::request::WriteHeaders;
+use crate::configuration::validate::{validate_removal, validate_write};
+use crate::configuration::{Configuration, Record, RecordPath, Revision, StoredRecord};
+use crate::control::command::PlatformRequest;
+use crate::control::configuration::CONFIGURATION_PREFIX;
+use crate::control::event::{KeyValue, PlatformAnswer, PlatformFailure};
+use crate::controller::SharedSnapshot;
+use crate::platform::Platform;
+
+/// Times that a write with a lost answer is looked for.
+const LOOKUPS: u32 = 5;
+
+/// Pause before each look.
+const LOOKUP_PAUSE: Duration = Duration::from_millis(200);
+
+/// Acceptance of a write. Whether it is in force everywhere is told by `/v1/status`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// Revision of the write.
+    pub revision: u64,
+    /// Whether the operation had been accepted before, so that this answer repeats it.
+    pub is_repeated: bool,
+}
+
+/// Record as it stands in the service.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Current {
+    pub(crate) revision: Revision,
+    pub(crate) stored: StoredRecord,
+}
+
+/// Writes records.
+#[derive(Debug, Clone)]
+pub struct Writer {
+    platform: Platform,
+    snapshot: SharedSnapshot,
+}
+
+impl Writer {
+    /// Builds a writer.
+    pub fn new(platform: Platform, snapshot: SharedSnapshot) -> Self {
+        Self { platform, snapshot }
+    }
+
+    /// Reads a record from the service.
+    pub(crate) async fn read(&self, path: &RecordPath) -> Result<Option<Current>> {
+        let request = PlatformRequest::Get { key: key(path) };
+        let answer = (self.platform.call)(request).await.map_err(|_failure| ApiError::Unavailable)?;
+        let PlatformAnswer::Found { keys, .. } = answer else {
+            return Err(ApiError::Unavailable);
+        };
+        keys.into_iter().next().map(|key| decode(path, &key)).transpose()
+    }
+
+    /// Writes the record that `build` makes of the present one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the record has another revision than expected, when the change would break the
+    /// configuration, or when the service gives no answer.
+    pub(crate) async fn write(
+        &self,
+        path: &RecordPath,
+        headers: &WriteHeaders,
+        build: impl FnOnce(Option<Record>) -> Result<Record>,
+    ) -> Result<Accepted> {
+        let current = self.read(path).await?;
+        if let Some(accepted) = repeated(current.as_ref(), headers) {
+            return Ok(accepted);
+        }
+        expect_revision(path, current.as_ref(), headers)?;
+        let previous = current.as_ref().map(|current| current.stored.record.clone());
+        let record = build(previous)?;
+        let findings = validate_write(&self.configuration(), &record);
+        if !findings.is_empty() {
+            return Err(ApiError::Invalid { findings });
+        }
+        let previous = current.as_ref().map(|current| &current.stored);
+        let stored = StoredRecord::following(previous, headers.operation.clone(), record);
+        self.swap(path, headers, Some(stored.encode())).await
+    }
+
+    /// Removes a record.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Writer::write`] does.
+    pub(crate) async fn remove(
+        &self,
+        path: &RecordPath,
+        headers: &WriteHeaders,
+    ) -> Result<Accepted> {
+        let current = self.read(path).await?;
+        if current.is_none() {
+            return Err(ApiError::NotFound { subject: path.to_string() });
+        }
+        expect_revision(path, current.as_ref(), headers)?;
+        let findings = validate_removal(&self.configuration(), path);
+        if !findings.is_empty() {
+            return Err(ApiError::Invalid { findings });
+        }
+        self.swap(path, headers, None).await
+    }
+
+    fn configuration(&self) -> Arc<Configuration> {
+        Arc::clone(&self.snapshot.load().configuration)
+    }
+
+    async fn swap(
+        &self,
+        path: &RecordPath,
+        headers: &WriteHeaders,
+        value: Option<Vec<u8>>,
+    ) -> Result<Accepted> {
+        let is_removal = value.is_none();
+        let expected = headers.expected;
+        let request =
+            PlatformRequest::CompareAndSwap { key: key(path), expected, value, lease: None };
+        match (self.platform.call)(request).await {
+            Ok(PlatformAnswer::Swapped { revision }) => {
+                Ok(Accepted { revision: revision.0, is_repeated: false })
+            }
+            Ok(PlatformAnswer::Conflict { current }) => {
+                let current = current.map(|key| decode(path, &key)).transpose()?;
+                let repeated = repeated(current.as_ref(), headers);
+                repeated.map_or_else(|| Err(conflict(path, current.as_ref())), Ok)
+            }
+            Err(PlatformFailure::NoAnswer) => self.look_up(path, headers, is_removal).await,
+            Ok(_) | Err(_) => Err(ApiError::Unavailable),
+        }
+    }
+
+    /// Learns what became of a write whose answer was lost.
+    async fn look_up(
+        &self,
+        path: &RecordPath,
+        headers: &WriteHeaders,
+        is_removal: bool,
+    ) -> Result<Accepted> {
+        for _ in 0..LOOKUPS {
+            sleep(LOOKUP_PAUSE).await;
+            let Ok(current) = self.read(path).await else {
+                continue;
+            };
+            if let Some(accepted) = repeated(current.as_ref(), headers) {
+                return Ok(accepted);
+            }
+            if is_removal && current.is_none() {
+                return Ok(Accepted { revision: headers.expected.0, is_repeated: true });
+            }
+            let revision = current.as_ref().map_or(Revision(0), |current| current.revision);
+            if revision != headers.expected {
+                // Another write came first, so that this one can't take effect any more.
+                return Err(conflict(path, current.as_ref()));
+            }
+        }
+        // The record is as it was, but the write may still be under way.
+        Err(ApiError::OutcomeUnknown { operation: headers.operation.to_string() })
+    }
+}
+
+fn key(path: &RecordPath) -> String {
+    format!("{CONFIGURATION_PREFIX}{path}")
+}
+
+fn decode(path: &RecordPath, key: &KeyValue) -> Result<Current> {
+    let value = key.value.as_deref().unwrap_or_default();
+    let stored = StoredRecord::decode(path, value)
+        .map_err(|error| ApiError::Malformed { message: error.to_string() })?;
+    Ok(Current { revision: key.revision, stored })
+}
+
+fn repeated(current: Option<&Current>, headers: &WriteHeaders) -> Option<Accepted> {
+    let current = current?;
+    let is_known = current.stored.operations.contains(&headers.operation);
+    is_known.then_some(Accepted { revision: current.revision.0, is_repeated: true })
+}
+
+fn expect_revision(
+    path: &RecordPath,
+    current: Option<&Current>,
+    headers: &WriteHeaders,
+) -> Result<()> {
+    let revision = current.map_or(Revision(0), |current| current.revision);
+    if revision == headers.expected {
+        return Ok(());
+    }
+    Err(conflict(path, current))
+}
+
+fn conflict(path: &RecordPath, current: Option<&Current>) -> ApiError {
+    let revision = current.map_or(0, |current| current.revision.0);
+    ApiError::Conflict { subject: path.to_string(), revision }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/configuration.rs
+++ b/src/configuration.rs
@@ -1,10 +1,13 @@
 //! The operators' configuration: records kept by the platform's service, and the view built of them.
 
 pub mod record;
+pub mod stored;
+pub mod validate;
 pub mod view;
 
 pub use record::{
     DatabaseGroup, InstanceRecord, InstanceState, Key, KeyState, Limits, Preset, PresetInForce,
     Record, RecordPath, Route, RouteClass, RoutePolicy, Workspace,
 };
+pub use stored::StoredRecord;
 pub use view::{Configuration, ConfigurationChange, Revision};
--- a/src/configuration/record.rs
+++ b/src/configuration/record.rs
@@ -234,6 +234,19 @@
     InForce(PresetInForce),
 }
 
+impl Record {
+    /// Returns the place of the record.
+    pub fn path(&self) -> RecordPath {
+        match self {
+            Self::Workspace(workspace) => RecordPath::Workspace(workspace.name.clone()),
+            Self::Preset(preset) => RecordPath::Preset(preset.name.clone()),
+            Self::Route(route) => RecordPath::Route(route.name.clone()),
+            Self::Database(group) => RecordPath::Database(group.name.clone()),
+            Self::InForce(_) => RecordPath::InForce,
+        }
+    }
+}
+
 /// Place of a record below the configuration's prefix in the platform's service.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum RecordPath {
--- /dev/null
+++ b/src/configuration/stored/tests.rs
@@ -0,0 +1,50 @@
+use super::*;
+use crate::configuration::{PresetInForce, Route, RoutePolicy};
+
+fn in_force(version: u64) -> Record {
+    Record::InForce(PresetInForce {
+        preset: "peak".into(),
+        version,
+        operation: "op-1".into(),
+    })
+}
+
+#[test]
+fn round_trips_and_remembers_its_operations() {
+    let first = StoredRecord::following(None, "op-1".into(), in_force(1));
+    let second = StoredRecord::following(Some(&first), "op-2".into(), in_force(2));
+    let decoded = StoredRecord::decode(&RecordPath::InForce, &second.encode()).unwrap();
+    assert_eq!(decoded, second);
+    assert_eq!(decoded.operations, ["op-1".into(), "op-2".into()]);
+}
+
+#[test]
+fn forgets_the_oldest_operations_only() {
+    let mut stored = StoredRecord::following(None, "op-0".into(), in_force(0));
+    for number in 1..40_u64 {
+        let operation = OperationId::from(format!("op-{number}"));
+        stored = StoredRecord::following(Some(&stored), operation, in_force(number));
+    }
+    assert_eq!(stored.operations.len(), MAX_OPERATIONS);
+    assert_eq!(stored.operations.last(), Some(&"op-39".into()));
+}
+
+#[test]
+fn reads_a_record_without_operations() {
+    let value = br#"{"route":{"name":"order-lock","policy":{"class":"urgent"}}}"#;
+    let path = RecordPath::Route("order-lock".into());
+    let stored = StoredRecord::decode(&path, value).unwrap();
+    let class = crate::configuration::RouteClass::Urgent;
+    let policy = RoutePolicy { class, ..RoutePolicy::default() };
+    assert_eq!(stored.record, Record::Route(Route { name: "order-lock".into(), policy }));
+}
+
+#[test]
+fn refuses_a_record_in_another_place() {
+    let stored = StoredRecord::following(None, "op-1".into(), in_force(1));
+    let path = RecordPath::Preset("peak".into());
+    let error = StoredRecord::decode(&path, &stored.encode()).unwrap_err();
+    assert!(matches!(error, StoredError::Misplaced { .. }));
+    let error = StoredRecord::decode(&path, b"{").unwrap_err();
+    assert!(matches!(error, StoredError::Malformed { .. }));
+}
--- a/src/configuration/view.rs
+++ b/src/configuration/view.rs
@@ -45,19 +45,18 @@
 }
 
 impl Configuration {
-    /// Applies one change; ignores a change at or below the revision already applied.
+    /// Applies a batch that continues the revision already applied, up to `upto`.
     ///
-    /// Returns whether the change was applied.
-    pub fn apply(&mut self, change: ConfigurationChange) -> bool {
-        if change.revision <= self.revision {
-            return false;
-        }
-        self.revision = change.revision;
-        match change.record {
-            Some(record) => self.put(record),
-            None => self.remove(&change.path),
+    /// Several changes of one revision are applied together.
+    pub fn apply_batch(&mut self, changes: Vec<ConfigurationChange>, upto: Revision) {
+        let applied = self.revision;
+        for change in changes.into_iter().filter(|change| change.revision > applied) {
+            match change.record {
+                Some(record) => self.put(record),
+                None => self.remove(&change.path),
+            }
         }
-        true
+        self.revision = self.revision.max(upto);
     }
 
     /// Puts a record without regard to its revision, as when a whole snapshot is read.
--- a/src/control/configuration.rs
+++ b/src/control/configuration.rs
@@ -1,133 +1,197 @@
 //! Controller of the operators' configuration: how each revision reaches this VM.
+//!
+//! A few VMs of each cell, the *watchers*, watch the platform's service. A change goes from the
+//! watchers to the other VMs along a tree; digests, which every VM exchanges with the watchers,
+//! find what was missed. A VM never goes back to a lower revision.
 
+mod digest;
+pub mod message;
+mod relay;
+mod source;
+mod standing;
+
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
+use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+pub use message::ConfigurationMessage;
 
 use super::blackboard::{Blackboard, CallId};
-use super::command::{Command, PlatformRequest};
-use super::event::{Event, KeyValue, PlatformAnswer, PlatformEvent};
-use super::snapshot::Standing;
-use crate::configuration::{Configuration, ConfigurationChange, Record, RecordPath, Revision};
+use super::command::{Command, LogEvent};
+use super::event::{Event, PlatformEvent};
+use crate::configuration::{Configuration, ConfigurationChange, Revision};
+use crate::name::VmName;
+use crate::peer::PeerMessage;
 use crate::time::Timestamp;
 
 /// Prefix of configuration records below the fleet's prefix.
 pub const CONFIGURATION_PREFIX: &str = "config/";
 
+/// Changes that a VM keeps for others that missed them.
+const MAX_LOG_CHANGES: usize = 512;
+
 /// What the configuration controller knows.
 #[derive(Debug, Default)]
 pub struct ConfigurationState {
     /// The configuration as far as this VM has it.
     pub current: Arc<Configuration>,
-    read: Option<CallId>,
-    watch: Option<CallId>,
+    /// Whether this VM has had any configuration.
+    pub is_loaded: bool,
+    log: ChangeLog,
+    source: source::Source,
+    digests: digest::Digests,
+    contact: standing::Contact,
 }
 
-/// Messages about the configuration between VMs.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum ConfigurationMessage {
-    /// Latest revision that the sender has.
-    Digest {
-        /// The revision.
-        revision: Revision,
-    },
+/// Latest changes, for VMs that missed some of them.
+#[derive(Debug, Default)]
+struct ChangeLog {
+    /// Every change after this revision is in the log.
+    after: Revision,
+    changes: VecDeque<ConfigurationChange>,
 }
 
-/// Handles one event.
-pub fn handle(board: &mut Blackboard, event: &Event, _now: Timestamp) -> Vec<Command> {
-    match event {
-        Event::Tick => start_read(board),
-        Event::Platform(PlatformEvent::Ended { call, result, .. })
-            if board.configuration.read == Some(*call) =>
-        {
-            let Ok(PlatformAnswer::Found { keys, revision }) = result else {
-                board.configuration.read = None;
-                return Vec::new();
+impl ChangeLog {
+    fn restart(&mut self, after: Revision) {
+        self.after = after;
+        self.changes.clear();
+    }
+
+    fn extend(&mut self, changes: &[ConfigurationChange]) {
+        self.changes.extend(changes.iter().cloned());
+        while self.changes.len() > MAX_LOG_CHANGES {
+            let Some(dropped) = self.changes.pop_front() else {
+                return;
             };
-            load(board, keys, *revision)
+            self.after = dropped.revision;
         }
-        Event::Platform(PlatformEvent::Changed {
-            watch,
-            keys,
-            revision,
-        }) if board.configuration.watch == Some(*watch) => apply(board, keys, *revision),
-        Event::Platform(PlatformEvent::WatchLost { watch })
-            if board.configuration.watch == Some(*watch) =>
-        {
-            board.configuration.watch = None;
-            board.configuration.read = None;
-            Vec::new()
+    }
+
+    /// Returns the changes after a revision; `None` when the log does not go back so far.
+    fn since(&self, after: Revision) -> Option<Vec<ConfigurationChange>> {
+        if after < self.after {
+            return None;
+        }
+        Some(self.changes.iter().filter(|change| change.revision > after).cloned().collect())
+    }
+}
+
+/// Handles one event.
+pub fn handle(board: &mut Blackboard, event: &Event, now: Timestamp) -> Vec<Command> {
+    let mut commands = match event {
+        Event::Tick => {
+            let mut commands = source::tick(board, now);
+            commands.extend(digest::tick(board, now));
+            commands
+        }
+        Event::Platform(event) => platform(board, event, now),
+        Event::Peer { from, message: PeerMessage::Configuration(message), .. } => {
+            peer(board, from, message, now)
         }
         _ => Vec::new(),
+    };
+    commands.extend(standing::update(board, event, now));
+    commands
+}
+
+fn platform(board: &mut Blackboard, event: &PlatformEvent, now: Timestamp) -> Vec<Command> {
+    if let PlatformEvent::Ended { sent_at, result: Ok(_), .. } = event {
+        board.configuration.contact.service_answered(*sent_at);
     }
+    source::handle(board, event, now)
 }
 
-fn start_read(board: &mut Blackboard) -> Vec<Command> {
-    if board.configuration.read.is_some() {
-        return Vec::new();
+fn peer(
+    board: &mut Blackboard,
+    from: &VmName,
+    message: &ConfigurationMessage,
+    now: Timestamp,
+) -> Vec<Command> {
+    match message {
+        ConfigurationMessage::Digest { revision, contact_age_ms, is_answer } => {
+            let digest = digest::Received {
+                revision: *revision,
+                contact_age: contact_age_ms.map(Duration::from_millis),
+                is_answer: *is_answer,
+            };
+            digest::receive(board, from, &digest, now)
+        }
+        ConfigurationMessage::Fetch { after } => vec![bring(board, from, *after)],
+        ConfigurationMessage::Changes { origin, after, upto, changes } => {
+            let batch = Batch { after: *after, upto: *upto, changes: changes.clone() };
+            advance(board, batch, origin.as_ref())
+        }
+        ConfigurationMessage::Whole { configuration } => replace(board, configuration.clone()),
     }
-    let call = board.next_call();
-    board.configuration.read = Some(call);
-    let prefix = CONFIGURATION_PREFIX.to_owned();
-    vec![Command::Platform {
-        call,
-        request: PlatformRequest::List { prefix },
-    }]
 }
 
-fn load(board: &mut Blackboard, keys: &[KeyValue], revision: Revision) -> Vec<Command> {
-    if revision < board.configuration.current.revision {
-        board.configuration.read = None;
+/// Changes that lead from one revision to another.
+#[derive(Debug, Clone)]
+struct Batch {
+    after: Revision,
+    upto: Revision,
+    changes: Vec<ConfigurationChange>,
+}
+
+/// Applies a batch that continues what this VM has, and relays it on its origin's tree.
+fn advance(board: &mut Blackboard, batch: Batch, origin: Option<&VmName>) -> Vec<Command> {
+    let state = &mut board.configuration;
+    let own = state.current.revision;
+    if !state.is_loaded || batch.upto <= own || batch.after > own {
+        // What is missing between the two is found by the next digest.
         return Vec::new();
     }
-    let mut configuration = Configuration {
-        revision,
-        ..Configuration::default()
-    };
-    for key in keys {
-        if let Some(record) = decode(key) {
-            configuration.put(record);
-        }
-    }
-    board.configuration.current = Arc::new(configuration);
-    if board.standing == Standing::Starting {
-        board.standing = Standing::Serving;
+    let mut configuration = Configuration::clone(&state.current);
+    configuration.apply_batch(batch.changes.clone(), batch.upto);
+    let news: Vec<_> = batch.changes.into_iter().filter(|change| change.revision > own).collect();
+    state.log.extend(&news);
+    state.current = Arc::new(configuration);
+    let mut commands = vec![Command::Publish];
+    if let Some(origin) = origin {
+        let batch = Batch { after: own, upto: batch.upto, changes: news };
+        commands.extend(relay::forward(board, origin, &batch));
     }
-    let call = board.next_call();
-    board.configuration.watch = Some(call);
-    let prefix = CONFIGURATION_PREFIX.to_owned();
-    let from = Revision(revision.0 + 1);
-    vec![
-        Command::Platform {
-            call,
-            request: PlatformRequest::Watch { prefix, from },
-        },
-        Command::Publish,
-    ]
+    commands
 }
 
-fn apply(board: &mut Blackboard, keys: &[KeyValue], revision: Revision) -> Vec<Command> {
-    let mut configuration = Configuration::clone(&board.configuration.current);
-    for key in keys {
-        let Some(path) = key
-            .key
-            .strip_prefix(CONFIGURATION_PREFIX)
-            .and_then(RecordPath::parse)
-        else {
-            continue;
-        };
-        let record = decode(key);
-        configuration.apply(ConfigurationChange {
-            revision: key.revision,
-            path,
-            record,
-        });
+/// Takes a whole configuration, unless this VM has a later one.
+fn replace(board: &mut Blackboard, configuration: Arc<Configuration>) -> Vec<Command> {
+    let state = &mut board.configuration;
+    if state.is_loaded && configuration.revision <= state.current.revision {
+        return Vec::new();
     }
-    configuration.revision = configuration.revision.max(revision);
-    board.configuration.current = Arc::new(configuration);
-    vec![Command::Publish]
+    let revision = configuration.revision;
+    state.is_loaded = true;
+    state.log.restart(revision);
+    state.current = configuration;
+    let line = LogEvent::info("configuration_loaded").with("revision", revision.0);
+    vec![Command::Log(line), Command::Publish]
+}
+
+/// Builds the message that brings another VM from a revision to this VM's.
+fn bring(board: &Blackboard, to: &VmName, after: Revision) -> Command {
+    let state = &board.configuration;
+    let upto = state.current.revision;
+    let message = match state.log.since(after) {
+        Some(changes) => ConfigurationMessage::Changes { origin: None, after, upto, changes },
+        None => ConfigurationMessage::Whole { configuration: Arc::clone(&state.current) },
+    };
+    send(to, message)
 }
 
-fn decode(key: &KeyValue) -> Option<Record> {
-    serde_json::from_slice(key.value.as_deref()?).ok()
+fn send(to: &VmName, message: ConfigurationMessage) -> Command {
+    Command::Send { to: to.clone(), message: PeerMessage::Configuration(message) }
 }
+
+/// Revision that each other VM had when it was last heard.
+type Revisions = BTreeMap<VmName, Revision>;
+
+/// Call to the service that has not ended.
+#[derive(Debug, Clone, Copy)]
+struct PendingCall {
+    call: CallId,
+    started_at: Timestamp,
+}
+
+#[cfg(test)]
+mod tests;
