--- /dev/null
+++ b/src/bin/currantctl/app.rs
@@ -0,0 +1,219 @@
+//! Command line of the operators' tool.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+/// Administers currantlb.
+#[derive(Debug, FromArgs)]
+pub(crate) struct App {
+    /// address of any VM's administration API
+    #[argh(option, default = "\"http://127.0.0.1:8432\".to_owned()")]
+    pub(crate) url: String,
+
+    /// file with the operator's token; CURRANTLB_TOKEN is used otherwise
+    #[argh(option)]
+    pub(crate) token_file: Option<PathBuf>,
+
+    /// certificate of the authority that signed the API's certificate, in PEM
+    #[argh(option)]
+    pub(crate) ca_file: Option<PathBuf>,
+
+    /// print JSON instead of tables
+    #[argh(switch)]
+    pub(crate) json: bool,
+
+    /// id of a write; give the same one again to learn a lost answer
+    #[argh(option)]
+    pub(crate) operation_id: Option<String>,
+
+    /// revision that the record must have; by default the one that is read first
+    #[argh(option)]
+    pub(crate) expect: Option<u64>,
+
+    #[argh(subcommand)]
+    pub(crate) action: Action,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum Action {
+    Status(Status),
+    Vms(Vms),
+    Workspace(Workspace),
+    Key(Key),
+    Preset(Preset),
+    Route(Route),
+    Database(Database),
+    Completion(Completion),
+}
+
+/// Shows the state of the fleet.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+#[expect(clippy::empty_structs_with_brackets, reason = "argh needs named fields")]
+pub(crate) struct Status {}
+
+/// Shows the VMs.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "vms")]
+#[expect(clippy::empty_structs_with_brackets, reason = "argh needs named fields")]
+pub(crate) struct Vms {}
+
+/// Administers workspaces: list, show, set, remove.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "workspace")]
+pub(crate) struct Workspace {
+    /// list, show, set or remove
+    #[argh(positional)]
+    pub(crate) verb: WorkspaceVerb,
+
+    /// name of the workspace
+    #[argh(positional)]
+    pub(crate) name: Option<String>,
+
+    /// database that the workspace may use; repeat for several
+    #[argh(option)]
+    pub(crate) database: Vec<String>,
+
+    /// statements a second
+    #[argh(option)]
+    pub(crate) rate_per_s: Option<f64>,
+
+    /// statements at once above the rate
+    #[argh(option)]
+    pub(crate) burst: Option<f64>,
+
+    /// share of slot time relative to other workspaces
+    #[argh(option)]
+    pub(crate) weight: Option<u32>,
+}
+
+/// Administers keys: list, issue, withdraw.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "key")]
+pub(crate) struct Key {
+    /// list, issue or withdraw
+    #[argh(positional)]
+    pub(crate) verb: KeyVerb,
+
+    /// name of the workspace
+    #[argh(positional)]
+    pub(crate) workspace: String,
+
+    /// id of the key to withdraw
+    #[argh(positional)]
+    pub(crate) key: Option<String>,
+}
+
+/// Administers presets: list, show, put, validate, diff, switch, in-force, remove.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "preset")]
+pub(crate) struct Preset {
+    /// list, show, put, validate, diff, switch, in-force or remove
+    #[argh(positional)]
+    pub(crate) verb: PresetVerb,
+
+    /// name of the preset
+    #[argh(positional)]
+    pub(crate) name: Option<String>,
+
+    /// other preset to compare with
+    #[argh(positional)]
+    pub(crate) other: Option<String>,
+
+    /// file with the preset in JSON
+    #[argh(option)]
+    pub(crate) file: Option<PathBuf>,
+}
+
+/// Administers routes: list, show, put, remove.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "route")]
+pub(crate) struct Route {
+    /// list, show, put or remove
+    #[argh(positional)]
+    pub(crate) verb: RecordVerb,
+
+    /// name of the route
+    #[argh(positional)]
+    pub(crate) name: Option<String>,
+
+    /// file with the route's policy in JSON
+    #[argh(option)]
+    pub(crate) file: Option<PathBuf>,
+}
+
+/// Administers databases: list, show, put, drain, undrain, remove.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "database")]
+pub(crate) struct Database {
+    /// list, show, put, drain, undrain or remove
+    #[argh(positional)]
+    pub(crate) verb: DatabaseVerb,
+
+    /// name of the database
+    #[argh(positional)]
+    pub(crate) name: Option<String>,
+
+    /// instance to drain or undrain
+    #[argh(positional)]
+    pub(crate) instance: Option<String>,
+
+    /// file with the database group in JSON
+    #[argh(option)]
+    pub(crate) file: Option<PathBuf>,
+}
+
+/// Prints a completion script.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "completion")]
+pub(crate) struct Completion {
+    /// bash or zsh
+    #[argh(positional)]
+    pub(crate) shell: Shell,
+}
+
+macro_rules! verb {
+    ($(#[$doc:meta])* $name:ident { $($variant:ident),+ $(,)? }) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::EnumString, strum::VariantNames)]
+        #[strum(serialize_all = "kebab-case")]
+        pub(crate) enum $name {
+            $($variant),+
+        }
+
+        impl argh::FromArgValue for $name {
+            fn from_arg_value(value: &str) -> Result<Self, String> {
+                use strum::VariantNames;
+                let expected = || format!("expected one of: {}", Self::VARIANTS.join(", "));
+                value.parse().map_err(|_unknown| expected())
+            }
+        }
+    };
+}
+
+verb!(
+    /// What is done with workspaces.
+    WorkspaceVerb { List, Show, Set, Remove }
+);
+verb!(
+    /// What is done with keys.
+    KeyVerb { List, Issue, Withdraw }
+);
+verb!(
+    /// What is done with presets.
+    PresetVerb { List, Show, Put, Validate, Diff, Switch, InForce, Remove }
+);
+verb!(
+    /// What is done with records that have no verbs of their own.
+    RecordVerb { List, Show, Put, Remove }
+);
+verb!(
+    /// What is done with databases.
+    DatabaseVerb { List, Show, Put, Drain, Undrain, Remove }
+);
+verb!(
+    /// Shell that completes commands.
+    Shell { Bash, Zsh }
+);
--- /dev/null
+++ b/src/bin/currantctl/completion.rs
@@ -0,0 +1,37 @@
+//! Completion scripts, made from the verbs of the command line.
+
+use strum::VariantNames;
+
+use crate::app::{DatabaseVerb, KeyVerb, PresetVerb, RecordVerb, Shell, WorkspaceVerb};
+
+/// Returns the completion script of a shell.
+pub(crate) fn script(shell: Shell) -> String {
+    let bash = bash();
+    match shell {
+        Shell::Bash => bash,
+        Shell::Zsh => format!("autoload -U +X bashcompinit && bashcompinit\n{bash}"),
+    }
+}
+
+fn bash() -> String {
+    let subjects = [
+        ("workspace", WorkspaceVerb::VARIANTS),
+        ("key", KeyVerb::VARIANTS),
+        ("preset", PresetVerb::VARIANTS),
+        ("route", RecordVerb::VARIANTS),
+        ("database", DatabaseVerb::VARIANTS),
+        ("completion", Shell::VARIANTS),
+    ];
+    let names: Vec<_> = subjects.iter().map(|(name, _)| *name).collect();
+    let mut cases = String::new();
+    for (name, verbs) in subjects {
+        cases.push_str(&format!("    {name}) words=\"{}\" ;;\n", verbs.join(" ")));
+    }
+    format!(
+        "_currantctl() {{\n  local words\n  case \"${{COMP_WORDS[COMP_CWORD-1]}}\" in\n{cases}    \
+         *) words=\"status vms {}\" ;;\n  esac\n  \
+         COMPREPLY=($(compgen -W \"$words\" -- \"${{COMP_WORDS[COMP_CWORD]}}\"))\n}}\n\
+         complete -F _currantctl currantctl\n",
+        names.join(" ")
+    )
+}
--- a/src/configuration/validate.rs
+++ b/src/configuration/validate.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use super::record::{
     DatabaseGroup, InstanceState, Limits, Preset, PresetInForce, Record, RecordPath, Workspace,
@@ -17,7 +17,7 @@
 const MAX_STATEMENTS_PER_SLOT_S: f64 = 1_000.0;
 
 /// What a change would break.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Finding {
     /// Field of the record, or another record that the change breaks.
     pub subject: String,
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,5 +1,7 @@
 //! Metrics, spans and the log line format.
 
+pub mod metrics;
+
 use std::fmt::Write;
 
 use crate::control::command::LogField;
