--- a/src/settings.rs
+++ b/src/settings.rs
@@ -252,13 +252,21 @@
 }
 
 /// Metrics, spans and logs.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct TelemetrySettings {
     /// OTLP over HTTP endpoint for spans, such as `http://127.0.0.1:4318/v1/traces`.
     pub otlp_endpoint: Option<String>,
     /// File that spans are appended to, one JSON object a line.
     pub span_file: Option<PathBuf>,
+    /// Share of traces that are recorded when the caller brings no trace context.
+    pub span_sample_ratio: f64,
+}
+
+impl Default for TelemetrySettings {
+    fn default() -> Self {
+        Self { otlp_endpoint: None, span_file: None, span_sample_ratio: 0.01 }
+    }
 }
 
 /// Intervals and bounds of the control code.
