--- a/src/admin.rs
+++ b/src/admin.rs
@@ -29,7 +29,6 @@
 #[derive(Debug, Clone)]
 pub struct AdminState {
     pub(crate) snapshot: SharedSnapshot,
-    pub(crate) platform: Platform,
     pub(crate) writer: Writer,
     pub(crate) operators: Arc<Operators>,
 }
@@ -37,8 +36,12 @@
 impl AdminState {
     /// Builds the state of one VM's API.
     pub fn new(snapshot: SharedSnapshot, platform: Platform, operators: Operators) -> Self {
-        let writer = Writer::new(platform.clone(), Arc::clone(&snapshot));
-        Self { snapshot, platform, writer, operators: Arc::new(operators) }
+        let writer = Writer::new(platform, Arc::clone(&snapshot));
+        Self {
+            snapshot,
+            writer,
+            operators: Arc::new(operators),
+        }
     }
 }
 
@@ -54,10 +57,18 @@
         .route("/v1/workspaces", get(workspaces::list))
         .route(
             "/v1/workspaces/{name}",
-            get(workspaces::show).put(workspaces::put).delete(workspaces::remove),
+            get(workspaces::show)
+                .put(workspaces::put)
+                .delete(workspaces::remove),
+        )
+        .route(
+            "/v1/workspaces/{name}/keys",
+            get(keys::list).post(keys::issue),
+        )
+        .route(
+            "/v1/workspaces/{name}/keys/{key}/withdraw",
+            post(keys::withdraw),
         )
-        .route("/v1/workspaces/{name}/keys", get(keys::list).post(keys::issue))
-        .route("/v1/workspaces/{name}/keys/{key}/withdraw", post(keys::withdraw))
         .route("/v1/presets", get(presets::list))
         .route(
             "/v1/presets/{name}",
@@ -70,14 +81,24 @@
         .route("/v1/routes", get(records::list_routes))
         .route(
             "/v1/routes/{name}",
-            get(records::show_route).put(records::put_route).delete(records::remove_route),
+            get(records::show_route)
+                .put(records::put_route)
+                .delete(records::remove_route),
         )
         .route("/v1/databases", get(databases::list))
         .route(
             "/v1/databases/{name}",
-            get(databases::show).put(databases::put).delete(databases::remove),
+            get(databases::show)
+                .put(databases::put)
+                .delete(databases::remove),
+        )
+        .route(
+            "/v1/databases/{name}/instances/{instance}/drain",
+            post(databases::drain),
+        )
+        .route(
+            "/v1/databases/{name}/instances/{instance}/undrain",
+            post(databases::undrain),
         )
-        .route("/v1/databases/{name}/instances/{instance}/drain", post(databases::drain))
-        .route("/v1/databases/{name}/instances/{instance}/undrain", post(databases::undrain))
         .with_state(state)
 }
--- a/src/admin/auth.rs
+++ b/src/admin/auth.rs
@@ -29,7 +29,9 @@
 
 impl std::fmt::Debug for Operators {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_list().entries(self.entries.iter().map(|entry| &entry.operator)).finish()
+        f.debug_list()
+            .entries(self.entries.iter().map(|entry| &entry.operator))
+            .finish()
     }
 }
 
@@ -38,9 +40,14 @@
     pub fn new(tokens: &[OperatorToken]) -> Self {
         let entry = |token: &OperatorToken| Entry {
             digest: Sha256::digest(token.token.as_bytes()).into(),
-            operator: Operator { name: token.operator.clone(), role: token.role },
+            operator: Operator {
+                name: token.operator.clone(),
+                role: token.role,
+            },
         };
-        Self { entries: tokens.iter().map(entry).collect() }
+        Self {
+            entries: tokens.iter().map(entry).collect(),
+        }
     }
 
     /// Returns the operator of a request, who must have at least `role`.
@@ -49,7 +56,9 @@
     ///
     /// Fails when the request has no known token, or its operator may not do this.
     pub fn authorize(&self, headers: &HeaderMap, role: Role) -> Result<Operator> {
-        let header = headers.get(AUTHORIZATION).and_then(|value| value.to_str().ok());
+        let header = headers
+            .get(AUTHORIZATION)
+            .and_then(|value| value.to_str().ok());
         let token = header.and_then(|text| text.strip_prefix("Bearer "));
         let token = token.ok_or(ApiError::Unauthenticated)?;
         let digest: [u8; 32] = Sha256::digest(token.as_bytes()).into();
--- a/src/admin/databases.rs
+++ b/src/admin/databases.rs
@@ -21,7 +21,11 @@
     state.operators.authorize(&headers, Role::Read)?;
     let snapshot = state.snapshot.load();
     let names = snapshot.configuration.databases.keys();
-    Ok(Json(names.map(|name| status::database(&snapshot, name)).collect()))
+    Ok(Json(
+        names
+            .map(|name| status::database(&snapshot, name))
+            .collect(),
+    ))
 }
 
 pub(super) async fn show(
@@ -36,7 +40,10 @@
         _ => None,
     };
     records::show(&state, &path, select, |known| {
-        known.databases.get(&name).map(|group| DatabaseGroup::clone(group))
+        known
+            .databases
+            .get(&name)
+            .map(|group| DatabaseGroup::clone(group))
     })
     .await
 }
@@ -89,11 +96,16 @@
     let write = WriteHeaders::read(headers)?;
     let path = RecordPath::Database(name);
     let build = |previous| {
-        let missing = || ApiError::NotFound { subject: format!("instance {instance} of {path}") };
+        let missing = || ApiError::NotFound {
+            subject: format!("instance {instance} of {path}"),
+        };
         let Some(Record::Database(mut group)) = previous else {
             return Err(missing());
         };
-        let found = group.instances.iter_mut().find(|found| found.name == *instance);
+        let found = group
+            .instances
+            .iter_mut()
+            .find(|found| found.name == *instance);
         found.ok_or_else(missing)?.state = new;
         Ok(Record::Database(group))
     };
--- a/src/admin/error.rs
+++ b/src/admin/error.rs
@@ -108,6 +108,14 @@
             Self::Invalid { findings } => (None, findings),
             _ => (None, Vec::new()),
         };
-        (status, Json(ErrorBody { error, revision, findings })).into_response()
+        (
+            status,
+            Json(ErrorBody {
+                error,
+                revision,
+                findings,
+            }),
+        )
+            .into_response()
     }
 }
--- a/src/admin/keys.rs
+++ b/src/admin/keys.rs
@@ -36,7 +36,10 @@
         _ => None,
     };
     records::show(&state, &path, select, |known| {
-        known.workspaces.get(&name).map(|workspace| key_bodies(&workspace.keys))
+        known
+            .workspaces
+            .get(&name)
+            .map(|workspace| key_bodies(&workspace.keys))
     })
     .await
 }
@@ -52,22 +55,32 @@
     let secret = BASE64_URL_SAFE_NO_PAD.encode(rand::random::<[u8; KEY_BYTES]>());
     // A repeated answer must name the same key, whose id therefore follows from the operation.
     let id = key_id(&write);
-    let build = |previous| {
-        let mut workspace = workspace_of(&path, previous)?;
-        let verifier = scram::verifier(&secret, &workspace.salt, workspace.iterations)
-            .map_err(|error| ApiError::Malformed { message: error.to_string() })?;
-        workspace.keys.push(Key {
-            id: id.clone(),
-            stored_key: verifier.stored_key,
-            server_key: verifier.server_key,
-            state: KeyState::Active,
-        });
-        Ok(Record::Workspace(workspace))
-    };
+    let build =
+        |previous| {
+            let mut workspace = workspace_of(&path, previous)?;
+            let verifier = scram::verifier(&secret, &workspace.salt, workspace.iterations)
+                .map_err(|error| ApiError::Malformed {
+                    message: error.to_string(),
+                })?;
+            workspace.keys.push(Key {
+                id: id.clone(),
+                stored_key: verifier.stored_key,
+                server_key: verifier.server_key,
+                state: KeyState::Active,
+            });
+            Ok(Record::Workspace(workspace))
+        };
     let accepted = state.writer.write(&path, &write, build).await?;
-    log::info!("event=key_issued workspace={name} key={id} operator={:?}", operator.name);
+    log::info!(
+        "event=key_issued workspace={name} key={id} operator={:?}",
+        operator.name
+    );
     let key = (!accepted.is_repeated).then_some(secret);
-    Ok(Json(IssuedKey { id, key, revision: accepted.revision }))
+    Ok(Json(IssuedKey {
+        id,
+        key,
+        revision: accepted.revision,
+    }))
 }
 
 pub(super) async fn withdraw(
@@ -81,19 +94,26 @@
     let build = |previous| {
         let mut workspace = workspace_of(&path, previous)?;
         let key = workspace.keys.iter_mut().find(|key| key.id == id);
-        let missing = || ApiError::NotFound { subject: format!("key {id} of workspace {name}") };
+        let missing = || ApiError::NotFound {
+            subject: format!("key {id} of workspace {name}"),
+        };
         key.ok_or_else(missing)?.state = KeyState::Withdrawn;
         Ok(Record::Workspace(workspace))
     };
     let accepted = state.writer.write(&path, &write, build).await?;
-    log::info!("event=key_withdrawn workspace={name} key={id} operator={:?}", operator.name);
+    log::info!(
+        "event=key_withdrawn workspace={name} key={id} operator={:?}",
+        operator.name
+    );
     Ok(Json(accepted))
 }
 
 fn workspace_of(path: &RecordPath, previous: Option<Record>) -> Result<Workspace> {
     match previous {
         Some(Record::Workspace(workspace)) => Ok(workspace),
-        _ => Err(ApiError::NotFound { subject: path.to_string() }),
+        _ => Err(ApiError::NotFound {
+            subject: path.to_string(),
+        }),
     }
 }
 
--- a/src/admin/model.rs
+++ b/src/admin/model.rs
@@ -67,7 +67,9 @@
 
 impl std::fmt::Debug for IssuedKey {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("IssuedKey").field("id", &self.id).finish_non_exhaustive()
+        f.debug_struct("IssuedKey")
+            .field("id", &self.id)
+            .finish_non_exhaustive()
     }
 }
 
--- a/src/admin/openapi.rs
+++ b/src/admin/openapi.rs
@@ -12,26 +12,63 @@
 }
 
 const fn read(path: &'static str, summary: &'static str) -> Operation {
-    Operation { path, method: "get", summary, is_write: false }
+    Operation {
+        path,
+        method: "get",
+        summary,
+        is_write: false,
+    }
 }
 
 const fn write(path: &'static str, method: &'static str, summary: &'static str) -> Operation {
-    Operation { path, method, summary, is_write: true }
+    Operation {
+        path,
+        method,
+        summary,
+        is_write: true,
+    }
 }
 
 /// Every operation that needs a token.
 const OPERATIONS: &[Operation] = &[
-    read("/v1/status", "State of the fleet as the answering VM sees it"),
-    read("/v1/vms", "VMs with the databases that they are the home of"),
+    read(
+        "/v1/status",
+        "State of the fleet as the answering VM sees it",
+    ),
+    read(
+        "/v1/vms",
+        "VMs with the databases that they are the home of",
+    ),
     read("/v1/workspaces", "All workspaces"),
-    read("/v1/workspaces/{name}", "One workspace, with the revision that a write must expect"),
-    write("/v1/workspaces/{name}", "put", "Creates a workspace, or sets its databases and limits"),
+    read(
+        "/v1/workspaces/{name}",
+        "One workspace, with the revision that a write must expect",
+    ),
+    write(
+        "/v1/workspaces/{name}",
+        "put",
+        "Creates a workspace, or sets its databases and limits",
+    ),
     write("/v1/workspaces/{name}", "delete", "Removes a workspace"),
-    read("/v1/workspaces/{name}/keys", "Keys of a workspace, without their secrets"),
-    write("/v1/workspaces/{name}/keys", "post", "Issues a key; its secret is shown once"),
-    write("/v1/workspaces/{name}/keys/{key}/withdraw", "post", "Withdraws a key"),
+    read(
+        "/v1/workspaces/{name}/keys",
+        "Keys of a workspace, without their secrets",
+    ),
+    write(
+        "/v1/workspaces/{name}/keys",
+        "post",
+        "Issues a key; its secret is shown once",
+    ),
+    write(
+        "/v1/workspaces/{name}/keys/{key}/withdraw",
+        "post",
+        "Withdraws a key",
+    ),
     read("/v1/presets", "All presets"),
-    read("/v1/presets/{name}", "One preset, with the revision that a write must expect"),
+    read(
+        "/v1/presets/{name}",
+        "One preset, with the revision that a write must expect",
+    ),
     write("/v1/presets/{name}", "put", "Creates or replaces a preset"),
     write("/v1/presets/{name}", "delete", "Removes a preset"),
     Operation {
@@ -40,16 +77,40 @@
         summary: "Findings that writing the preset would meet, all at once",
         is_write: false,
     },
-    read("/v1/presets/{name}/diff/{other}", "Fields in which two presets differ"),
-    write("/v1/presets/{name}/switch", "post", "Puts a preset in force"),
-    read("/v1/in-force", "The preset in force, with the revision that a switch must expect"),
+    read(
+        "/v1/presets/{name}/diff/{other}",
+        "Fields in which two presets differ",
+    ),
+    write(
+        "/v1/presets/{name}/switch",
+        "post",
+        "Puts a preset in force",
+    ),
+    read(
+        "/v1/in-force",
+        "The preset in force, with the revision that a switch must expect",
+    ),
     read("/v1/routes", "All routes"),
-    read("/v1/routes/{name}", "One route, with the revision that a write must expect"),
-    write("/v1/routes/{name}", "put", "Creates a route, or sets its policy"),
+    read(
+        "/v1/routes/{name}",
+        "One route, with the revision that a write must expect",
+    ),
+    write(
+        "/v1/routes/{name}",
+        "put",
+        "Creates a route, or sets its policy",
+    ),
     write("/v1/routes/{name}", "delete", "Removes a route"),
     read("/v1/databases", "State of every database"),
-    read("/v1/databases/{name}", "One database, with the revision that a write must expect"),
-    write("/v1/databases/{name}", "put", "Creates or replaces a database group"),
+    read(
+        "/v1/databases/{name}",
+        "One database, with the revision that a write must expect",
+    ),
+    write(
+        "/v1/databases/{name}",
+        "put",
+        "Creates or replaces a database group",
+    ),
     write("/v1/databases/{name}", "delete", "Removes a database group"),
     write(
         "/v1/databases/{name}/instances/{instance}/drain",
@@ -111,7 +172,8 @@
 }
 
 fn names_in(path: &'static str) -> impl Iterator<Item = &'static str> {
-    path.split('/').filter_map(|part| part.strip_prefix('{')?.strip_suffix('}'))
+    path.split('/')
+        .filter_map(|part| part.strip_prefix('{')?.strip_suffix('}'))
 }
 
 fn path_parameter(name: &str) -> Value {
--- a/src/admin/presets.rs
+++ b/src/admin/presets.rs
@@ -24,7 +24,11 @@
 ) -> Result<Json<Vec<Preset>>> {
     state.operators.authorize(&headers, Role::Read)?;
     let snapshot = state.snapshot.load();
-    let presets = snapshot.configuration.presets.values().map(|preset| Preset::clone(preset));
+    let presets = snapshot
+        .configuration
+        .presets
+        .values()
+        .map(|preset| Preset::clone(preset));
     Ok(Json(presets.collect()))
 }
 
@@ -75,7 +79,10 @@
 ) -> Result<Json<Vec<Finding>>> {
     state.operators.authorize(&headers, Role::Read)?;
     let record = Record::Preset(Preset { name, ..preset });
-    Ok(Json(validate_write(&state.snapshot.load().configuration, &record)))
+    Ok(Json(validate_write(
+        &state.snapshot.load().configuration,
+        &record,
+    )))
 }
 
 pub(super) async fn diff(
@@ -86,8 +93,14 @@
     state.operators.authorize(&headers, Role::Read)?;
     let snapshot = state.snapshot.load();
     let flat = |name: &PresetName| {
-        let missing = || ApiError::NotFound { subject: RecordPath::Preset(name.clone()).to_string() };
-        let preset = snapshot.configuration.presets.get(name).ok_or_else(missing)?;
+        let missing = || ApiError::NotFound {
+            subject: RecordPath::Preset(name.clone()).to_string(),
+        };
+        let preset = snapshot
+            .configuration
+            .presets
+            .get(name)
+            .ok_or_else(missing)?;
         Ok::<_, ApiError>(flatten(preset))
     };
     Ok(Json(differences(&flat(&name)?, &flat(&other)?)))
@@ -108,10 +121,20 @@
             _ => 0,
         };
         let preset = name.clone();
-        Ok(Record::InForce(PresetInForce { preset, version: version + 1, operation }))
+        Ok(Record::InForce(PresetInForce {
+            preset,
+            version: version + 1,
+            operation,
+        }))
     };
-    let accepted = state.writer.write(&RecordPath::InForce, &write, build).await?;
-    log::info!("event=preset_switched preset={name} operator={:?}", operator.name);
+    let accepted = state
+        .writer
+        .write(&RecordPath::InForce, &write, build)
+        .await?;
+    log::info!(
+        "event=preset_switched preset={name} operator={:?}",
+        operator.name
+    );
     Ok(Json(accepted))
 }
 
@@ -124,7 +147,10 @@
         Record::InForce(in_force) => Some(in_force),
         _ => None,
     };
-    records::show(&state, &RecordPath::InForce, select, |known| known.in_force.clone()).await
+    records::show(&state, &RecordPath::InForce, select, |known| {
+        known.in_force.clone()
+    })
+    .await
 }
 
 /// Returns the leaves of a preset by their paths.
@@ -142,19 +168,22 @@
         return;
     };
     for (name, value) in fields {
-        let path = if path.is_empty() { name } else { format!("{path}.{name}") };
+        let path = if path.is_empty() {
+            name
+        } else {
+            format!("{path}.{name}")
+        };
         collect(path, value, leaves);
     }
 }
 
-fn differences(
-    from: &BTreeMap<String, Value>,
-    to: &BTreeMap<String, Value>,
-) -> Vec<Difference> {
+fn differences(from: &BTreeMap<String, Value>, to: &BTreeMap<String, Value>) -> Vec<Difference> {
     let mut fields: Vec<_> = from.keys().chain(to.keys()).collect();
     fields.sort();
     fields.dedup();
-    let differing = fields.into_iter().filter(|field| from.get(*field) != to.get(*field));
+    let differing = fields
+        .into_iter()
+        .filter(|field| from.get(*field) != to.get(*field));
     let difference = |field: &String| Difference {
         field: field.clone(),
         from: from.get(field).cloned(),
--- a/src/admin/presets/tests.rs
+++ b/src/admin/presets/tests.rs
@@ -12,8 +12,14 @@
         routes: BTreeMap::new(),
         maintenance: std::collections::BTreeSet::new(),
     };
-    let mut peak = Preset { name: "peak".into(), ..quiet.clone() };
-    let limits = Limits { rate_per_s: 500.0, ..Limits::default() };
+    let mut peak = Preset {
+        name: "peak".into(),
+        ..quiet.clone()
+    };
+    let limits = Limits {
+        rate_per_s: 500.0,
+        ..Limits::default()
+    };
     peak.limits.insert("council".into(), limits);
     peak.maintenance.insert("a".into());
 
@@ -24,7 +30,11 @@
             from: Some(json!(100.0)),
             to: Some(json!(500.0)),
         },
-        Difference { field: "maintenance".to_owned(), from: Some(json!([])), to: Some(json!(["a"])) },
+        Difference {
+            field: "maintenance".to_owned(),
+            from: Some(json!([])),
+            to: Some(json!(["a"])),
+        },
     ];
     assert_eq!(found, expected);
     assert!(differences(&flatten(&quiet), &flatten(&quiet)).is_empty());
--- a/src/admin/records.rs
+++ b/src/admin/records.rs
@@ -20,7 +20,9 @@
     select: impl Fn(Record) -> Option<T>,
     remembered: impl Fn(&Configuration) -> Option<T>,
 ) -> Result<Json<Versioned<T>>> {
-    let missing = || ApiError::NotFound { subject: path.to_string() };
+    let missing = || ApiError::NotFound {
+        subject: path.to_string(),
+    };
     match state.writer.read(path).await {
         Ok(Some(current)) => {
             let revision = Some(current.revision.0);
@@ -30,7 +32,10 @@
         Ok(None) => Err(missing()),
         Err(ApiError::Unavailable) => {
             let value = remembered(&state.snapshot.load().configuration).ok_or_else(missing)?;
-            Ok(Json(Versioned { revision: None, value }))
+            Ok(Json(Versioned {
+                revision: None,
+                value,
+            }))
         }
         Err(error) => Err(error),
     }
@@ -53,7 +58,11 @@
 ) -> Result<Json<Vec<Route>>> {
     state.operators.authorize(&headers, Role::Read)?;
     let snapshot = state.snapshot.load();
-    let routes = snapshot.configuration.routes.values().map(|route| Route::clone(route));
+    let routes = snapshot
+        .configuration
+        .routes
+        .values()
+        .map(|route| Route::clone(route));
     Ok(Json(routes.collect()))
 }
 
@@ -68,8 +77,10 @@
         Record::Route(route) => Some(route),
         _ => None,
     };
-    show(&state, &path, select, |known| known.routes.get(&name).map(|route| Route::clone(route)))
-        .await
+    show(&state, &path, select, |known| {
+        known.routes.get(&name).map(|route| Route::clone(route))
+    })
+    .await
 }
 
 pub(super) async fn put_route(
--- a/src/admin/request.rs
+++ b/src/admin/request.rs
@@ -37,6 +37,9 @@
                 header: "If-Match",
                 remedy: "send the revision that you read, or 0 for a record that must not exist",
             })?;
-        Ok(Self { operation: operation.into(), expected: Revision(expected) })
+        Ok(Self {
+            operation: operation.into(),
+            expected: Revision(expected),
+        })
     }
 }
--- a/src/admin/status.rs
+++ b/src/admin/status.rs
@@ -21,14 +21,20 @@
     state.operators.authorize(&headers, Role::Read)?;
     let snapshot = state.snapshot.load();
     let configuration = &snapshot.configuration;
-    let databases = configuration.databases.keys().map(|name| database(&snapshot, name));
+    let databases = configuration
+        .databases
+        .keys()
+        .map(|name| database(&snapshot, name));
     Ok(Json(Status {
         vm: snapshot.local.name.clone(),
         cell: snapshot.local.cell.clone(),
         standing: snapshot.standing.to_string(),
         revision: configuration.revision.0,
         revision_everywhere: snapshot.revision_everywhere.0,
-        preset: configuration.in_force.as_ref().map(|in_force| in_force.preset.clone()),
+        preset: configuration
+            .in_force
+            .as_ref()
+            .map(|in_force| in_force.preset.clone()),
         preset_version: configuration.preset_version(),
         databases: databases.collect(),
     }))
@@ -61,7 +67,9 @@
     DatabaseStatus {
         name: name.clone(),
         home: home.map(|home| home.vm.clone()),
-        term: view.and_then(|view| view.term.as_ref()).map(ToString::to_string),
+        term: view
+            .and_then(|view| view.term.as_ref())
+            .map(ToString::to_string),
         instances: view.map(|view| instances(view)).unwrap_or_default(),
     }
 }
--- a/src/admin/workspaces.rs
+++ b/src/admin/workspaces.rs
@@ -25,7 +25,10 @@
     state.operators.authorize(&headers, Role::Read)?;
     let snapshot = state.snapshot.load();
     let configuration = &snapshot.configuration;
-    let views = configuration.workspaces.values().map(|workspace| view(configuration, workspace));
+    let views = configuration
+        .workspaces
+        .values()
+        .map(|workspace| view(configuration, workspace));
     Ok(Json(views.collect()))
 }
 
@@ -41,8 +44,7 @@
         Record::Workspace(workspace) => Some(view(&snapshot.configuration, &workspace)),
         _ => None,
     };
-    let remembered =
-        |known: &Configuration| Some(view(known, known.workspaces.get(&name)?));
+    let remembered = |known: &Configuration| Some(view(known, known.workspaces.get(&name)?));
     records::show(&state, &path, select, remembered).await
 }
 
@@ -61,7 +63,11 @@
             _ => new_workspace(name),
         };
         let WorkspaceBody { databases, limits } = body;
-        Ok(Record::Workspace(Workspace { databases, limits, ..workspace }))
+        Ok(Record::Workspace(Workspace {
+            databases,
+            limits,
+            ..workspace
+        }))
     };
     state.writer.write(&path, &write, build).await.map(Json)
 }
@@ -76,13 +82,25 @@
 
 /// Returns the keys of a workspace without their verifiers.
 pub(super) fn key_bodies(keys: &[Key]) -> Vec<KeyBody> {
-    keys.iter().map(|key| KeyBody { id: key.id.clone(), state: key.state }).collect()
+    keys.iter()
+        .map(|key| KeyBody {
+            id: key.id.clone(),
+            state: key.state,
+        })
+        .collect()
 }
 
 fn new_workspace(name: WorkspaceName) -> Workspace {
     let WorkspaceBody { databases, limits } = WorkspaceBody::default();
     let salt = scram::new_salt();
-    Workspace { name, salt, iterations: ITERATIONS, keys: Vec::new(), databases, limits }
+    Workspace {
+        name,
+        salt,
+        iterations: ITERATIONS,
+        keys: Vec::new(),
+        databases,
+        limits,
+    }
 }
 
 fn view(configuration: &Configuration, workspace: &Workspace) -> WorkspaceView {
@@ -90,7 +108,9 @@
         name: workspace.name.clone(),
         databases: workspace.databases.clone(),
         limits: workspace.limits,
-        limits_in_force: configuration.limits(&workspace.name).unwrap_or(workspace.limits),
+        limits_in_force: configuration
+            .limits(&workspace.name)
+            .unwrap_or(workspace.limits),
         keys: key_bodies(&workspace.keys),
     }
 }
--- a/src/admin/write.rs
+++ b/src/admin/write.rs
@@ -34,9 +34,9 @@
 
 /// Record as it stands in the service.
 #[derive(Debug, Clone, PartialEq)]
-pub(crate) struct Current {
-    pub(crate) revision: Revision,
-    pub(crate) stored: StoredRecord,
+pub(super) struct Current {
+    pub(super) revision: Revision,
+    pub(super) stored: StoredRecord,
 }
 
 /// Writes records.
@@ -53,13 +53,18 @@
     }
 
     /// Reads a record from the service.
-    pub(crate) async fn read(&self, path: &RecordPath) -> Result<Option<Current>> {
+    pub(super) async fn read(&self, path: &RecordPath) -> Result<Option<Current>> {
         let request = PlatformRequest::Get { key: key(path) };
-        let answer = (self.platform.call)(request).await.map_err(|_failure| ApiError::Unavailable)?;
+        let answer = (self.platform.call)(request)
+            .await
+            .map_err(|_failure| ApiError::Unavailable)?;
         let PlatformAnswer::Found { keys, .. } = answer else {
             return Err(ApiError::Unavailable);
         };
-        keys.into_iter().next().map(|key| decode(path, &key)).transpose()
+        keys.into_iter()
+            .next()
+            .map(|key| decode(path, &key))
+            .transpose()
     }
 
     /// Writes the record that `build` makes of the present one.
@@ -68,7 +73,7 @@
     ///
     /// Fails when the record has another revision than expected, when the change would break the
     /// configuration, or when the service gives no answer.
-    pub(crate) async fn write(
+    pub(super) async fn write(
         &self,
         path: &RecordPath,
         headers: &WriteHeaders,
@@ -79,7 +84,9 @@
             return Ok(accepted);
         }
         expect_revision(path, current.as_ref(), headers)?;
-        let previous = current.as_ref().map(|current| current.stored.record.clone());
+        let previous = current
+            .as_ref()
+            .map(|current| current.stored.record.clone());
         let record = build(previous)?;
         let findings = validate_write(&self.configuration(), &record);
         if !findings.is_empty() {
@@ -95,14 +102,16 @@
     /// # Errors
     ///
     /// Fails as [`Writer::write`] does.
-    pub(crate) async fn remove(
+    pub(super) async fn remove(
         &self,
         path: &RecordPath,
         headers: &WriteHeaders,
     ) -> Result<Accepted> {
         let current = self.read(path).await?;
         if current.is_none() {
-            return Err(ApiError::NotFound { subject: path.to_string() });
+            return Err(ApiError::NotFound {
+                subject: path.to_string(),
+            });
         }
         expect_revision(path, current.as_ref(), headers)?;
         let findings = validate_removal(&self.configuration(), path);
@@ -124,12 +133,17 @@
     ) -> Result<Accepted> {
         let is_removal = value.is_none();
         let expected = headers.expected;
-        let request =
-            PlatformRequest::CompareAndSwap { key: key(path), expected, value, lease: None };
+        let request = PlatformRequest::CompareAndSwap {
+            key: key(path),
+            expected,
+            value,
+            lease: None,
+        };
         match (self.platform.call)(request).await {
-            Ok(PlatformAnswer::Swapped { revision }) => {
-                Ok(Accepted { revision: revision.0, is_repeated: false })
-            }
+            Ok(PlatformAnswer::Swapped { revision }) => Ok(Accepted {
+                revision: revision.0,
+                is_repeated: false,
+            }),
             Ok(PlatformAnswer::Conflict { current }) => {
                 let current = current.map(|key| decode(path, &key)).transpose()?;
                 let repeated = repeated(current.as_ref(), headers);
@@ -156,16 +170,23 @@
                 return Ok(accepted);
             }
             if is_removal && current.is_none() {
-                return Ok(Accepted { revision: headers.expected.0, is_repeated: true });
+                return Ok(Accepted {
+                    revision: headers.expected.0,
+                    is_repeated: true,
+                });
             }
-            let revision = current.as_ref().map_or(Revision(0), |current| current.revision);
+            let revision = current
+                .as_ref()
+                .map_or(Revision(0), |current| current.revision);
             if revision != headers.expected {
                 // Another write came first, so that this one can't take effect any more.
                 return Err(conflict(path, current.as_ref()));
             }
         }
         // The record is as it was, but the write may still be under way.
-        Err(ApiError::OutcomeUnknown { operation: headers.operation.to_string() })
+        Err(ApiError::OutcomeUnknown {
+            operation: headers.operation.to_string(),
+        })
     }
 }
 
@@ -175,15 +196,22 @@
 
 fn decode(path: &RecordPath, key: &KeyValue) -> Result<Current> {
     let value = key.value.as_deref().unwrap_or_default();
-    let stored = StoredRecord::decode(path, value)
-        .map_err(|error| ApiError::Malformed { message: error.to_string() })?;
-    Ok(Current { revision: key.revision, stored })
+    let stored = StoredRecord::decode(path, value).map_err(|error| ApiError::Malformed {
+        message: error.to_string(),
+    })?;
+    Ok(Current {
+        revision: key.revision,
+        stored,
+    })
 }
 
 fn repeated(current: Option<&Current>, headers: &WriteHeaders) -> Option<Accepted> {
     let current = current?;
     let is_known = current.stored.operations.contains(&headers.operation);
-    is_known.then_some(Accepted { revision: current.revision.0, is_repeated: true })
+    is_known.then_some(Accepted {
+        revision: current.revision.0,
+        is_repeated: true,
+    })
 }
 
 fn expect_revision(
@@ -200,7 +228,10 @@
 
 fn conflict(path: &RecordPath, current: Option<&Current>) -> ApiError {
     let revision = current.map_or(0, |current| current.revision.0);
-    ApiError::Conflict { subject: path.to_string(), revision }
+    ApiError::Conflict {
+        subject: path.to_string(),
+        revision,
+    }
 }
 
 #[cfg(test)]
--- a/src/bin/currantctl/command.rs
+++ b/src/bin/currantctl/command.rs
@@ -28,7 +28,10 @@
         print!("{}", completion::script(action.shell));
         return Ok(());
     }
-    let tool = Tool { client: Client::new(&app)?, is_json: app.json };
+    let tool = Tool {
+        client: Client::new(&app)?,
+        is_json: app.json,
+    };
     match app.action {
         Action::Status(_) => tool.status().await,
         Action::Vms(_) => tool.vms().await,
@@ -57,7 +60,11 @@
 
     fn accepted(&self, accepted: &Accepted) {
         self.print(accepted, |accepted| {
-            let note = if accepted.is_repeated { " (accepted before)" } else { "" };
+            let note = if accepted.is_repeated {
+                " (accepted before)"
+            } else {
+                ""
+            };
             format!("accepted at revision {}{note}\n", accepted.revision)
         });
     }
@@ -80,7 +87,10 @@
             self.print(&workspaces, |workspaces| output::workspaces(workspaces));
             return Ok(());
         }
-        let path = format!("/v1/workspaces/{}", required(action.name.as_ref(), "the name")?);
+        let path = format!(
+            "/v1/workspaces/{}",
+            required(action.name.as_ref(), "the name")?
+        );
         match action.verb {
             WorkspaceVerb::Set => self.set_workspace(&path, action).await,
             WorkspaceVerb::Remove => self.remove(&path).await,
@@ -96,7 +106,11 @@
             limits: known.value.limits,
         });
         if !action.database.is_empty() {
-            body.databases = action.database.iter().map(|name| name.as_str().into()).collect();
+            body.databases = action
+                .database
+                .iter()
+                .map(|name| name.as_str().into())
+                .collect();
         }
         body.limits = Limits {
             rate_per_s: action.rate_per_s.unwrap_or(body.limits.rate_per_s),
@@ -118,8 +132,10 @@
                 self.print(&found.value, |keys| output::keys(keys));
             }
             KeyVerb::Issue => {
-                let issued: IssuedKey =
-                    self.client.write(Method::POST, &keys, &workspace, None).await?;
+                let issued: IssuedKey = self
+                    .client
+                    .write(Method::POST, &keys, &workspace, None)
+                    .await?;
                 self.print(&issued, |issued| match &issued.key {
                     Some(key) => format!("key {} (shown this once): {key}\n", issued.id),
                     None => format!(
@@ -130,9 +146,12 @@
                 });
             }
             KeyVerb::Withdraw => {
-                let key = required(action.key.as_ref(), "the id of the key")?;
+                let key = required(action.id.as_ref(), "the id of the key")?;
                 let path = format!("{keys}/{key}/withdraw");
-                let accepted = self.client.write(Method::POST, &path, &workspace, None).await?;
+                let accepted = self
+                    .client
+                    .write(Method::POST, &path, &workspace, None)
+                    .await?;
                 self.accepted(&accepted);
             }
         }
@@ -145,19 +164,25 @@
             PresetVerb::InForce => return self.show("/v1/in-force").await,
             _ => {}
         }
-        let path = format!("/v1/presets/{}", required(action.name.as_ref(), "the name")?);
+        let path = format!(
+            "/v1/presets/{}",
+            required(action.names.first(), "the name")?
+        );
         match action.verb {
             PresetVerb::Put => self.put(&path, action.file.as_ref(), "preset").await,
             PresetVerb::Remove => self.remove(&path).await,
             PresetVerb::Validate => {
-                let preset: Preset = read_body(required(action.file.as_ref(), "--file")?, "preset")?;
-                let findings: Vec<Finding> =
-                    self.client.ask(&format!("{path}/validate"), &preset).await?;
+                let preset: Preset =
+                    read_body(required(action.file.as_ref(), "--file")?, "preset")?;
+                let findings: Vec<Finding> = self
+                    .client
+                    .ask(&format!("{path}/validate"), &preset)
+                    .await?;
                 self.print(&findings, |findings| describe(findings));
                 Ok(())
             }
             PresetVerb::Diff => {
-                let other = required(action.other.as_ref(), "the other preset")?;
+                let other = required(action.names.get(1), "the other preset")?;
                 let found: Vec<Difference> =
                     self.client.get(&format!("{path}/diff/{other}")).await?;
                 self.print(&found, |found| output::differences(found));
@@ -165,8 +190,10 @@
             }
             PresetVerb::Switch => {
                 let switch = format!("{path}/switch");
-                let accepted =
-                    self.client.write(Method::POST, &switch, "/v1/in-force", None).await?;
+                let accepted = self
+                    .client
+                    .write(Method::POST, &switch, "/v1/in-force", None)
+                    .await?;
                 self.accepted(&accepted);
                 Ok(())
             }
@@ -192,19 +219,27 @@
             self.print(&databases, |databases| output::databases(databases));
             return Ok(());
         }
-        let path = format!("/v1/databases/{}", required(action.name.as_ref(), "the name")?);
+        let path = format!(
+            "/v1/databases/{}",
+            required(action.names.first(), "the name")?
+        );
         let verb = match action.verb {
             DatabaseVerb::Put => {
-                return self.put(&path, action.file.as_ref(), "database group").await;
+                return self
+                    .put(&path, action.file.as_ref(), "database group")
+                    .await;
             }
             DatabaseVerb::Remove => return self.remove(&path).await,
             DatabaseVerb::Show | DatabaseVerb::List => return self.show(&path).await,
             DatabaseVerb::Drain => "drain",
             DatabaseVerb::Undrain => "undrain",
         };
-        let instance = required(action.instance.as_ref(), "the instance")?;
+        let instance = required(action.names.get(1), "the instance")?;
         let change = format!("{path}/instances/{instance}/{verb}");
-        let accepted = self.client.write(Method::POST, &change, &path, None).await?;
+        let accepted = self
+            .client
+            .write(Method::POST, &change, &path, None)
+            .await?;
         self.accepted(&accepted);
         Ok(())
     }
@@ -217,7 +252,10 @@
 
     async fn put(&self, path: &str, file: Option<&PathBuf>, kind: &'static str) -> Result<()> {
         let body: Value = read_body(required(file, "--file")?, kind)?;
-        let accepted = self.client.write(Method::PUT, path, path, Some(body)).await?;
+        let accepted = self
+            .client
+            .write(Method::PUT, path, path, Some(body))
+            .await?;
         self.accepted(&accepted);
         Ok(())
     }
@@ -243,7 +281,10 @@
         return "the preset is valid\n".to_owned();
     }
     let line = |finding: &Finding| {
-        format!("{}: {}; {}\n", finding.subject, finding.problem, finding.remedy)
+        format!(
+            "{}: {}; {}\n",
+            finding.subject, finding.problem, finding.remedy
+        )
     };
     findings.iter().map(line).collect()
 }
--- a/src/bin/currantctl/completion.rs
+++ b/src/bin/currantctl/completion.rs
@@ -23,10 +23,9 @@
         ("completion", Shell::VARIANTS),
     ];
     let names: Vec<_> = subjects.iter().map(|(name, _)| *name).collect();
-    let mut cases = String::new();
-    for (name, verbs) in subjects {
-        cases.push_str(&format!("    {name}) words=\"{}\" ;;\n", verbs.join(" ")));
-    }
+    let case =
+        |(name, verbs): &(&str, &[&str])| format!("    {name}) words=\"{}\" ;;\n", verbs.join(" "));
+    let cases: String = subjects.iter().map(case).collect();
     format!(
         "_currantctl() {{\n  local words\n  case \"${{COMP_WORDS[COMP_CWORD-1]}}\" in\n{cases}    \
          *) words=\"status vms {}\" ;;\n  esac\n  \
--- a/src/bin/currantctl/error.rs
+++ b/src/bin/currantctl/error.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use currantlb::admin::error::ErrorBody;
+use currantlb::configuration::validate::Finding;
 use snafu::Snafu;
 
 /// Result of a command.
@@ -19,11 +20,21 @@
     #[snafu(display("{what} is missing; see 'currantctl SUBJECT --help'"))]
     Missing { what: &'static str },
     #[snafu(display("can't read {}; check its path: {source}", path.display()))]
-    ReadFile { path: PathBuf, source: std::io::Error },
+    ReadFile {
+        path: PathBuf,
+        source: std::io::Error,
+    },
     #[snafu(display("{} holds no certificate in PEM: {source}", path.display()))]
-    Certificate { path: PathBuf, source: reqwest::Error },
+    Certificate {
+        path: PathBuf,
+        source: reqwest::Error,
+    },
     #[snafu(display("{} is no valid {kind}: {source}", path.display()))]
-    Body { path: PathBuf, kind: &'static str, source: serde_json::Error },
+    Body {
+        path: PathBuf,
+        kind: &'static str,
+        source: serde_json::Error,
+    },
     #[snafu(display("can't build the client: {source}"))]
     Client { source: reqwest::Error },
     #[snafu(display("can't reach {url}; check --url and that the VM runs: {source}"))]
@@ -45,10 +56,12 @@
 }
 
 fn format_refusal(body: &ErrorBody) -> String {
-    let mut text = body.error.clone();
-    for finding in &body.findings {
-        text.push_str("\n  ");
-        text.push_str(&format!("{}: {}; {}", finding.subject, finding.problem, finding.remedy));
-    }
-    text
+    let line = |finding: &Finding| {
+        format!(
+            "\n  {}: {}; {}",
+            finding.subject, finding.problem, finding.remedy
+        )
+    };
+    let findings: String = body.findings.iter().map(line).collect();
+    format!("{}{findings}", body.error)
 }
--- a/src/bin/currantctl/main.rs
+++ b/src/bin/currantctl/main.rs
@@ -27,6 +27,9 @@
 }
 
 fn run(app: App) -> Result<()> {
-    let runtime = Builder::new_current_thread().enable_all().build().context(RuntimeSnafu)?;
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
     runtime.block_on(command::run(app))
 }
--- a/src/bin/currantctl/output.rs
+++ b/src/bin/currantctl/output.rs
@@ -1,8 +1,7 @@
 //! Tables for people, JSON for programs.
 
-use currantlb::admin::model::{
-    DatabaseStatus, Difference, KeyBody, Status, VmView, WorkspaceView,
-};
+use currantlb::admin::model::{DatabaseStatus, Difference, KeyBody, Status, VmView, WorkspaceView};
+use currantlb::name::DatabaseName;
 use serde::Serialize;
 
 /// Prints a value as JSON.
@@ -22,7 +21,9 @@
 impl Table {
     /// Starts a table.
     pub(crate) fn new(heading: &[&str]) -> Self {
-        Self { rows: vec![heading.iter().map(|&text| text.to_owned()).collect()] }
+        Self {
+            rows: vec![heading.iter().map(|&text| text.to_owned()).collect()],
+        }
     }
 
     /// Adds a row.
@@ -33,14 +34,20 @@
     /// Returns the table as text.
     pub(crate) fn render(&self) -> String {
         let columns = self.rows.iter().map(Vec::len).max().unwrap_or_default();
-        let width = |column| {
-            let cells = self.rows.iter().filter_map(|row: &Vec<String>| row.get(column));
-            cells.map(|cell| cell.chars().count()).max().unwrap_or_default()
+        let width = |column: usize| {
+            let cells = self.rows.iter().filter_map(|row| row.get(column));
+            cells
+                .map(|cell: &String| cell.chars().count())
+                .max()
+                .unwrap_or_default()
         };
         let widths: Vec<_> = (0..columns).map(width).collect();
         let mut text = String::new();
         for row in &self.rows {
-            let cells = row.iter().zip(&widths).map(|(cell, &width)| format!("{cell:width$}"));
+            let cells = row
+                .iter()
+                .zip(&widths)
+                .map(|(cell, &width)| format!("{cell:width$}"));
             text.push_str(cells.collect::<Vec<_>>().join("  ").trim_end());
             text.push('\n');
         }
@@ -50,7 +57,10 @@
 
 /// Returns the state of the fleet as text.
 pub(crate) fn status(status: &Status) -> String {
-    let preset = status.preset.as_ref().map_or("none", |preset| preset.as_str());
+    let preset = status
+        .preset
+        .as_ref()
+        .map_or("none", |preset| preset.as_str());
     let revision = status.revision;
     let everywhere = if status.revision_everywhere >= revision {
         "in force everywhere".to_owned()
@@ -71,14 +81,22 @@
 pub(crate) fn databases(databases: &[DatabaseStatus]) -> String {
     let mut table = Table::new(&["DATABASE", "HOME", "TERM", "INSTANCE", "ROLE", "STATE"]);
     for database in databases {
-        let home = database.home.as_ref().map_or("-", |home| home.as_str()).to_owned();
+        let home = database
+            .home
+            .as_ref()
+            .map_or("-", |home| home.as_str())
+            .to_owned();
         let term = database.term.clone().unwrap_or_else(|| "-".to_owned());
         if database.instances.is_empty() {
             table.row(vec![database.name.to_string(), home, term]);
             continue;
         }
         for instance in &database.instances {
-            let role = if instance.is_primary { "primary" } else { "replica" };
+            let role = if instance.is_primary {
+                "primary"
+            } else {
+                "replica"
+            };
             let state = match (instance.is_reachable, instance.accepts_work) {
                 (false, _) => "unreachable",
                 (true, false) => "drained",
@@ -101,7 +119,7 @@
 pub(crate) fn vms(vms: &[VmView]) -> String {
     let mut table = Table::new(&["VM", "AVAILABILITY ZONE", "ADDRESS", "HOME OF"]);
     for vm in vms {
-        let homes: Vec<_> = vm.homes.iter().map(|home| home.as_str()).collect();
+        let homes: Vec<_> = vm.homes.iter().map(DatabaseName::as_str).collect();
         table.row(vec![
             vm.name.to_string(),
             vm.availability_zone.to_string(),
@@ -114,9 +132,20 @@
 
 /// Returns workspaces as a table.
 pub(crate) fn workspaces(workspaces: &[WorkspaceView]) -> String {
-    let mut table = Table::new(&["WORKSPACE", "RATE/S", "BURST", "WEIGHT", "KEYS", "DATABASES"]);
+    let mut table = Table::new(&[
+        "WORKSPACE",
+        "RATE/S",
+        "BURST",
+        "WEIGHT",
+        "KEYS",
+        "DATABASES",
+    ]);
     for workspace in workspaces {
-        let databases: Vec<_> = workspace.databases.iter().map(|name| name.as_str()).collect();
+        let databases: Vec<_> = workspace
+            .databases
+            .iter()
+            .map(DatabaseName::as_str)
+            .collect();
         let limits = workspace.limits_in_force;
         table.row(vec![
             workspace.name.to_string(),
@@ -142,11 +171,17 @@
 /// Returns differences as a table.
 pub(crate) fn differences(differences: &[Difference]) -> String {
     let text = |value: &Option<serde_json::Value>| {
-        value.as_ref().map_or_else(|| "-".to_owned(), ToString::to_string)
+        value
+            .as_ref()
+            .map_or_else(|| "-".to_owned(), ToString::to_string)
     };
     let mut table = Table::new(&["FIELD", "FROM", "TO"]);
     for difference in differences {
-        table.row(vec![difference.field.clone(), text(&difference.from), text(&difference.to)]);
+        table.row(vec![
+            difference.field.clone(),
+            text(&difference.from),
+            text(&difference.to),
+        ]);
     }
     table.render()
 }
--- a/src/configuration/stored.rs
+++ b/src/configuration/stored.rs
@@ -63,7 +63,13 @@
         let malformed = MalformedSnafu { path: path.clone() };
         let stored: Self = serde_json::from_slice(value).context(malformed)?;
         let own = stored.record.path();
-        ensure!(own == *path, MisplacedSnafu { path: path.clone(), own });
+        ensure!(
+            own == *path,
+            MisplacedSnafu {
+                path: path.clone(),
+                own
+            }
+        );
         Ok(stored)
     }
 
--- a/src/configuration/validate.rs
+++ b/src/configuration/validate.rs
@@ -47,25 +47,41 @@
     let mut findings = Findings::default();
     match path {
         RecordPath::Workspace(name) => {
-            for preset in before.presets.values().filter(|p| p.limits.contains_key(name)) {
+            for preset in before
+                .presets
+                .values()
+                .filter(|p| p.limits.contains_key(name))
+            {
                 let problem = format!("preset {} sets limits for workspace {name}", preset.name);
                 findings.push("presets", problem, "remove them from the preset first");
             }
         }
         RecordPath::Preset(name) => {
-            if before.in_force.as_ref().is_some_and(|in_force| in_force.preset == *name) {
+            if before
+                .in_force
+                .as_ref()
+                .is_some_and(|in_force| in_force.preset == *name)
+            {
                 let problem = format!("preset {name} is in force");
                 findings.push("in-force", problem, "switch to another preset first");
             }
         }
         RecordPath::Route(name) => {
-            for preset in before.presets.values().filter(|p| p.routes.contains_key(name)) {
+            for preset in before
+                .presets
+                .values()
+                .filter(|p| p.routes.contains_key(name))
+            {
                 let problem = format!("preset {} sets a policy for route {name}", preset.name);
                 findings.push("presets", problem, "remove it from the preset first");
             }
         }
         RecordPath::Database(name) => {
-            for workspace in before.workspaces.values().filter(|w| w.databases.contains(name)) {
+            for workspace in before
+                .workspaces
+                .values()
+                .filter(|w| w.databases.contains(name))
+            {
                 let problem = format!("workspace {} uses database {name}", workspace.name);
                 findings.push("workspaces", problem, "take the database from it first");
             }
@@ -86,7 +102,11 @@
 impl Findings {
     fn push(&mut self, subject: impl Into<String>, problem: String, remedy: &str) {
         let (subject, remedy) = (subject.into(), remedy.to_owned());
-        self.found.push(Finding { subject, problem, remedy });
+        self.found.push(Finding {
+            subject,
+            problem,
+            remedy,
+        });
     }
 }
 
@@ -102,7 +122,11 @@
             findings.push("keys", problem, "give each key an id of its own");
         }
     }
-    for name in workspace.databases.iter().filter(|name| !after.databases.contains_key(*name)) {
+    for name in workspace
+        .databases
+        .iter()
+        .filter(|name| !after.databases.contains_key(*name))
+    {
         let problem = format!("database {name} does not exist");
         findings.push("databases", problem, "create it first, or correct its name");
     }
@@ -112,8 +136,13 @@
 
 /// Returns the statements a second that the slots of some databases serve at most.
 fn capacity(after: &Configuration, databases: &BTreeSet<DatabaseName>) -> f64 {
-    let groups = databases.iter().filter_map(|name| after.databases.get(name));
-    let slots: u32 = groups.flat_map(|group| &group.instances).map(|i| i.slots).sum();
+    let groups = databases
+        .iter()
+        .filter_map(|name| after.databases.get(name));
+    let slots: u32 = groups
+        .flat_map(|group| &group.instances)
+        .map(|i| i.slots)
+        .sum();
     f64::from(slots) * MAX_STATEMENTS_PER_SLOT_S
 }
 
@@ -121,7 +150,11 @@
     let positive = |value: f64| value.is_finite() && value > 0.0;
     if !positive(limits.rate_per_s) {
         let problem = format!("a rate of {} a second admits nothing", limits.rate_per_s);
-        findings.push(format!("{subject}.rate_per_s"), problem, "use a positive number");
+        findings.push(
+            format!("{subject}.rate_per_s"),
+            problem,
+            "use a positive number",
+        );
     }
     if !positive(limits.burst) || limits.burst < 1.0 {
         let problem = format!("a burst of {} admits nothing", limits.burst);
@@ -134,7 +167,11 @@
     if capacity > 0.0 && limits.rate_per_s > capacity {
         let rate = limits.rate_per_s;
         let problem = format!("{rate} a second is beyond the {capacity} that the slots can serve");
-        findings.push(format!("{subject}.rate_per_s"), problem, "lower it, or add databases");
+        findings.push(
+            format!("{subject}.rate_per_s"),
+            problem,
+            "lower it, or add databases",
+        );
     }
 }
 
@@ -149,9 +186,17 @@
         let capacity = capacity(after, &workspace.databases);
         check_limits(&subject, limits, capacity, findings);
     }
-    for name in preset.routes.keys().filter(|name| !after.routes.contains_key(*name)) {
+    for name in preset
+        .routes
+        .keys()
+        .filter(|name| !after.routes.contains_key(*name))
+    {
         let problem = format!("route {name} does not exist");
-        findings.push(format!("routes.{name}"), problem, "create it first, or correct its name");
+        findings.push(
+            format!("routes.{name}"),
+            problem,
+            "create it first, or correct its name",
+        );
     }
     check_maintenance(after, preset, findings);
 }
@@ -159,7 +204,11 @@
 fn check_maintenance(after: &Configuration, preset: &Preset, findings: &mut Findings) {
     let instances = after.databases.values().flat_map(|group| &group.instances);
     let known: BTreeSet<&InstanceName> = instances.map(|instance| &instance.name).collect();
-    for name in preset.maintenance.iter().filter(|name| !known.contains(name)) {
+    for name in preset
+        .maintenance
+        .iter()
+        .filter(|name| !known.contains(name))
+    {
         let problem = format!("instance {name} does not exist");
         findings.push("maintenance", problem, "correct its name");
     }
@@ -168,7 +217,10 @@
             instance.state == InstanceState::Live && !preset.maintenance.contains(&instance.name)
         };
         let working = group.instances.iter().filter(is_working).count();
-        let touched = group.instances.iter().any(|i| preset.maintenance.contains(&i.name));
+        let touched = group
+            .instances
+            .iter()
+            .any(|i| preset.maintenance.contains(&i.name));
         // A save must stand on most instances before it is acknowledged.
         if touched && working * 2 <= group.instances.len() {
             let problem = format!(
@@ -176,7 +228,11 @@
                 group.instances.len(),
                 group.name
             );
-            findings.push("maintenance", problem, "keep most instances of each database working");
+            findings.push(
+                "maintenance",
+                problem,
+                "keep most instances of each database working",
+            );
         }
     }
 }
@@ -203,14 +259,15 @@
     let mut addresses = BTreeMap::new();
     for other in after.databases.values() {
         for instance in &other.instances {
-            let named = names.insert(&instance.name, &other.name);
-            let addressed = addresses.insert(instance.address, &other.name);
-            let concerns = |earlier: &&DatabaseName| **earlier == group.name || other.name == group.name;
-            if named.as_ref().is_some_and(concerns) {
+            let same_name = names.insert(&instance.name, &other.name);
+            let same_address = addresses.insert(instance.address, &other.name);
+            let concerns =
+                |earlier: &&DatabaseName| **earlier == group.name || other.name == group.name;
+            if same_name.as_ref().is_some_and(concerns) {
                 let problem = format!("instance {} exists twice", instance.name);
                 findings.push("instances", problem, "give each instance a name of its own");
             }
-            if addressed.as_ref().is_some_and(concerns) {
+            if same_address.as_ref().is_some_and(concerns) {
                 let problem = format!("address {} is used twice", instance.address);
                 findings.push("instances", problem, "correct the address");
             }
@@ -225,17 +282,19 @@
     findings: &mut Findings,
 ) {
     if in_force.version != before.preset_version() + 1 && before.revision > Revision::default() {
-        let problem = format!("version {} does not follow the one in force", in_force.version);
+        let problem = format!(
+            "version {} does not follow the one in force",
+            in_force.version
+        );
         findings.push("version", problem, "read the preset in force and try again");
     }
-    match after.presets.get(&in_force.preset) {
-        // Records may have changed since the preset was written.
-        Some(preset) => check_preset(after, preset, findings),
-        None => {
-            let problem = format!("preset {} does not exist", in_force.preset);
-            findings.push("preset", problem, "create it first, or correct its name");
-        }
-    }
+    let Some(preset) = after.presets.get(&in_force.preset) else {
+        let problem = format!("preset {} does not exist", in_force.preset);
+        findings.push("preset", problem, "create it first, or correct its name");
+        return;
+    };
+    // Records may have changed since the preset was written.
+    check_preset(after, preset, findings);
 }
 
 #[cfg(test)]
--- a/src/configuration/view.rs
+++ b/src/configuration/view.rs
@@ -50,7 +50,10 @@
     /// Several changes of one revision are applied together.
     pub fn apply_batch(&mut self, changes: Vec<ConfigurationChange>, upto: Revision) {
         let applied = self.revision;
-        for change in changes.into_iter().filter(|change| change.revision > applied) {
+        for change in changes
+            .into_iter()
+            .filter(|change| change.revision > applied)
+        {
             match change.record {
                 Some(record) => self.put(record),
                 None => self.remove(&change.path),
--- a/src/control/blackboard.rs
+++ b/src/control/blackboard.rs
@@ -100,6 +100,7 @@
             local: self.local.clone(),
             standing: self.standing,
             configuration: Arc::clone(&self.configuration.current),
+            revision_everywhere: self.homes.adopted,
             homes: self.homes.views(),
             databases,
             shares: self.limits.views(),
--- a/src/control/configuration.rs
+++ b/src/control/configuration.rs
@@ -72,7 +72,13 @@
         if after < self.after {
             return None;
         }
-        Some(self.changes.iter().filter(|change| change.revision > after).cloned().collect())
+        Some(
+            self.changes
+                .iter()
+                .filter(|change| change.revision > after)
+                .cloned()
+                .collect(),
+        )
     }
 }
 
@@ -85,9 +91,11 @@
             commands
         }
         Event::Platform(event) => platform(board, event, now),
-        Event::Peer { from, message: PeerMessage::Configuration(message), .. } => {
-            peer(board, from, message, now)
-        }
+        Event::Peer {
+            from,
+            message: PeerMessage::Configuration(message),
+            ..
+        } => peer(board, from, message, now),
         _ => Vec::new(),
     };
     commands.extend(standing::update(board, event, now));
@@ -95,7 +103,12 @@
 }
 
 fn platform(board: &mut Blackboard, event: &PlatformEvent, now: Timestamp) -> Vec<Command> {
-    if let PlatformEvent::Ended { sent_at, result: Ok(_), .. } = event {
+    if let PlatformEvent::Ended {
+        sent_at,
+        result: Ok(_),
+        ..
+    } = event
+    {
         board.configuration.contact.service_answered(*sent_at);
     }
     source::handle(board, event, now)
@@ -108,7 +121,11 @@
     now: Timestamp,
 ) -> Vec<Command> {
     match message {
-        ConfigurationMessage::Digest { revision, contact_age_ms, is_answer } => {
+        ConfigurationMessage::Digest {
+            revision,
+            contact_age_ms,
+            is_answer,
+        } => {
             let digest = digest::Received {
                 revision: *revision,
                 contact_age: contact_age_ms.map(Duration::from_millis),
@@ -117,11 +134,20 @@
             digest::receive(board, from, &digest, now)
         }
         ConfigurationMessage::Fetch { after } => vec![bring(board, from, *after)],
-        ConfigurationMessage::Changes { origin, after, upto, changes } => {
-            let batch = Batch { after: *after, upto: *upto, changes: changes.clone() };
+        ConfigurationMessage::Changes {
+            origin,
+            after,
+            upto,
+            changes,
+        } => {
+            let batch = Batch {
+                after: *after,
+                upto: *upto,
+                changes: changes.clone(),
+            };
             advance(board, batch, origin.as_ref())
         }
-        ConfigurationMessage::Whole { configuration } => replace(board, configuration.clone()),
+        ConfigurationMessage::Whole { configuration } => replace(board, Arc::clone(configuration)),
     }
 }
 
@@ -143,12 +169,20 @@
     }
     let mut configuration = Configuration::clone(&state.current);
     configuration.apply_batch(batch.changes.clone(), batch.upto);
-    let news: Vec<_> = batch.changes.into_iter().filter(|change| change.revision > own).collect();
+    let news: Vec<_> = batch
+        .changes
+        .into_iter()
+        .filter(|change| change.revision > own)
+        .collect();
     state.log.extend(&news);
     state.current = Arc::new(configuration);
     let mut commands = vec![Command::Publish];
     if let Some(origin) = origin {
-        let batch = Batch { after: own, upto: batch.upto, changes: news };
+        let batch = Batch {
+            after: own,
+            upto: batch.upto,
+            changes: news,
+        };
         commands.extend(relay::forward(board, origin, &batch));
     }
     commands
@@ -173,14 +207,24 @@
     let state = &board.configuration;
     let upto = state.current.revision;
     let message = match state.log.since(after) {
-        Some(changes) => ConfigurationMessage::Changes { origin: None, after, upto, changes },
-        None => ConfigurationMessage::Whole { configuration: Arc::clone(&state.current) },
+        Some(changes) => ConfigurationMessage::Changes {
+            origin: None,
+            after,
+            upto,
+            changes,
+        },
+        None => ConfigurationMessage::Whole {
+            configuration: Arc::clone(&state.current),
+        },
     };
     send(to, message)
 }
 
 fn send(to: &VmName, message: ConfigurationMessage) -> Command {
-    Command::Send { to: to.clone(), message: PeerMessage::Configuration(message) }
+    Command::Send {
+        to: to.clone(),
+        message: PeerMessage::Configuration(message),
+    }
 }
 
 /// Revision that each other VM had when it was last heard.
--- a/src/control/configuration/digest.rs
+++ b/src/control/configuration/digest.rs
@@ -68,7 +68,11 @@
 /// Sends the digests that are due.
 pub(super) fn tick(board: &mut Blackboard, now: Timestamp) -> Vec<Command> {
     let is_loaded = board.configuration.is_loaded;
-    let interval = if is_loaded { DIGEST_INTERVAL } else { STARTING_DIGEST_INTERVAL };
+    let interval = if is_loaded {
+        DIGEST_INTERVAL
+    } else {
+        STARTING_DIGEST_INTERVAL
+    };
     let sent_at = board.configuration.digests.sent_at;
     if sent_at.is_some_and(|at| now.since(at) < interval) {
         return Vec::new();
@@ -84,7 +88,10 @@
             *first = now;
         }
     }
-    watchers.iter().map(|watcher| send(watcher, message.clone())).collect()
+    watchers
+        .iter()
+        .map(|watcher| send(watcher, message.clone()))
+        .collect()
 }
 
 /// Handles a digest of another VM.
@@ -123,17 +130,29 @@
     let age = board.configuration.contact.age(now);
     let contact_age_ms = age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
     let revision = board.configuration.current.revision;
-    ConfigurationMessage::Digest { revision, contact_age_ms, is_answer }
+    ConfigurationMessage::Digest {
+        revision,
+        contact_age_ms,
+        is_answer,
+    }
 }
 
 /// Returns the watchers of the cell as this VM sees them, passing over silent ones.
 fn watchers(board: &Blackboard, now: Timestamp) -> Vec<VmName> {
-    let mut members: Vec<_> = board.membership.names_in(&board.local.cell).into_iter().collect();
+    let mut members: Vec<_> = board
+        .membership
+        .names_in(&board.local.cell)
+        .into_iter()
+        .collect();
     members.sort_by_cached_key(|vm| xxh3_64(vm.as_bytes()));
     let unanswered = &board.configuration.digests.unanswered;
     let is_silent = |vm: &VmName| {
         let waited = unanswered.get(vm).map(|first| now.since(*first));
         waited.is_some_and(|waited| waited >= SILENCE_LIMIT && waited < SILENT_RETRY)
     };
-    members.into_iter().filter(|vm| !is_silent(vm)).take(WATCHERS).collect()
+    members
+        .into_iter()
+        .filter(|vm| !is_silent(vm))
+        .take(WATCHERS)
+        .collect()
 }
--- a/src/control/configuration/relay.rs
+++ b/src/control/configuration/relay.rs
@@ -48,5 +48,9 @@
         index + 1
     };
     // The root is place 0; place p has the children p * FANOUT + 1 ..= p * FANOUT + FANOUT.
-    order.into_iter().skip(place * FANOUT).take(FANOUT).collect()
+    order
+        .into_iter()
+        .skip(place * FANOUT)
+        .take(FANOUT)
+        .collect()
 }
--- a/src/control/configuration/source.rs
+++ b/src/control/configuration/source.rs
@@ -49,12 +49,19 @@
     let hears_watcher = digest::hears_watcher(board, now);
     let source = &mut board.configuration.source;
     let started_at = *source.started_at.get_or_insert(now);
-    if source.read.is_some_and(|read| now.since(read.started_at) > READ_TIMEOUT) {
+    if source
+        .read
+        .is_some_and(|read| now.since(read.started_at) > READ_TIMEOUT)
+    {
         source.read = None;
     }
     if !is_loaded {
         let patience = now.since(started_at) >= PEERS_FIRST;
-        return if patience { read(board, READ_PAUSE, now) } else { Vec::new() };
+        return if patience {
+            read(board, READ_PAUSE, now)
+        } else {
+            Vec::new()
+        };
     }
     if is_watcher {
         if board.configuration.source.needs_read {
@@ -87,9 +94,11 @@
                 _ => Vec::new(),
             }
         }
-        PlatformEvent::Changed { watch, keys, revision } if is_call(source.watch, *watch) => {
-            changed(board, keys, *revision)
-        }
+        PlatformEvent::Changed {
+            watch,
+            keys,
+            revision,
+        } if is_call(source.watch, *watch) => changed(board, keys, *revision),
         PlatformEvent::WatchLost { watch } if is_call(source.watch, *watch) => {
             let lasted = source.watch.map(|watch| now.since(watch.started_at));
             source.watch = None;
@@ -113,23 +122,37 @@
     }
     let call = board.next_call();
     let source = &mut board.configuration.source;
-    source.read = Some(PendingCall { call, started_at: now });
+    source.read = Some(PendingCall {
+        call,
+        started_at: now,
+    });
     source.read_at = Some(now);
     let prefix = CONFIGURATION_PREFIX.to_owned();
-    vec![Command::Platform { call, request: PlatformRequest::List { prefix } }]
+    vec![Command::Platform {
+        call,
+        request: PlatformRequest::List { prefix },
+    }]
 }
 
 fn watch(board: &mut Blackboard, now: Timestamp) -> Vec<Command> {
     let source = &board.configuration.source;
-    let paused = source.watch_lost_at.is_some_and(|at| now.since(at) < WATCH_PAUSE);
+    let paused = source
+        .watch_lost_at
+        .is_some_and(|at| now.since(at) < WATCH_PAUSE);
     if source.watch.is_some() || paused {
         return Vec::new();
     }
     let from = Revision(board.configuration.current.revision.0 + 1);
     let call = board.next_call();
-    board.configuration.source.watch = Some(PendingCall { call, started_at: now });
+    board.configuration.source.watch = Some(PendingCall {
+        call,
+        started_at: now,
+    });
     let prefix = CONFIGURATION_PREFIX.to_owned();
-    vec![Command::Platform { call, request: PlatformRequest::Watch { prefix, from } }]
+    vec![Command::Platform {
+        call,
+        request: PlatformRequest::Watch { prefix, from },
+    }]
 }
 
 fn end_watch(board: &mut Blackboard) -> Vec<Command> {
@@ -137,15 +160,24 @@
         return Vec::new();
     };
     let call = board.next_call();
-    vec![Command::Platform { call, request: PlatformRequest::EndWatch { watch: watch.call } }]
+    vec![Command::Platform {
+        call,
+        request: PlatformRequest::EndWatch { watch: watch.call },
+    }]
 }
 
 fn load(board: &mut Blackboard, keys: &[KeyValue], revision: Revision) -> Vec<Command> {
-    let mut configuration = Configuration { revision, ..Configuration::default() };
+    let mut configuration = Configuration {
+        revision,
+        ..Configuration::default()
+    };
     let mut commands = Vec::new();
     for key in keys {
         match change(key) {
-            Ok(Some(ConfigurationChange { record: Some(record), .. })) => configuration.put(record),
+            Ok(Some(ConfigurationChange {
+                record: Some(record),
+                ..
+            })) => configuration.put(record),
             Ok(_) => {}
             Err(line) => commands.push(Command::Log(line)),
         }
@@ -165,21 +197,41 @@
     }
     let after = board.configuration.current.revision;
     let origin = board.local.name.clone();
-    commands.extend(advance(board, Batch { after, upto, changes }, Some(&origin)));
+    commands.extend(advance(
+        board,
+        Batch {
+            after,
+            upto,
+            changes,
+        },
+        Some(&origin),
+    ));
     commands
 }
 
 /// Decodes a key; `Ok(None)` when it is no configuration record.
 fn change(key: &KeyValue) -> Result<Option<ConfigurationChange>, LogEvent> {
-    let Some(path) = key.key.strip_prefix(CONFIGURATION_PREFIX).and_then(RecordPath::parse) else {
+    let Some(path) = key
+        .key
+        .strip_prefix(CONFIGURATION_PREFIX)
+        .and_then(RecordPath::parse)
+    else {
         return Ok(None);
     };
     let revision = key.revision;
     let Some(value) = &key.value else {
-        return Ok(Some(ConfigurationChange { revision, path, record: None }));
+        return Ok(Some(ConfigurationChange {
+            revision,
+            path,
+            record: None,
+        }));
     };
     // A record that can't be read must not take the place of one that was valid.
     let stored = StoredRecord::decode(&path, value)
         .map_err(|error| LogEvent::warn("record_ignored").with("error", error))?;
-    Ok(Some(ConfigurationChange { revision, path, record: Some(stored.record) }))
+    Ok(Some(ConfigurationChange {
+        revision,
+        path,
+        record: Some(stored.record),
+    }))
 }
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -8,7 +8,7 @@
 
 use super::blackboard::{Incarnation, LocalVm};
 use super::bucket::Share;
-use crate::configuration::Configuration;
+use crate::configuration::{Configuration, Revision};
 use crate::name::{DatabaseName, InstanceName, VmName, WorkspaceName, ZoneName};
 use crate::position::{LogPosition, Term};
 use crate::time::Timestamp;
@@ -113,6 +113,8 @@
     pub standing: Standing,
     /// The operators' configuration.
     pub configuration: Arc<Configuration>,
+    /// Configuration revision that every VM of the cell is known to have.
+    pub revision_everywhere: Revision,
     /// Homes by database.
     pub homes: Arc<BTreeMap<DatabaseName, HomeView>>,
     /// Databases that this VM is the home of.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -11,18 +11,24 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
+use crate::admin::auth::Operators;
+use crate::admin::server::AdminServer;
+use crate::admin::{self, AdminState};
 use crate::control::Event;
 use crate::control::blackboard::{Blackboard, Incarnation, LocalVm};
 use crate::control::command::LogField;
-use crate::controller::{ControlActor, ControlMailbox, EventSender, Outlets, control_mailbox};
+use crate::controller::{
+    ControlActor, ControlMailbox, EventSender, Outlets, SharedSnapshot, control_mailbox,
+};
 use crate::error::{
-    CallersSnafu, EndedSnafu, PeersSnafu, PlatformSnafu, Result, SignalsSnafu, ThreadsSnafu,
+    CallersSnafu, EndedSnafu, ListenAdministrationSnafu, PeersSnafu, PlatformSnafu, Result,
+    SignalsSnafu, SpansSnafu, ThreadsSnafu,
 };
 use crate::peer::{PeerClient, PeerHandlers, PeerMessage, PeerServer, PeerSockets};
-use crate::platform::etcd;
 use crate::platform::runner::PlatformRunner;
+use crate::platform::{Platform, etcd};
 use crate::settings::{Settings, VmSettings};
-use crate::telemetry::log_line;
+use crate::telemetry::{log_line, span};
 use crate::time::Clock;
 use crate::traffic::caller::{self, CallerListener, CallerParts, CallerRegistry};
 use crate::traffic::home::Homes;
@@ -58,6 +64,7 @@
 struct Parts {
     callers: CallerListener,
     shutdown: watch::Sender<bool>,
+    admin: AdminServer,
     peer_address: SocketAddr,
     events: EventSender,
     exit: Arc<Notify>,
@@ -96,6 +103,11 @@
         self.parts.callers.address
     }
 
+    /// Returns the address of the administration API.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.parts.admin.address()
+    }
+
     /// Returns the address that peers connect to.
     pub fn peer_address(&self) -> SocketAddr {
         self.parts.peer_address
@@ -138,6 +150,7 @@
 }
 
 async fn start_parts(settings: Settings) -> Result<Parts> {
+    span::start(&settings.telemetry, &settings.vm.name).context(SpansSnafu)?;
     let local = local_vm(&settings.vm);
     let clock = Clock::start();
     let board = Blackboard::new(local.clone(), settings.control.clone());
@@ -156,6 +169,7 @@
         events.clone(),
     );
     let platform = etcd::platform(&settings.platform).context(PlatformSnafu)?;
+    let admin = start_admin(&settings, Arc::clone(&snapshot), platform.clone()).await?;
     let runner = PlatformRunner::new(platform, clock, events.clone());
     let exit = Arc::new(Notify::new());
 
@@ -189,6 +203,7 @@
     Ok(Parts {
         callers,
         shutdown,
+        admin,
         peer_address,
         events,
         exit,
@@ -196,6 +211,18 @@
     })
 }
 
+async fn start_admin(
+    settings: &Settings,
+    snapshot: SharedSnapshot,
+    platform: Platform,
+) -> Result<AdminServer> {
+    let operators = Operators::new(&settings.administration.tokens);
+    let router = admin::router(AdminState::new(snapshot, platform, operators));
+    let address = settings.administration.listen_address;
+    let starting = AdminServer::start(address, router).await;
+    starting.context(ListenAdministrationSnafu { address })
+}
+
 fn local_vm(settings: &VmSettings) -> LocalVm {
     // A later start has a greater count as long as the machine's clock does not go back over it.
     let since_epoch = SystemTime::now()
--- a/src/error.rs
+++ b/src/error.rs
@@ -1,9 +1,12 @@
 //! Errors of the daemon, each with its remedy.
 
+use std::net::SocketAddr;
+
 use snafu::Snafu;
 
 use crate::control::event::PlatformFailure;
 use crate::peer::server::ServerError;
+use crate::telemetry::span::SpanError;
 use crate::traffic::caller::listener::ListenError;
 
 /// Result of starting or running the daemon.
@@ -31,6 +34,20 @@
         /// The cause.
         source: ListenError,
     },
+    /// The administration API can't be started.
+    #[snafu(display("can't listen on {address} for operators; choose a free address: {source}"))]
+    ListenAdministration {
+        /// Address from the settings.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// Spans can't be exported.
+    #[snafu(display("{source}"))]
+    Spans {
+        /// The cause.
+        source: SpanError,
+    },
     /// The messages between VMs can't be started.
     #[snafu(display("{source}"))]
     Peers {
--- a/src/peer/datagram/tests.rs
+++ b/src/peer/datagram/tests.rs
@@ -9,9 +9,7 @@
 }
 
 fn envelope() -> Envelope {
-    let digest = ConfigurationMessage::Digest {
-        revision: Revision(7),
-    };
+    let digest = ConfigurationMessage::Fetch { after: Revision(7) };
     Envelope {
         from: "vm-1".into(),
         incarnation: Incarnation(3),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -265,7 +265,11 @@
 
 impl Default for TelemetrySettings {
     fn default() -> Self {
-        Self { otlp_endpoint: None, span_file: None, span_sample_ratio: 0.01 }
+        Self {
+            otlp_endpoint: None,
+            span_file: None,
+            span_sample_ratio: 0.01,
+        }
     }
 }
 
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -14,8 +14,9 @@
 use crate::traffic::RefusalReason;
 
 /// Upper bounds of the latency histograms, in seconds.
-const LATENCY_BOUNDS_S: [f64; 14] =
-    [0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 15.0];
+const LATENCY_BOUNDS_S: [f64; 14] = [
+    0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 15.0,
+];
 
 /// Which kind of instance served a read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -60,14 +61,20 @@
 impl Metrics {
     fn new() -> Self {
         let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone()).build();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build();
         let exporter = exporter.expect("a new registry has no instrument of the same name");
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("currantlb");
         Self {
             registry,
             reads: counter(&meter, "currantlb.reads", "Reads, by the kind of instance"),
-            requests: counter(&meter, "currantlb.requests", "Requests answered, by workspace"),
+            requests: counter(
+                &meter,
+                "currantlb.requests",
+                "Requests answered, by workspace",
+            ),
             refusals: counter(&meter, "currantlb.refusals", "Requests refused, by reason"),
             refusals_within_rate: counter(
                 &meter,
@@ -143,7 +150,10 @@
 }
 
 fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
-    meter.u64_counter(name).with_description(description).build()
+    meter
+        .u64_counter(name)
+        .with_description(description)
+        .build()
 }
 
 fn histogram(meter: &Meter, name: &'static str, description: &'static str) -> Histogram<f64> {
--- a/src/telemetry/metrics/tests.rs
+++ b/src/telemetry/metrics/tests.rs
@@ -16,7 +16,9 @@
         "currantlb_refusals_within_rate_total",
         "currantlb_failover_gap_seconds_bucket",
     ] {
-        let line = text.lines().find(|line| line.starts_with(name) && line.contains("metrics-test"));
+        let line = text
+            .lines()
+            .find(|line| line.starts_with(name) && line.contains("metrics-test"));
         assert!(line.is_some(), "{name} is missing in\n{text}");
     }
 }
