Measure what control costs a VM as the fleet grows

Cause: the design size has to be shown from measured slopes. Figures: none measured on this commit in a release build.

--- a/lab/src/app.rs
+++ b/lab/src/app.rs
@@ -16,6 +16,7 @@
 pub(crate) enum Action {
     Demo(Demo),
     StandIns(StandIns),
+    Measure(Measure),
 }
 
 /// Runs VMs on stand-ins until the process is asked to stop.
@@ -71,3 +72,16 @@
     #[argh(option, default = "20")]
     pub(crate) replication_lag_ms: u64,
 }
+
+/// Measures, and prints each figure beside its baseline and its target.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "measure")]
+pub(crate) struct Measure {
+    /// name of the measurement, or "all"
+    #[argh(positional)]
+    pub(crate) name: String,
+
+    /// print JSON for programs
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod deployment;
 pub mod fleet;
 pub mod loopback;
+pub mod measure;
 pub mod platform;
 pub mod processes;
 pub mod stand_ins;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,16 +2,24 @@
 
 mod app;
 
+use std::alloc::System;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use currantlb_lab::demo;
 use currantlb_lab::deployment::{self, Deployment};
 use currantlb_lab::fleet::FleetSettings;
+use currantlb_lab::measure::{self, Report};
 use currantlb_lab::processes;
 use currantlb_lab::stand_ins::StandInSettings;
 
-use crate::app::{Action, App, Demo, StandIns};
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+
+use crate::app::{Action, App, Demo, Measure, StandIns};
+
+/// Counts allocations for the measurements.
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
 /// Exit code for a command line that can't be used.
 const EXIT_USAGE: u8 = 2;
@@ -23,6 +31,7 @@
     match app.action {
         Action::Demo(arguments) => run_demo(&arguments).await,
         Action::StandIns(arguments) => run_stand_ins(&arguments).await,
+        Action::Measure(arguments) => run_measurements(&arguments).await,
     }
 }
 
@@ -66,6 +75,31 @@
     exit_code(processes::run(settings, arguments.vms, &arguments.directory).await)
 }
 
+async fn run_measurements(arguments: &Measure) -> ExitCode {
+    let reports = match measure::run(&arguments.name).await {
+        Ok(reports) => reports,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    if arguments.json {
+        println!(
+            "{}",
+            serde_json::to_string_pretty(&reports).unwrap_or_default()
+        );
+    } else {
+        for report in &reports {
+            println!("{report}");
+        }
+    }
+    if reports.iter().all(Report::is_met) {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
 fn deployment_named(name: &str) -> Option<Deployment> {
     let found = deployment::named(name);
     if found.is_none() {
