Keep a deposed lead's homes exclusive

Cause: longer random runs found two ways to two homes: a lead that only the service kept in office took silent members off the record, and a deposed lead's redirect voided promises while its own leases still ran. Change: listed members stay on the record, only a hand-over or a new process voids promises, a VM that isn't a member has no vote, an office found by reading rests on promises.

--- a/src/control/home/election.rs
+++ b/src/control/home/election.rs
@@ -128,7 +128,8 @@
         return read(board, now, LOST_READ_INTERVAL).into_iter().collect();
     };
     let others_lost = board.homes.election.lost.len();
-    let lost = others_lost + gone_members(board, &seen.record) + 1;
+    let own_vote = usize::from(seen.record.members.contains(&board.local.name));
+    let lost = others_lost + gone_members(board, &seen.record) + own_vote;
     let not_before = seen.since + lapse(&board.settings);
     // Half of the cell leaves a lead alone that the service keeps in office; a majority does not.
     let is_enough =
@@ -332,6 +333,7 @@
         lead: record.lead,
         incarnation: record.incarnation,
         record_revision: revision,
+        is_handover: false,
     };
     lead::leave_office(board);
     member::follow(board, &notice, now)
@@ -365,23 +367,20 @@
         board.homes.member.bound_until = now;
         return vec![attempt(board, Some(record), revision, now, now)];
     }
-    let own = board.homes.election.attempt.take();
-    let office = match own.filter(|attempt| attempt.record.epoch == record.epoch) {
-        Some(attempt) => lead::Office {
-            record,
-            revision,
-            replaced: attempt.replaced,
-            not_before: attempt.not_before,
-            written_at: attempt.sent_at,
-        },
-        // The former lead has handed the cell over; promises decide until the next write.
-        None => lead::Office {
-            replaced: Some(record.clone()),
-            record,
-            revision,
-            not_before: now,
-            written_at: Timestamp::ZERO,
-        },
+    // The write may be older than the last attempt, so that only promises keep this VM in office
+    // until it writes again; the same holds after the former lead handed the cell over.
+    let attempt = board.homes.election.attempt.take();
+    let own = attempt.filter(|attempt| attempt.record.epoch == record.epoch);
+    let (replaced, not_before) = match own {
+        Some(attempt) => (attempt.replaced, attempt.not_before),
+        None => (Some(record.clone()), now),
+    };
+    let office = lead::Office {
+        record,
+        revision,
+        replaced,
+        not_before,
+        written_at: Timestamp::ZERO,
     };
     lead::take_office(board, office, now)
 }
@@ -397,8 +396,13 @@
         return Vec::new();
     }
     let member = &mut board.homes.member;
-    if member.lead() == Some(from) {
-        // The lead itself ends the promise: it hands over, or its process was restarted.
+    let is_restart = |following: &member::Following| {
+        notice.lead == *from && notice.incarnation > following.incarnation
+    };
+    let has_ended = |following: &member::Following| {
+        following.lead == *from && (notice.is_handover || is_restart(following))
+    };
+    if member.following.as_ref().is_some_and(has_ended) {
         member.promise_until = Timestamp::ZERO;
     }
     if notice.lead == board.local.name {
--- a/src/control/home/lead.rs
+++ b/src/control/home/lead.rs
@@ -165,6 +165,7 @@
         lead: office.record.lead.clone(),
         incarnation: office.record.incarnation,
         record_revision: office.revision,
+        is_handover: false,
     })
 }
 
@@ -293,6 +294,7 @@
         lead: following.lead.clone(),
         incarnation: following.incarnation,
         record_revision: following.record_revision,
+        is_handover: false,
     };
     vec![send(from, HomeMessage::Lead(notice))]
 }
--- a/src/control/home/lead/write.rs
+++ b/src/control/home/lead/write.rs
@@ -18,7 +18,7 @@
 /// Interval between writes that change the members.
 const MEMBER_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time without a heartbeat after which a member is taken off the record.
+/// Time without a heartbeat after which a member that is no longer listed is taken off the record.
 const GONE_AFTER: Duration = Duration::from_secs(6);
 
 /// Write whose outcome is not known.
@@ -70,7 +70,9 @@
         let heard_at = lead.followers.get(*vm).map(|follower| follower.heard_at);
         let is_recent = now.since(heard_at.unwrap_or(lead.since)) < GONE_AFTER;
         let holds = lead.grants.values().any(|grant| grant.vm == **vm);
-        **vm == board.local.name || is_recent || holds
+        // A listed VM may be alive beyond a partition, and its vote is needed to replace the lead.
+        let is_listed = board.membership.vms.contains_key(*vm);
+        **vm == board.local.name || is_recent || holds || is_listed
     };
     let kept = lead.office.record.members.iter().filter(is_here);
     let patience = heartbeat(&board.settings) * 3;
@@ -213,6 +215,7 @@
         lead: record.lead.clone(),
         incarnation: record.incarnation,
         record_revision: revision,
+        is_handover: true,
     };
     leave_office(board);
     let line = LogEvent::info("lead_handed_over")
--- a/src/control/home/message.rs
+++ b/src/control/home/message.rs
@@ -92,6 +92,8 @@
     pub incarnation: Incarnation,
     /// Revision of the cell's record.
     pub record_revision: Revision,
+    /// Whether the sender led before and has ended its office, so that promises to it are void.
+    pub is_handover: bool,
 }
 
 /// Messages about homes between VMs.
--- a/src/control/home/tests.rs
+++ b/src/control/home/tests.rs
@@ -325,6 +325,55 @@
     }
 }
 
+/// Sequences that once led to two homes.
+#[test]
+fn known_sequences_leave_one_home() {
+    use Fault::{CutOneWay, Isolate, Kill, Lose, Run, ShutDown, Start};
+    struct Case {
+        name: &'static str,
+        faults: Vec<Fault>,
+    }
+    let cases = [
+        Case {
+            name: "an isolated lead that only the service keeps must not shrink the cell",
+            faults: vec![
+                Fault::Service(Service::Deaf),
+                Isolate(1),
+                Run(721),
+                Lose(2),
+                Run(3_251),
+                Fault::Service(Service::Up),
+                Run(2_031),
+                Run(3_911),
+                Run(3_601),
+            ],
+        },
+        Case {
+            name: "a deposed lead that still uses its homes must not end promises",
+            faults: vec![
+                Kill(1),
+                Run(86),
+                Start(2),
+                Run(1_706),
+                Start(4),
+                CutOneWay(3, 4),
+                ShutDown(4),
+                Run(2_456),
+                CutOneWay(2, 3),
+                Start(1),
+                Run(1_651),
+            ],
+        },
+    ];
+    for case in cases {
+        println!("{}", case.name);
+        let mut cell = started(4, 3);
+        for fault in &case.faults {
+            inject(&mut cell, fault);
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
 
