--- a/src/admin.rs
+++ b/src/admin.rs
@@ -12,6 +12,7 @@
 mod request;
 pub mod server;
 mod status;
+mod tls;
 mod workspaces;
 pub mod write;
 
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -3,9 +3,36 @@
 use std::net::SocketAddr;
 
 use axum::Router;
+use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
 use tokio::task::AbortHandle;
 
+use super::tls::TlsListener;
+use crate::settings::AdministrationSettings;
+use crate::traffic::caller::tls::{TlsError, TlsSource};
+
+/// Result of starting the API.
+pub type Result<T, E = ServeError> = std::result::Result<T, E>;
+
+/// Why the API can't be served.
+#[derive(Debug, Snafu)]
+pub enum ServeError {
+    /// The address can't be used.
+    #[snafu(display("can't listen on {address} for operators; choose a free address: {source}"))]
+    Listen {
+        /// Address from the settings.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The certificate can't be used.
+    #[snafu(display("{source}"))]
+    Tls {
+        /// The cause.
+        source: TlsError,
+    },
+}
+
 /// Running API; dropping it closes the listener and every connection.
 #[derive(Debug)]
 pub struct AdminServer {
@@ -14,17 +41,35 @@
 }
 
 impl AdminServer {
-    /// Starts to serve on an address.
+    /// Starts to serve, over TLS when the settings name a certificate.
     ///
     /// # Errors
     ///
-    /// Fails when the address can't be used.
-    pub async fn start(address: SocketAddr, router: Router) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
-        let address = listener.local_addr()?;
-        let serving = async move { axum::serve(listener, router).await };
-        let task = tokio::spawn(serving).abort_handle();
-        Ok(Self { address, task })
+    /// Fails when the address or the certificate can't be used.
+    pub async fn start(settings: &AdministrationSettings, router: Router) -> Result<Self> {
+        let listen = ListenSnafu {
+            address: settings.listen_address,
+        };
+        let listener = TcpListener::bind(settings.listen_address)
+            .await
+            .context(listen)?;
+        let address = listener.local_addr().context(listen)?;
+        let files = settings
+            .tls_certificate_file
+            .as_ref()
+            .zip(settings.tls_key_file.as_ref());
+        let task = match files {
+            Some((certificate, key)) => {
+                let source = TlsSource::read(certificate, key).context(TlsSnafu)?;
+                let listener = TlsListener::start(listener, source).context(listen)?;
+                tokio::spawn(async move { axum::serve(listener, router).await })
+            }
+            None => tokio::spawn(async move { axum::serve(listener, router).await }),
+        };
+        Ok(Self {
+            address,
+            task: task.abort_handle(),
+        })
     }
 
     /// Returns the address that the API is served on.
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -21,8 +21,8 @@
     ControlActor, ControlMailbox, EventSender, Outlets, SharedSnapshot, control_mailbox,
 };
 use crate::error::{
-    CallersSnafu, EndedSnafu, ListenAdministrationSnafu, PeersSnafu, PlatformSnafu, Result,
-    SignalsSnafu, SpansSnafu, ThreadsSnafu,
+    AdministrationSnafu, CallersSnafu, EndedSnafu, PeersSnafu, PlatformSnafu, Result, SignalsSnafu,
+    SpansSnafu, ThreadsSnafu,
 };
 use crate::peer::{PeerClient, PeerHandlers, PeerMessage, PeerServer, PeerSockets};
 use crate::platform::runner::PlatformRunner;
@@ -218,9 +218,8 @@
 ) -> Result<AdminServer> {
     let operators = Operators::new(&settings.administration.tokens);
     let router = admin::router(AdminState::new(snapshot, platform, operators));
-    let address = settings.administration.listen_address;
-    let starting = AdminServer::start(address, router).await;
-    starting.context(ListenAdministrationSnafu { address })
+    let starting = AdminServer::start(&settings.administration, router).await;
+    starting.context(AdministrationSnafu)
 }
 
 fn local_vm(settings: &VmSettings) -> LocalVm {
--- a/src/error.rs
+++ b/src/error.rs
@@ -1,9 +1,8 @@
 //! Errors of the daemon, each with its remedy.
 
-use std::net::SocketAddr;
-
 use snafu::Snafu;
 
+use crate::admin::server::ServeError;
 use crate::control::event::PlatformFailure;
 use crate::peer::server::ServerError;
 use crate::telemetry::span::SpanError;
@@ -35,12 +34,10 @@
         source: ListenError,
     },
     /// The administration API can't be started.
-    #[snafu(display("can't listen on {address} for operators; choose a free address: {source}"))]
-    ListenAdministration {
-        /// Address from the settings.
-        address: SocketAddr,
+    #[snafu(display("{source}"))]
+    Administration {
         /// The cause.
-        source: std::io::Error,
+        source: ServeError,
     },
     /// Spans can't be exported.
     #[snafu(display("{source}"))]
