Move tokens between homes ahead of demand

Cause: a workspace's rate was split into fixed parts, so that skewed load was refused wrongly. Change: Allowance (demand, reserve, when to ask, when to come back), transfers that the giver deducts first and that end by the asker's clock, parts by the smallest of the divisions that any home may still use, agreed through heartbeats.

--- a/src/control.rs
+++ b/src/control.rs
@@ -3,6 +3,7 @@
 //! Controllers do no I/O, read no clock and draw no random numbers, so that a decision can be
 //! replayed, model-checked and measured without a socket.
 
+pub mod allowance;
 pub mod blackboard;
 pub mod bucket;
 pub mod command;
--- /dev/null
+++ b/src/control/allowance/tests.rs
@@ -0,0 +1,98 @@
+use super::*;
+
+const SHARE: Share = Share {
+    rate_per_s: 10.0,
+    burst: 20.0,
+    weight: 1,
+};
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+#[test]
+fn other_homes_are_asked_before_a_request_is_refused() {
+    let mut allowance = Allowance::new(SHARE, at(0));
+    assert_eq!(allowance.admit(1.0, at(1)), Admission::Asked);
+    assert!(allowance.wanted(at(1)).is_some_and(|tokens| tokens >= 0.9));
+    assert_eq!(allowance.wanted(at(2)), None, "asked a moment ago");
+    allowance.deposit(1.0, at(100), at(5));
+    assert_eq!(allowance.try_again(1.0, at(5)), Admission::Granted);
+}
+
+#[test]
+fn a_refused_request_is_told_at_once_and_no_two_are_told_the_same_time() {
+    let mut allowance = Allowance::new(SHARE, at(0));
+    allowance.admit(1.0, at(0));
+    allowance.round_ended(at(4));
+    let retry_after: Vec<_> = (0..3)
+        .map(|_| match allowance.admit(1.0, at(4)) {
+            Admission::Refused { retry_after } => retry_after.as_millis(),
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    assert_eq!(retry_after, [96, 196, 296]);
+}
+
+#[test]
+fn a_home_gives_what_its_own_demand_does_not_need() {
+    struct Case {
+        demand_per_s: u64,
+        wanted: f64,
+        given: f64,
+    }
+    let cases = [
+        Case {
+            demand_per_s: 0,
+            wanted: 5.0,
+            given: 5.0,
+        },
+        Case {
+            demand_per_s: 0,
+            wanted: 50.0,
+            given: 20.0,
+        },
+        Case {
+            demand_per_s: 10,
+            wanted: 50.0,
+            given: 19.0,
+        },
+    ];
+    for case in cases {
+        let mut allowance = Allowance::new(SHARE, at(0));
+        for request in 0..case.demand_per_s * 5 {
+            allowance.admit(1.0, at(10_000 + request * 1_000 / case.demand_per_s));
+        }
+        let given = allowance.withdraw(case.wanted, at(15_000));
+        assert!(
+            (given - case.given).abs() < 1.0,
+            "{given} of {}",
+            case.wanted
+        );
+    }
+}
+
+#[test]
+fn tokens_are_asked_for_ahead_of_demand() {
+    let share = Share {
+        rate_per_s: 10.0,
+        burst: 100.0,
+        weight: 1,
+    };
+    let mut allowance = Allowance::new(share, at(0));
+    let mut asked = Vec::new();
+    for millis in 20_000..22_000 {
+        if millis % 10 == 0 {
+            assert_eq!(
+                allowance.admit(1.0, at(millis)),
+                Admission::Granted,
+                "at {millis} ms"
+            );
+        }
+        if let Some(tokens) = allowance.wanted(at(millis)) {
+            asked.push(tokens);
+            allowance.deposit(tokens, at(millis + 100), at(millis));
+        }
+    }
+    assert!(!asked.is_empty() && asked.len() < 20, "{asked:?}");
+}
--- a/src/control/bucket.rs
+++ b/src/control/bucket.rs
@@ -10,7 +10,7 @@
 ///
 /// The receiver counts the same time from when it asked, which was earlier, so that no token is in
 /// two buckets' capacity at once, however long the transfer was on its way.
-pub const TRANSFER_HOLD: Duration = Duration::from_millis(500);
+pub const TRANSFER_HOLD: Duration = Duration::from_millis(100);
 
 /// Smallest amount that counts as missing; covers rounding of sums.
 const EPSILON: f64 = 1e-9;
@@ -47,12 +47,13 @@
 }
 
 impl Bucket {
-    /// Builds a bucket without tokens, as every new home of a database starts with.
-    pub const fn empty(share: Share, now: Timestamp) -> Self {
+    /// Builds a bucket without tokens, as every new home of a database starts with; it refills
+    /// from `refills_from` on.
+    pub const fn empty(share: Share, refills_from: Timestamp) -> Self {
         Self {
             share,
             tokens: 0.0,
-            as_of: now,
+            as_of: refills_from,
             loans: Vec::new(),
         }
     }
@@ -96,7 +97,8 @@
         if self.share.rate_per_s <= 0.0 || tokens > self.share.burst + EPSILON {
             return None;
         }
-        Some(now + Duration::from_secs_f64((missing / self.share.rate_per_s).min(3_600.0)))
+        let wait = Duration::from_secs_f64((missing / self.share.rate_per_s).min(3_600.0));
+        Some(now.max(self.as_of) + wait)
     }
 
     /// Deducts up to `tokens` so that they can be sent to another home; returns the amount.
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -147,6 +147,14 @@
         /// Tokens wanted.
         tokens: f64,
     },
+    /// The homes that were asked for tokens have answered or can't be reached; what they gave has
+    /// been deposited.
+    TransfersEnded {
+        /// Database of the home that asked.
+        database: DatabaseName,
+        /// The workspace.
+        workspace: WorkspaceName,
+    },
     /// Admits nothing more at one home, which is about to move, ends its running work and then
     /// reports `TrafficEvent::HomeReleased`.
     ReleaseHome {
--- a/src/control/home.rs
+++ b/src/control/home.rs
@@ -44,7 +44,7 @@
     /// Leases under which this VM is a home; one that has run out stays until another home is
     /// known.
     pub leases: BTreeMap<DatabaseName, HomeLease>,
-    /// Configuration revision that every home of the cell has adopted.
+    /// Configuration revision that every VM of the cell has, as its lead knows.
     pub adopted: Revision,
     member: MemberState,
     election: ElectionState,
--- a/src/control/home/lead.rs
+++ b/src/control/home/lead.rs
@@ -44,6 +44,7 @@
     is_free: bool,
     is_draining: bool,
     holdings_digest: u64,
+    shares_digest: u64,
     revision: Revision,
     cursor: usize,
 }
@@ -128,6 +129,21 @@
         }
     }
 
+    /// Returns whether every VM that may be a home shares limits as `digest` says.
+    fn is_agreed(&self, digest: u64, local: &VmName, local_digest: u64, now: Timestamp) -> bool {
+        let digest_of = |vm: &VmName| {
+            if vm == local {
+                return Some(local_digest);
+            }
+            self.followers
+                .get(vm)
+                .map(|follower| follower.shares_digest)
+        };
+        let mut holders = self.grants.values().map(|grant| &grant.vm);
+        let is_accounted = self.active_since.is_some() && now >= self.unaccounted_until;
+        is_accounted && holders.all(|vm| digest_of(vm) == Some(digest))
+    }
+
     /// Returns whether a member receives this VM's answers.
     fn is_hearing(&self, vm: &VmName, now: Timestamp) -> bool {
         let follower = self.followers.get(vm);
@@ -265,12 +281,12 @@
         is_free: heartbeat.is_free,
         is_draining: heartbeat.is_draining,
         holdings_digest: heartbeat.holdings_digest,
+        shares_digest: heartbeat.shares_digest,
         revision: heartbeat.revision,
         cursor: known.map_or(0, |known| known.cursor),
     };
     lead.followers.insert(from.clone(), follower);
     grant::take_claims(board, from, heartbeat, now);
-    board.homes.adopted = board.homes.adopted.max(heartbeat.adopted);
     let mut commands = grant::answer(board, from, now);
     if heartbeat.table_digest != board.homes.table_digest() {
         let table = board.homes.table();
--- a/src/control/home/lead/grant.rs
+++ b/src/control/home/lead/grant.rs
@@ -38,7 +38,8 @@
         commands.extend(assign(board, now));
         commands.extend(propose_move(board, now));
         commands.extend(renew_own(board, now));
-        update_adopted(board);
+        agree_own(board, now);
+        update_adopted(board, now);
     }
     commands.extend(write::tick(board, now));
     commands
@@ -175,7 +176,7 @@
         lead.followers.get(vm).is_some_and(|follower| {
             let is_fresh = now.since(follower.heard_at) <= patience;
             let is_fresh = is_fresh && lead.is_hearing(vm, now);
-            is_fresh && !follower.is_draining && follower.revision >= board.homes.adopted
+            is_fresh && !follower.is_draining
         })
     };
     let members = lead.office.record.members.iter().filter(|vm| is_fit(vm));
@@ -264,6 +265,7 @@
     let can_grant = can_grant(board, now);
     let lapses_at = now + lapse(&board.settings);
     let adopted = board.homes.adopted;
+    let (local, local_digest) = (board.local.name.clone(), board.limits.digest());
     let Some(lead) = board.homes.lead.as_mut() else {
         return Vec::new();
     };
@@ -273,6 +275,7 @@
     let Some(follower) = lead.followers.get_mut(to) else {
         return Vec::new();
     };
+    let shares_digest = follower.shares_digest;
     let digest = holdings_digest(&holdings);
     let is_agreed = follower.holdings_digest == digest;
     let grants = match (can_grant, is_agreed) {
@@ -304,6 +307,7 @@
             .collect(),
         grants,
         adopted,
+        shares_agreed: can_grant && lead.is_agreed(shares_digest, &local, local_digest, now),
     };
     vec![send(to, HomeMessage::Answer(message))]
 }
@@ -370,18 +374,26 @@
     }
 }
 
-/// Finds the configuration revision that every possible home has adopted.
-fn update_adopted(board: &mut Blackboard) {
+/// Lets this VM's own homes use their shares once every home divides the limits alike.
+fn agree_own(board: &mut Blackboard, now: Timestamp) {
+    let digest = board.limits.digest();
+    let lead = board.homes.lead.as_ref();
+    if lead.is_some_and(|lead| lead.is_agreed(digest, &board.local.name, digest, now)) {
+        board.limits.agree(now);
+    }
+}
+
+/// Finds the configuration revision that every follower has.
+fn update_adopted(board: &mut Blackboard, now: Timestamp) {
     let Some(lead) = board.homes.lead.as_ref() else {
         return;
     };
+    let span = lapse(&board.settings);
+    let followers = lead.followers.values();
+    let recent = followers.filter(|follower| now.since(follower.heard_at) < span);
     let own = board.configuration.current.revision;
-    let holders = lead.grants.values().map(|grant| &grant.vm);
-    let others = holders.filter(|vm| **vm != board.local.name);
-    let revision_of = |vm: &VmName| {
-        let follower = lead.followers.get(vm);
-        follower.map_or(Revision(0), |follower| follower.revision)
-    };
-    let oldest = others.map(revision_of).min().unwrap_or(own).min(own);
+    let oldest = recent
+        .map(|follower| follower.revision)
+        .fold(own, Revision::min);
     board.homes.adopted = board.homes.adopted.max(oldest);
 }
--- a/src/control/home/member.rs
+++ b/src/control/home/member.rs
@@ -138,8 +138,8 @@
         released,
         table_digest,
         vms_digest: board.membership.digest(),
+        shares_digest: board.limits.digest(),
         revision: board.configuration.current.revision,
-        adopted: board.homes.adopted,
     };
     vec![send(&following.lead, HomeMessage::Heartbeat(message))]
 }
@@ -182,6 +182,9 @@
         return Vec::new();
     };
     board.homes.adopted = board.homes.adopted.max(answer.adopted);
+    if answer.shares_agreed {
+        board.limits.agree(sent_at);
+    }
     board.homes.release.acknowledge(answer.sequence);
     let valid_until = sent_at + lease(&board.settings);
     let holdings = board.homes.valid_holdings(now);
--- a/src/control/home/message.rs
+++ b/src/control/home/message.rs
@@ -54,10 +54,10 @@
     pub table_digest: u64,
     /// Digest of the list of VMs that the sender knows.
     pub vms_digest: u64,
+    /// Digest of who shares each workspace's limits, as the sender's configuration has it.
+    pub shares_digest: u64,
     /// Configuration revision of the sender.
     pub revision: Revision,
-    /// Configuration revision that every home is known to have adopted.
-    pub adopted: Revision,
 }
 
 /// Answer of the lead; leases count from when the heartbeat was sent.
@@ -77,7 +77,9 @@
     pub grants: Vec<Holding>,
     /// Homes that the receiver should give up.
     pub give_up: Vec<DatabaseName>,
-    /// Configuration revision that every home is known to have adopted.
+    /// Whether every home of the cell has the digest of shares that the heartbeat carried.
+    pub shares_agreed: bool,
+    /// Configuration revision that every follower of the lead has.
     pub adopted: Revision,
 }
 
--- a/src/control/tests/cell.rs
+++ b/src/control/tests/cell.rs
@@ -366,6 +366,16 @@
         served
     }
 
+    /// Returns the time by the clock of a VM.
+    pub(crate) fn local_time(&self, name: &VmName) -> Option<Timestamp> {
+        Some(self.local(self.processes.get(name)?))
+    }
+
+    /// Returns the blackboard of a VM, when it runs.
+    pub(crate) fn board_of(&self, name: &VmName) -> Option<&Blackboard> {
+        Some(&self.processes.get(name)?.board)
+    }
+
     fn local(&self, process: &Process) -> Timestamp {
         Timestamp::ZERO + self.now.since(process.started_at)
     }
