--- a/lab/tests/database.rs
+++ b/lab/tests/database.rs
@@ -188,7 +188,7 @@
     }
     let new = connect(&group, 1, "test").await;
     let promote = "SELECT adopted, is_primary, last FROM currantlb_promote('2@vm-1')";
-    assert_eq!(status(&new, promote).await, ["2@vm-1", "t", "1@platform:2"]);
+    assert_eq!(status(&new, promote).await, ["2@vm-1", "t", "2@vm-1:3"]);
     let follow = "SELECT adopted, is_primary, last FROM currantlb_follow('2@vm-1', 'instance-2', '127.0.0.1:1')";
     status(&old, follow).await;
     status(&connect(&group, 2, "test").await, follow).await;
--- a/src/control/gate.rs
+++ b/src/control/gate.rs
@@ -106,9 +106,9 @@
 
     /// Decides on the answer of a transaction that may have written.
     pub fn hold(&mut self, save: &Save, deadline: Timestamp, now: Timestamp) -> Held {
-        // An older term in the log of a primary of `under` means that nothing was written.
+        // A primary's log ends in its own term from the moment at which it was promoted.
         if save.at.term < save.under {
-            return Held::Passed;
+            return Held::Refused(RefusalReason::TermChanged);
         }
         if self.term.as_ref().is_some_and(|term| save.at.term < *term) {
             return Held::Refused(RefusalReason::TermChanged);
--- a/src/control/gate/tests.rs
+++ b/src/control/gate/tests.rs
@@ -132,18 +132,21 @@
 }
 
 #[test]
-fn passes_a_transaction_that_wrote_nothing_in_the_new_term() {
+fn refuses_what_stands_under_an_older_term() {
     let mut gate = gate();
     gate.report(&"a".into(), &report(8, at(7, 10)));
     gate.report(&"b".into(), &report(8, at(7, 10)));
-    let nothing = Save {
+    let replaced = gate.hold(&save(7, 10), DEADLINE, Timestamp::ZERO);
+    assert_eq!(replaced, Held::Refused(RefusalReason::TermChanged));
+    // An entry of an older term may be lost although enough instances hold it, so that a retry
+    // which finds its first attempt's entry must not be answered from it.
+    let found = Save {
         at: at(7, 10),
         under: term(8),
         primary: "a".into(),
     };
-    assert_eq!(gate.hold(&nothing, DEADLINE, Timestamp::ZERO), Held::Passed);
-    let replaced = gate.hold(&save(7, 10), DEADLINE, Timestamp::ZERO);
-    assert_eq!(replaced, Held::Refused(RefusalReason::TermChanged));
+    let held = gate.hold(&found, DEADLINE, Timestamp::ZERO);
+    assert_eq!(held, Held::Refused(RefusalReason::TermChanged));
 }
 
 #[test]
--- a/src/control/term/attempt.rs
+++ b/src/control/term/attempt.rs
@@ -42,7 +42,7 @@
         && report.adopted == *term
         && !report.is_primary
     {
-        evidence.follows = Some(term.clone());
+        evidence.told_to_follow = Some(term.clone());
     }
     let outcome = match (&mut group.phase, request) {
         (Phase::Promoting(promotion), InstanceRequest::Adopt { term })
@@ -86,7 +86,7 @@
     group.replaces = replaces;
     group.phase = Phase::Promoting(Promotion::new(term, s.now));
     for evidence in group.evidence.values_mut() {
-        evidence.follows = None;
+        evidence.told_to_follow = None;
         evidence.allow_command();
     }
     let mut commands = vec![Command::Log(line)];
--- a/src/control/term/decide.rs
+++ b/src/control/term/decide.rs
@@ -10,9 +10,12 @@
 use crate::control::command::{Command, InstanceRequest, LogEvent};
 use crate::name::InstanceName;
 
-/// Interval between repeated orders to follow.
+/// Interval between orders to follow until one is answered.
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Interval between orders to an instance that has answered one and doesn't follow yet.
+const FOLLOW_AGAIN_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Does what is due for the group.
 pub fn step(group: &mut Group, s: &Surroundings) -> Vec<Command> {
     group.update_floor(s);
@@ -99,8 +102,15 @@
     let strayed: Vec<_> = group.evidence.keys().filter(strayed).cloned().collect();
     let mut commands = Vec::new();
     for name in strayed {
-        let evidence = group.evidence.get_mut(&name);
-        if evidence.is_some_and(|evidence| evidence.command_due(FOLLOW_INTERVAL, s.now)) {
+        let Some(evidence) = group.evidence.get_mut(&name) else {
+            continue;
+        };
+        let interval = if evidence.told_to_follow.as_ref() == Some(&term) {
+            FOLLOW_AGAIN_INTERVAL
+        } else {
+            FOLLOW_INTERVAL
+        };
+        if evidence.command_due(interval, s.now) {
             commands.push(Command::Instance {
                 database: s.config.name.clone(),
                 instance: name,
--- a/src/control/term/evidence.rs
+++ b/src/control/term/evidence.rs
@@ -33,8 +33,8 @@
     pub report: Option<InstanceReport>,
     /// Latest moment at which the instance is known to have lived.
     pub alive_at: Option<Timestamp>,
-    /// Term whose primary the instance has been told to follow, and said that it does.
-    pub follows: Option<Term>,
+    /// Term whose primary the instance was told to follow and said that it would.
+    pub told_to_follow: Option<Term>,
     unanswered_since: Option<Timestamp>,
     unanswered_probes: u32,
     closed: u32,
@@ -149,13 +149,11 @@
     }
 
     /// Returns whether the instance is known to hold nothing that the primary of `term` lacks.
+    ///
+    /// The first entry of a term can only have come from its primary, after what conflicted with
+    /// it had been dropped.
     pub fn follows(&self, term: &Term) -> bool {
-        let Some(report) = &self.report else {
-            return false;
-        };
-        // An entry of the term can only have come from its primary, after what conflicted with it
-        // had been dropped.
-        let replicated = report.last.term == *term;
-        report.adopted == *term && (replicated || self.follows.as_ref() == Some(term))
+        let report = self.report.as_ref();
+        report.is_some_and(|report| report.adopted == *term && report.last.term == *term)
     }
 }
--- a/src/control/term/tests/fixture.rs
+++ b/src/control/term/tests/fixture.rs
@@ -33,7 +33,13 @@
                 }
             }
             InstanceRequest::Promote { term } => {
-                report.is_primary |= *term == report.adopted;
+                if *term == report.adopted && !report.is_primary {
+                    report.is_primary = true;
+                    report.last = LogPosition {
+                        term: term.clone(),
+                        position: report.last.position + 1,
+                    };
+                }
             }
             InstanceRequest::Follow { term, primary } => {
                 if *term >= report.adopted {
@@ -237,8 +243,9 @@
         if fake.stops_after_adopt && matches!(request, InstanceRequest::Adopt { .. }) {
             fake.reachable = false;
         }
+        self.replicate();
         let database = DATABASE.into();
-        let report = fake.report.clone();
+        let report = self.instances[&instance].report.clone();
         Some(Event::Instance(match request {
             InstanceRequest::Probe => InstanceEvent::Reported {
                 database,
@@ -255,6 +262,21 @@
         }))
     }
 
+    /// Brings every instance that follows a primary to where that primary is.
+    fn replicate(&mut self) {
+        let primaries = self.instances.clone();
+        for fake in self.instances.values_mut() {
+            let Some((term, source)) = &fake.source else {
+                continue;
+            };
+            let source = &primaries[source];
+            let serves = source.reachable && source.report.is_primary;
+            if serves && source.report.adopted == *term && fake.report.adopted == *term {
+                fake.report.last = source.report.last.clone();
+            }
+        }
+    }
+
     fn call(&mut self, call: CallId, request: PlatformRequest) -> Event {
         self.calls += 1;
         let result = match (self.service, request) {
