--- a/src/traffic/caller.rs
+++ b/src/traffic/caller.rs
@@ -25,3 +25,6 @@
 pub use registry::{CallerRegistry, CancelKey};
 pub use session::CallerSession;
 pub(crate) use shared::HOME_RETRY_AFTER;
+
+#[cfg(test)]
+mod tests;
