--- a/src/traffic/caller/tests/fixture.rs
+++ b/src/traffic/caller/tests/fixture.rs
@@ -12,7 +12,7 @@
 use super::super::{CallerListener, CallerParts, serve};
 use super::fake_home::FakeHome;
 use crate::configuration::{
-    Configuration, DatabaseGroup, Key, KeyState, Limits, Record, Workspace,
+    Configuration, DatabaseGroup, Key, KeyState, Limits, Record, Revision, Workspace,
 };
 use crate::control::blackboard::{Incarnation, LocalVm};
 use crate::control::snapshot::{HomeView, PeerView, Snapshot, Standing};
@@ -93,6 +93,7 @@
         local: local("vm-1"),
         standing: Standing::Serving,
         configuration: Arc::new(configuration()),
+        revision_everywhere: Revision::default(),
         homes: Arc::new(BTreeMap::from([(DATABASE.into(), home)])),
         databases: BTreeMap::new(),
         shares: Arc::default(),
