--- a/src/traffic/caller/tests.rs
+++ b/src/traffic/caller/tests.rs
@@ -96,7 +96,7 @@
         Arrival::Definition(name),
         Arrival::Message(b'B', _),
         ..,
-    ] = &arrivals[..]
+    ] = &*arrivals
     else {
         panic!("{arrivals:?}");
     };
