Run exchanges at the home of their database

Cause: the home side had its interface only, so that no statement ran. Change: connections to instances with login, prepared statements and settings of their own; a pool per instance; a control connection per instance that fences former homes, carries out term commands and takes pushed reports; admission, fair queue, choice of the instance, answer gate, retry and drain around the relay of one exchange. Three more reasons of refusal: cancelled before the start, idle in a transaction, and a transaction lost with its connection.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -228,6 +228,10 @@
     pub connect_timeout_ms: u64,
     /// Connections to one instance that may be opening at once.
     pub max_opening: usize,
+    /// Time after which an idle connection beyond an instance's slots is closed.
+    pub idle_timeout_ms: u64,
+    /// Time after which a transaction whose caller sends nothing is rolled back.
+    pub idle_in_transaction_timeout_ms: u64,
 }
 
 impl Default for DatabaseSettings {
@@ -237,6 +241,8 @@
             password: String::new(),
             connect_timeout_ms: 2_000,
             max_opening: 2,
+            idle_timeout_ms: 60_000,
+            idle_in_transaction_timeout_ms: 30_000,
         }
     }
 }
@@ -247,6 +253,11 @@
             .field("user", &self.user)
             .field("connect_timeout_ms", &self.connect_timeout_ms)
             .field("max_opening", &self.max_opening)
+            .field("idle_timeout_ms", &self.idle_timeout_ms)
+            .field(
+                "idle_in_transaction_timeout_ms",
+                &self.idle_in_transaction_timeout_ms,
+            )
             .finish_non_exhaustive()
     }
 }
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -4,9 +4,12 @@
 pub(crate) mod dispatch;
 pub mod exchange;
 pub mod home;
+pub(crate) mod instance;
 pub mod io;
+pub(crate) mod pool;
 pub mod refusal;
 pub mod scram;
+pub(crate) mod upstream;
 
 pub use exchange::{Access, CallerFrame, ExchangeHead, ExchangeId, HomeFrame, SessionSetting};
 pub use home::{ExchangeEnd, Homes};
--- a/src/traffic/home.rs
+++ b/src/traffic/home.rs
@@ -1,17 +1,35 @@
 //! Homes: the databases whose statements all run through this VM.
 
+mod admission;
+mod choose;
+mod confirm;
+mod database;
+mod exchange;
+mod registry;
+mod relay;
+mod release;
+mod schedule;
+mod state;
+mod work;
+
+use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
 
-use crate::control::Event;
+use arc_swap::ArcSwap;
+use tokio::runtime::Handle;
+use tokio::sync::{Notify, mpsc};
+
+use database::Home;
+use registry::{Order, Registry};
+use work::Work;
+
 use crate::control::command::{InstanceRequest, TrafficRequest};
-use crate::control::event::{InstanceEvent, TrafficEvent};
 use crate::controller::{EventSender, SharedSnapshot};
 use crate::name::{DatabaseName, InstanceName};
 use crate::settings::Settings;
 use crate::time::Clock;
 use crate::traffic::io::HomeIo;
-use crate::traffic::{ExchangeHead, HomeFrame, Refusal, RefusalReason};
+use crate::traffic::{ExchangeHead, Refusal};
 
 /// How an exchange ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,71 +46,62 @@
 #[derive(Debug, Clone)]
 pub struct Homes {
     shared: Arc<Shared>,
+    orders: mpsc::UnboundedSender<Order>,
 }
 
+/// What the homes of one VM share.
 #[derive(Debug)]
 struct Shared {
     settings: Settings,
     snapshot: SharedSnapshot,
     clock: Clock,
     events: EventSender,
-}
-
-impl Shared {
-    fn retry_after(&self) -> Duration {
-        Duration::from_millis(self.settings.control.suspect_after_ms)
-    }
+    runtime: Handle,
+    homes: ArcSwap<BTreeMap<DatabaseName, Arc<Home>>>,
+    work: Work,
+    /// Notified when work ends that someone waits for.
+    ended: Arc<Notify>,
 }
 
 impl Homes {
-    /// Builds the homes of a VM; they follow the databases of the snapshot.
+    /// Builds the homes of a VM; they follow the databases of the snapshot until the last clone is
+    /// dropped.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside of a tokio runtime, on which the connections to the instances run.
     pub fn new(
         settings: Settings,
         snapshot: SharedSnapshot,
         clock: Clock,
         events: EventSender,
     ) -> Self {
-        let shared = Shared {
+        let runtime = Handle::current();
+        let ended = Arc::new(Notify::new());
+        let shared = Arc::new(Shared {
             settings,
             snapshot,
             clock,
             events,
-        };
-        Self {
-            shared: Arc::new(shared),
-        }
+            runtime: runtime.clone(),
+            homes: ArcSwap::default(),
+            work: Work::new(Arc::clone(&ended)),
+            ended,
+        });
+        let (orders, receiver) = mpsc::unbounded_channel();
+        runtime.spawn(Registry::new(Arc::clone(&shared)).run(receiver));
+        Self { shared, orders }
     }
 
     /// Runs one exchange to its end; the last frame that it sends is `HomeFrame::End`.
     pub async fn run(&self, head: ExchangeHead, io: &mut HomeIo<'_>) -> ExchangeEnd {
-        let refusal = self.refusal(&head);
-        for frame in [HomeFrame::Refused(refusal), HomeFrame::End] {
-            if io.send(frame).await.is_err() {
-                return ExchangeEnd::CallerLost;
-            }
-        }
-        match io.flush().await {
-            Ok(()) => ExchangeEnd::Refused(refusal),
-            Err(_lost) => ExchangeEnd::CallerLost,
-        }
-    }
-
-    fn refusal(&self, head: &ExchangeHead) -> Refusal {
-        let snapshot = self.shared.snapshot.load();
-        if snapshot.databases.contains_key(&head.database) {
-            Refusal::retry(RefusalReason::NoInstance, self.shared.retry_after())
-        } else {
-            Refusal::last(RefusalReason::HomeUnknown)
-        }
+        let _running = self.shared.work.start();
+        exchange::run(&self.shared, head, io).await
     }
 
     /// Carries out a request of the control code; returns at once.
     pub fn request(&self, request: &TrafficRequest) {
-        if *request == TrafficRequest::Drain {
-            self.shared
-                .events
-                .post(Event::Traffic(TrafficEvent::Drained));
-        }
+        self.order(Order::Request(request.clone()));
     }
 
     /// Asks something of an instance; the answer is posted as an event.
@@ -102,12 +111,19 @@
         instance: &InstanceName,
         request: &InstanceRequest,
     ) {
-        let event = InstanceEvent::Silent {
+        self.order(Order::Instance {
             database: database.clone(),
             instance: instance.clone(),
-            asked_at: self.shared.clock.now(),
-        };
-        log::debug!("event=instance_request_dropped instance={instance} request={request:?}");
-        self.shared.events.post(Event::Instance(event));
+            request: request.clone(),
+        });
+    }
+
+    fn order(&self, order: Order) {
+        if self.orders.send(order).is_err() {
+            log::warn!("event=homes_stopped");
+        }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/traffic/home/admission.rs
@@ -0,0 +1,124 @@
+//! Admission of an exchange: the caller's rights, the home's lease, and the workspace's tokens.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::{Instant, timeout_at};
+
+use super::Shared;
+use super::database::Home;
+use crate::configuration::{KeyState, RoutePolicy};
+use crate::control::Event;
+use crate::control::bucket::Share;
+use crate::control::event::TrafficEvent;
+use crate::control::snapshot::{Snapshot, Standing};
+use crate::traffic::{ExchangeHead, Refusal, RefusalReason};
+
+/// Tokens that one exchange costs.
+const EXCHANGE_TOKENS: f64 = 1.0;
+
+/// Time for which a request waits for tokens that other homes may give.
+const TOKEN_WAIT: Duration = Duration::from_millis(50);
+
+/// Exchange that may run.
+#[derive(Debug)]
+pub(super) struct Admitted {
+    pub(super) home: Arc<Home>,
+    pub(super) policy: RoutePolicy,
+    /// Weight of the workspace in fair queueing.
+    pub(super) weight: u32,
+}
+
+/// Checks an exchange against the snapshot and takes its tokens.
+///
+/// # Errors
+///
+/// Fails with what the caller is told; nothing has run then.
+pub(super) async fn admit(shared: &Shared, head: &ExchangeHead) -> Result<Admitted, Refusal> {
+    let (home, policy) = {
+        let snapshot = shared.snapshot.load();
+        let policy = check(&snapshot, head)?;
+        let homes = shared.homes.load();
+        let home = homes.get(&head.database).cloned();
+        (home.ok_or_else(home_unknown)?, policy)
+    };
+    if !home.is_leased() {
+        return Err(home_unknown());
+    }
+    let no_share = || Refusal::last(RefusalReason::DatabaseNotAllowed);
+    let share = home.share(&head.workspace).ok_or_else(no_share)?;
+    take_tokens(&home, head, share).await?;
+    Ok(Admitted {
+        home,
+        policy,
+        weight: share.weight,
+    })
+}
+
+pub(super) fn home_unknown() -> Refusal {
+    Refusal::retry(RefusalReason::HomeUnknown, Duration::from_millis(100))
+}
+
+fn check(snapshot: &Snapshot, head: &ExchangeHead) -> Result<RoutePolicy, Refusal> {
+    match snapshot.standing {
+        Standing::Serving => {}
+        Standing::Isolated => return Err(Refusal::last(RefusalReason::Isolated)),
+        // The caller's VM looks the home up again, and finds the next one.
+        Standing::Starting | Standing::Draining => return Err(home_unknown()),
+    }
+    let configuration = &snapshot.configuration;
+    let policy = configuration.route_policy(head.route.as_ref());
+    let Some(workspace) = configuration.workspaces.get(&head.workspace) else {
+        return Err(Refusal::last(RefusalReason::KeyWithdrawn));
+    };
+    let is_key = |key: &&crate::configuration::Key| key.id == head.key;
+    let key = workspace.keys.iter().find(is_key);
+    if key.is_none_or(|key| key.state != KeyState::Active) {
+        return Err(Refusal::last(RefusalReason::KeyWithdrawn));
+    }
+    if !configuration.databases.contains_key(&head.database) {
+        return Err(Refusal::last(RefusalReason::DatabaseUnknown));
+    }
+    if !policy.open_to_all && !workspace.databases.contains(&head.database) {
+        return Err(Refusal::last(RefusalReason::DatabaseNotAllowed));
+    }
+    Ok(policy)
+}
+
+/// Takes the tokens of an exchange; asks the other homes for some before it refuses.
+async fn take_tokens(home: &Home, head: &ExchangeHead, share: Share) -> Result<(), Refusal> {
+    let mut changes = home.changes();
+    let until = Instant::now() + TOKEN_WAIT.min(Duration::from_millis(head.budget_ms / 2));
+    let mut asked_in_round = None;
+    loop {
+        let now = home.clock.now();
+        let (missing, round) = home.with_state(|state| {
+            let bucket = state.bucket(&head.workspace, share, now);
+            let missing = (!bucket.try_take(EXCHANGE_TOKENS, now))
+                .then(|| bucket.available_at(EXCHANGE_TOKENS, now));
+            (missing, state.transfer_rounds(&head.workspace))
+        });
+        let Some(available_at) = missing else {
+            return Ok(());
+        };
+        let retry = available_at.map_or(home.retry_after(), |at| at.since(now));
+        let has_ended = asked_in_round.is_some_and(|asked| asked != round);
+        if has_ended || Instant::now() >= until {
+            return Err(Refusal::retry(RefusalReason::RateExceeded, retry));
+        }
+        if asked_in_round.is_none() {
+            asked_in_round = Some(round);
+            want_tokens(home, head);
+        }
+        // Looks again when tokens have come, by a transfer or by the bucket's own rate.
+        let _ = timeout_at(until.min(Instant::now() + retry), changes.changed()).await;
+    }
+}
+
+fn want_tokens(home: &Home, head: &ExchangeHead) {
+    home.events.post(Event::Traffic(TrafficEvent::TokensWanted {
+        database: home.database().clone(),
+        workspace: head.workspace.clone(),
+        tokens: EXCHANGE_TOKENS,
+    }));
+}
--- /dev/null
+++ b/src/traffic/home/database.rs
@@ -0,0 +1,270 @@
+//! One database that this VM is the home of, for one epoch of its lease.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError, Weak};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use tokio::runtime::Handle;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::Shared;
+use super::state::HomeState;
+use super::work::Work;
+use crate::control::bucket::Share;
+use crate::control::command::InstanceRequest;
+use crate::control::event::{InstanceReport, TrafficEvent};
+use crate::control::snapshot::{DatabaseView, InstanceView};
+use crate::controller::{EventSender, SharedSnapshot};
+use crate::name::{DatabaseName, InstanceName, WorkspaceName};
+use crate::settings::Settings;
+use crate::time::{Clock, Timestamp};
+use crate::traffic::instance::{Evidence, HomeIdentity, Instance, Question};
+
+/// Ends of work that were reported already.
+#[derive(Debug, Default)]
+struct ReportedWork {
+    is_released: bool,
+    writes_ended: bool,
+}
+
+/// One database at its home.
+#[derive(Debug)]
+pub(super) struct Home {
+    identity: HomeIdentity,
+    pub(super) settings: Settings,
+    pub(super) snapshot: SharedSnapshot,
+    pub(super) clock: Clock,
+    pub(super) events: EventSender,
+    runtime: Handle,
+    instances: ArcSwap<BTreeMap<InstanceName, Arc<Instance>>>,
+    state: Mutex<HomeState>,
+    pub(super) work: Work,
+    reported: Mutex<ReportedWork>,
+    /// Raised whenever something that a request may wait for has changed.
+    changes: watch::Sender<u64>,
+}
+
+impl Home {
+    /// Starts the home; its connections open once [`Home::follow`] names the instances.
+    pub(super) fn start(database: &DatabaseName, epoch: u64, shared: &Shared) -> Arc<Self> {
+        let identity = HomeIdentity {
+            database: database.clone(),
+            vm: shared.settings.vm.name.clone(),
+            epoch,
+        };
+        log::info!("event=home_started database={database} epoch={epoch}");
+        Arc::new(Self {
+            identity,
+            settings: shared.settings.clone(),
+            snapshot: Arc::clone(&shared.snapshot),
+            clock: shared.clock,
+            events: shared.events.clone(),
+            runtime: shared.runtime.clone(),
+            instances: ArcSwap::default(),
+            state: Mutex::new(HomeState::default()),
+            work: Work::new(Arc::clone(&shared.ended)),
+            reported: Mutex::default(),
+            changes: watch::Sender::new(0),
+        })
+    }
+
+    /// Returns the epoch of the lease.
+    pub(super) const fn epoch(&self) -> u64 {
+        self.identity.epoch
+    }
+
+    /// Returns the name of the database.
+    pub(super) const fn database(&self) -> &DatabaseName {
+        &self.identity.database
+    }
+
+    /// Returns what control knows of the database, `None` when the lease has passed to another
+    /// epoch.
+    pub(super) fn view(&self) -> Option<Arc<DatabaseView>> {
+        let snapshot = self.snapshot.load();
+        let view = snapshot.databases.get(self.database())?;
+        (view.lease.epoch == self.epoch()).then(|| Arc::clone(view))
+    }
+
+    /// Returns whether the lease is valid now.
+    pub(super) fn is_leased(&self) -> bool {
+        is_leased(&self.snapshot, &self.identity, self.clock.now())
+    }
+
+    /// Returns one instance.
+    pub(super) fn instance(&self, name: &InstanceName) -> Option<Arc<Instance>> {
+        self.instances.load().get(name).cloned()
+    }
+
+    /// Returns all instances.
+    pub(super) fn instances(&self) -> Arc<BTreeMap<InstanceName, Arc<Instance>>> {
+        self.instances.load_full()
+    }
+
+    /// Lets `f` use the home's state; `f` must not wait.
+    pub(super) fn with_state<T>(&self, f: impl FnOnce(&mut HomeState) -> T) -> T {
+        f(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Wakes every request that waits for a change.
+    pub(super) fn notify_changed(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    /// Returns a receiver that sees changes from now on.
+    pub(super) fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Follows the instances, term and floor of the view.
+    pub(super) fn follow(self: &Arc<Self>, view: &Arc<DatabaseView>) {
+        let current = self.instances.load();
+        let is_same = |view: &InstanceView| {
+            let instance = current.get(&view.name);
+            instance.is_some_and(|instance| instance.address == view.address)
+        };
+        if current.len() != view.instances.len() || !view.instances.iter().all(is_same) {
+            let instances = view.instances.iter().map(|view| {
+                let kept = current.get(&view.name).filter(|_| is_same(view));
+                let instance = kept.map_or_else(|| Arc::new(self.start_instance(view)), Arc::clone);
+                (view.name.clone(), instance)
+            });
+            self.instances.store(Arc::new(instances.collect()));
+        }
+        let now = self.clock.now();
+        if self.with_state(|state| state.follow(view, now)) {
+            self.notify_changed();
+        }
+    }
+
+    fn start_instance(self: &Arc<Self>, view: &InstanceView) -> Instance {
+        let evidence = Evidence::new(
+            self.database().clone(),
+            view.name.clone(),
+            self.events.clone(),
+            self.clock,
+        );
+        let home = Arc::downgrade(self);
+        let name = view.name.clone();
+        let on_report = move |report: &InstanceReport, asked_at| {
+            if let Some(home) = Weak::upgrade(&home) {
+                home.heard(&name, report, asked_at);
+            }
+        };
+        let (snapshot, identity, clock) = (
+            Arc::clone(&self.snapshot),
+            self.identity.clone(),
+            self.clock,
+        );
+        let may_open = move || is_leased(&snapshot, &identity, clock.now());
+        Instance::start(
+            view,
+            &self.identity,
+            &self.settings,
+            evidence,
+            &self.runtime,
+            Box::new(on_report),
+            Box::new(may_open),
+        )
+    }
+
+    /// Takes an instance's report.
+    pub(super) fn heard(
+        &self,
+        instance: &InstanceName,
+        report: &InstanceReport,
+        asked_at: Timestamp,
+    ) {
+        let now = self.clock.now();
+        let released = self.with_state(|state| state.heard(instance, report, asked_at, now));
+        for (verdict, sender) in released {
+            // The caller may have gone.
+            let _ = sender.send(verdict);
+        }
+        self.notify_changed();
+    }
+
+    /// Returns the question that carries out a request of the control code, `None` when it names
+    /// an instance that is not known.
+    pub(super) fn question(&self, request: &InstanceRequest) -> Option<Question> {
+        Question::new(request, |name| Some(self.instance(name)?.address))
+    }
+
+    /// Returns the share of a workspace at this database.
+    pub(super) fn share(&self, workspace: &WorkspaceName) -> Option<Share> {
+        let snapshot = self.snapshot.load();
+        let shares = snapshot.shares.get(self.database())?;
+        shares.get(workspace).copied()
+    }
+
+    /// Adds tokens that another home gave; beyond the burst they are kept until `until`.
+    pub(super) fn deposit(&self, workspace: &WorkspaceName, tokens: f64, until: Timestamp) {
+        let Some(share) = self.share(workspace) else {
+            return;
+        };
+        let now = self.clock.now();
+        self.with_state(|state| {
+            let bucket = state.bucket(workspace, share, now);
+            bucket.deposit(tokens, until, now);
+        });
+        self.notify_changed();
+    }
+
+    /// Notes that the other homes have given what they can.
+    pub(super) fn transfers_ended(&self, workspace: &WorkspaceName) {
+        self.with_state(|state| state.end_transfers(workspace));
+        self.notify_changed();
+    }
+
+    /// Takes tokens out so that they can be sent to another home; returns how many.
+    pub(super) fn withdraw(&self, workspace: &WorkspaceName, tokens: f64) -> f64 {
+        let Some(share) = self.share(workspace) else {
+            return 0.0;
+        };
+        let now = self.clock.now();
+        self.with_state(|state| state.bucket(workspace, share, now).withdraw(tokens, now))
+    }
+
+    /// Returns the reports of work that has ended and was waited for, each once.
+    pub(super) fn ended_work(&self, database: &DatabaseName) -> Vec<TrafficEvent> {
+        let epoch = self.epoch();
+        let mut reported = self.reported.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut events = Vec::new();
+        if self.work.is_releasing() && !reported.is_released && self.work.is_idle() {
+            reported.is_released = true;
+            let database = database.clone();
+            events.push(TrafficEvent::HomeReleased { database, epoch });
+        }
+        let is_paused = self.view().is_some_and(|view| view.writes_paused);
+        if !is_paused {
+            reported.writes_ended = false;
+        } else if !reported.writes_ended && self.work.has_no_writes() {
+            reported.writes_ended = true;
+            let database = database.clone();
+            events.push(TrafficEvent::WritesEnded { database, epoch });
+        }
+        events
+    }
+
+    /// Closes idle connections that are no longer needed.
+    pub(super) fn maintain(&self, now: Instant) {
+        for instance in self.instances.load().values() {
+            instance.pool.maintain(now);
+        }
+        let now = self.clock.now();
+        self.with_state(|state| state.maintain(now));
+    }
+
+    /// Returns when a caller that could not be served yet should come back.
+    pub(super) fn retry_after(&self) -> Duration {
+        Duration::from_millis(self.settings.control.suspect_after_ms)
+    }
+}
+
+fn is_leased(snapshot: &SharedSnapshot, identity: &HomeIdentity, now: Timestamp) -> bool {
+    let snapshot = snapshot.load();
+    let view = snapshot.databases.get(&identity.database);
+    view.is_some_and(|view| view.lease.epoch == identity.epoch && now <= view.lease.valid_until)
+}
--- /dev/null
+++ b/src/traffic/home/release.rs
@@ -0,0 +1,163 @@
+//! Release of answers: what may be sent at once, and what waits for the answer gate.
+
+use bytes::BytesMut;
+use tokio::time::{Instant, sleep_until};
+
+use super::database::Home;
+use crate::control::gate::Save;
+use crate::traffic::exchange::MAX_FRAME_BYTES;
+use crate::traffic::upstream::answer::{CommandKind, Part};
+use crate::traffic::upstream::connection::TransactionStatus;
+use crate::traffic::upstream::wire::message_bytes;
+use crate::traffic::{Access, RefusalReason};
+
+/// Largest answer that is held back behind a `COMMIT` in the middle of a batch.
+const MAX_HELD_BYTES: usize = 1024 * 1024;
+
+/// How the last command of a batch has ended.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+enum LastCommand {
+    /// No command was run.
+    #[default]
+    None,
+    Completed,
+    RolledBack,
+    Failed,
+}
+
+/// Answer of one statement or batch on its way to the caller.
+///
+/// The `CommandComplete` of the last command is held until `ReadyForQuery`, and so is everything
+/// behind a `COMMIT`: whether they may be sent depends on the position that comes in between.
+#[derive(Debug, Default)]
+pub(super) struct Output {
+    ready: BytesMut,
+    held: BytesMut,
+    /// Whether a `COMMIT` is among what is held.
+    holds_commit: bool,
+    has_written: bool,
+    last: LastCommand,
+    /// Whether the caller was sent anything of this exchange.
+    pub(super) is_released: bool,
+}
+
+impl Output {
+    /// Takes one part of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when more would have to be held back than is allowed.
+    pub(super) fn push(&mut self, part: Part) -> Result<(), RefusalReason> {
+        if !self.holds_commit {
+            self.ready.unsplit(std::mem::take(&mut self.held));
+        }
+        match part {
+            Part::Pass(messages) | Part::Ready(messages) => self.append(messages),
+            Part::Failed(message) => {
+                self.last = LastCommand::Failed;
+                self.append(message);
+            }
+            Part::Complete { message, kind } => {
+                self.holds_commit |= kind == CommandKind::Commit;
+                self.has_written |= kind == CommandKind::Write;
+                self.last = match kind {
+                    CommandKind::Rollback => LastCommand::RolledBack,
+                    _ => LastCommand::Completed,
+                };
+                self.held.unsplit(message);
+            }
+        }
+        if self.held.len() > MAX_HELD_BYTES {
+            return Err(RefusalReason::AnswerLost);
+        }
+        Ok(())
+    }
+
+    fn append(&mut self, messages: BytesMut) {
+        if self.holds_commit {
+            self.held.unsplit(messages);
+        } else {
+            self.ready.unsplit(messages);
+        }
+    }
+
+    /// Returns whether the answer acknowledges something that the primary may have written.
+    pub(super) const fn needs_gate(&self, access: Access, status: TransactionStatus) -> bool {
+        let may_write = matches!(access, Access::Write) || self.has_written;
+        let ends = matches!(status, TransactionStatus::Idle);
+        let commits = ends && matches!(self.last, LastCommand::Completed);
+        may_write && (self.holds_commit || commits)
+    }
+
+    /// Lets everything that is held go, with the `ReadyForQuery` that ends it.
+    pub(super) fn finish(&mut self, ready_for_query: BytesMut) {
+        self.ready.unsplit(std::mem::take(&mut self.held));
+        self.ready.unsplit(ready_for_query);
+        self.holds_commit = false;
+        self.last = LastCommand::None;
+    }
+
+    /// Returns whether there is something that may be sent.
+    pub(super) fn has_ready(&self) -> bool {
+        !self.ready.is_empty()
+    }
+
+    /// Takes what may be sent, at most one frame; `None` when there is nothing.
+    pub(super) fn next_frame(&mut self) -> Option<BytesMut> {
+        if self.ready.is_empty() {
+            return None;
+        }
+        self.is_released = true;
+        let bytes = frame_bytes(&self.ready);
+        Some(self.ready.split_to(bytes))
+    }
+}
+
+/// Returns the length of the whole messages at the front that fit a frame, or of the part of one
+/// that is larger.
+fn frame_bytes(messages: &[u8]) -> usize {
+    if messages.len() <= MAX_FRAME_BYTES {
+        return messages.len();
+    }
+    let mut end = 0;
+    // Parts of a large message that were sent before leave no header at the front; what follows
+    // is then cut by length alone.
+    while let Ok(Some(bytes)) = message_bytes(&messages[end..]) {
+        if end + bytes > MAX_FRAME_BYTES {
+            break;
+        }
+        end += bytes;
+    }
+    if end == 0 { MAX_FRAME_BYTES } else { end }
+}
+
+/// Waits until a save may be acknowledged.
+///
+/// # Errors
+///
+/// Fails when it must never be: the term has changed, or too few instances have it in time.
+pub(super) async fn gate(home: &Home, save: &Save, deadline: Instant) -> Result<(), RefusalReason> {
+    let now = home.clock.now();
+    let expires_at = now + deadline.saturating_duration_since(Instant::now());
+    let waiting = home.with_state(|state| state.hold(save, expires_at, now))?;
+    let Some(mut verdict) = waiting else {
+        return Ok(());
+    };
+    loop {
+        tokio::select! {
+            verdict = &mut verdict => return verdict.unwrap_or(Err(RefusalReason::AnswerLost)),
+            () = sleep_until(deadline) => expire(home),
+        }
+    }
+}
+
+fn expire(home: &Home) {
+    let now = home.clock.now();
+    for (verdict, sender) in home.with_state(|state| state.expire_gate(now)) {
+        // The caller may have gone.
+        let _ = sender.send(verdict);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/traffic/home/state.rs
@@ -0,0 +1,256 @@
+//! What the home of a database keeps in memory, used by the traffic threads under one lock.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use slotmap::SecondaryMap;
+use tokio::sync::oneshot;
+
+use crate::control::bucket::{Bucket, Share};
+use crate::control::event::InstanceReport;
+use crate::control::fairness::{FairQueue, FairQueueSettings, RunKey};
+use crate::control::gate::{AnswerGate, Held, Release, Save, WaiterKey};
+use crate::control::retry::RetryBudget;
+use crate::control::routing::Rotation;
+use crate::control::session::SessionMarks;
+use crate::control::snapshot::DatabaseView;
+use crate::name::{InstanceName, WorkspaceName};
+use crate::position::{LogPosition, Term};
+use crate::time::Timestamp;
+use crate::traffic::{Refusal, RefusalReason};
+
+/// Whether a held answer may be sent.
+pub(super) type Verdict = Result<(), RefusalReason>;
+
+/// Told when a request gets its slot, or must not wait for one any longer.
+pub(super) type Ticket = oneshot::Sender<Result<RunKey, Refusal>>;
+
+/// Latest report of an instance.
+#[derive(Debug, Clone)]
+pub(super) struct Heard {
+    pub(super) report: InstanceReport,
+    /// The report was true then or later.
+    pub(super) asked_at: Timestamp,
+}
+
+/// Answer that the gate has let go, with where its verdict goes.
+pub(super) type Released = (Verdict, oneshot::Sender<Verdict>);
+
+/// State of one home.
+#[derive(Debug)]
+pub(super) struct HomeState {
+    gate: AnswerGate,
+    verdicts: SecondaryMap<WaiterKey, oneshot::Sender<Verdict>>,
+    pub(super) marks: SessionMarks,
+    pub(super) rotation: Rotation,
+    pub(super) retries: RetryBudget,
+    buckets: HashMap<WorkspaceName, Bucket>,
+    /// Rounds of transfers that have ended, by workspace.
+    transfer_rounds: HashMap<WorkspaceName, u64>,
+    queues: BTreeMap<InstanceName, FairQueue<Ticket>>,
+    heard: BTreeMap<InstanceName, Heard>,
+    /// Term whose positions the rotation holds.
+    term: Option<Term>,
+    view: Option<Arc<DatabaseView>>,
+}
+
+impl Default for HomeState {
+    fn default() -> Self {
+        Self {
+            gate: AnswerGate::new([]),
+            verdicts: SecondaryMap::new(),
+            marks: SessionMarks::default(),
+            rotation: Rotation::default(),
+            retries: RetryBudget::default(),
+            buckets: HashMap::new(),
+            transfer_rounds: HashMap::new(),
+            queues: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            term: None,
+            view: None,
+        }
+    }
+}
+
+impl HomeState {
+    /// Follows the instances and the floor of the view; returns whether anything has changed.
+    pub(super) fn follow(&mut self, view: &Arc<DatabaseView>, now: Timestamp) -> bool {
+        let before = self.view.replace(Arc::clone(view));
+        if before.as_ref() == Some(view) {
+            return false;
+        }
+        if let Some(floor) = &view.floor {
+            self.marks.raise_floor(floor);
+        }
+        let names = |view: &DatabaseView| -> Vec<InstanceName> {
+            view.instances.iter().map(|i| i.name.clone()).collect()
+        };
+        if before.is_none_or(|before| names(&before) != names(view)) {
+            self.regroup(&names(view), now);
+        }
+        for instance in &view.instances {
+            let slots = instance.slots;
+            let new = || FairQueue::new(FairQueueSettings::default(), slots);
+            let queue = self.queues.entry(instance.name.clone()).or_insert_with(new);
+            queue.set_slots(slots);
+        }
+        true
+    }
+
+    /// Starts a gate for another set of instances. What a majority is has changed with it, so that
+    /// the outcome of answers that wait is not known.
+    fn regroup(&mut self, names: &[InstanceName], now: Timestamp) {
+        for (_, sender) in std::mem::take(&mut self.verdicts) {
+            // The caller may have gone.
+            let _ = sender.send(Err(RefusalReason::GateTimeout));
+        }
+        self.gate = AnswerGate::new(names.iter().cloned());
+        self.heard.retain(|name, _| names.contains(name));
+        for (name, heard) in self.heard.clone() {
+            self.heard(&name, &heard.report, heard.asked_at, now);
+        }
+    }
+
+    /// Takes an instance's report; returns the answers that it releases.
+    pub(super) fn heard(
+        &mut self,
+        instance: &InstanceName,
+        report: &InstanceReport,
+        asked_at: Timestamp,
+        now: Timestamp,
+    ) -> Vec<Released> {
+        let heard = Heard {
+            report: report.clone(),
+            asked_at,
+        };
+        self.heard.insert(instance.clone(), heard);
+        self.rotate(instance, report, now);
+        let released = self.gate.report(instance, report);
+        self.take_verdicts(released)
+    }
+
+    fn rotate(&mut self, instance: &InstanceName, report: &InstanceReport, now: Timestamp) {
+        if self
+            .term
+            .as_ref()
+            .is_some_and(|term| report.adopted < *term)
+        {
+            self.rotation.remove(instance);
+            return;
+        }
+        if report.is_primary {
+            if self.term.as_ref() == Some(&report.adopted) {
+                self.rotation.primary_reached(&report.last, now);
+            } else {
+                self.term = Some(report.adopted.clone());
+                self.rotation.start_term(&report.last, now);
+            }
+            return;
+        }
+        // An entry of an older term may be one that the new primary does not have.
+        let follows = Some(&report.last.term) == self.term.as_ref()
+            || Some(&report.last) == self.rotation.history().latest();
+        if follows {
+            self.rotation.replica_reached(instance, &report.last, now);
+        } else {
+            self.rotation.remove(instance);
+        }
+    }
+
+    /// Takes note of a position that the primary reported with an answer.
+    pub(super) fn primary_reached(&mut self, position: &LogPosition, now: Timestamp) {
+        if self.term.as_ref() == Some(&position.term) {
+            self.rotation.primary_reached(position, now);
+        }
+    }
+
+    /// Returns the latest report of an instance.
+    pub(super) fn report_of(&self, instance: &InstanceName) -> Option<&Heard> {
+        self.heard.get(instance)
+    }
+
+    /// Holds the answer of a save; the receiver gets the verdict.
+    pub(super) fn hold(
+        &mut self,
+        save: &Save,
+        deadline: Timestamp,
+        now: Timestamp,
+    ) -> Result<Option<oneshot::Receiver<Verdict>>, RefusalReason> {
+        match self.gate.hold(save, deadline, now) {
+            Held::Passed => Ok(None),
+            Held::Refused(reason) => Err(reason),
+            Held::Waiting(waiter) => {
+                let (sender, receiver) = oneshot::channel();
+                self.verdicts.insert(waiter, sender);
+                Ok(Some(receiver))
+            }
+        }
+    }
+
+    /// Refuses the answers whose deadline has passed.
+    pub(super) fn expire_gate(&mut self, now: Timestamp) -> Vec<Released> {
+        let released = self.gate.expire(now);
+        self.take_verdicts(released)
+    }
+
+    fn take_verdicts(&mut self, released: Vec<Release>) -> Vec<Released> {
+        let verdicts = released.into_iter().filter_map(|release| {
+            let sender = self.verdicts.remove(release.waiter)?;
+            Some((release.verdict, sender))
+        });
+        verdicts.collect()
+    }
+
+    /// Returns the bucket of a workspace with its present share.
+    pub(super) fn bucket(
+        &mut self,
+        workspace: &WorkspaceName,
+        share: Share,
+        now: Timestamp,
+    ) -> &mut Bucket {
+        if !self.buckets.contains_key(workspace) {
+            self.buckets
+                .insert(workspace.clone(), Bucket::empty(share, now));
+        }
+        let bucket = self.buckets.get_mut(workspace).expect("was just inserted");
+        if bucket.share() != share {
+            bucket.set_share(share, now);
+        }
+        bucket
+    }
+
+    /// Notes that a round of transfers to a workspace's bucket has ended.
+    pub(super) fn end_transfers(&mut self, workspace: &WorkspaceName) {
+        *self.transfer_rounds.entry(workspace.clone()).or_default() += 1;
+    }
+
+    /// Returns how many rounds of transfers to a workspace's bucket have ended.
+    pub(super) fn transfer_rounds(&self, workspace: &WorkspaceName) -> u64 {
+        self.transfer_rounds
+            .get(workspace)
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Returns the queue of an instance.
+    pub(super) fn queue(&mut self, instance: &InstanceName) -> Option<&mut FairQueue<Ticket>> {
+        self.queues.get_mut(instance)
+    }
+
+    /// Returns how many statements run on an instance or wait for one of its slots.
+    pub(super) fn in_flight(&self, instance: &InstanceName) -> u32 {
+        let queue = self.queues.get(instance);
+        let count = queue.map_or(0, |queue| queue.running() + queue.waiting());
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// Does what falls due at intervals.
+    pub(super) fn maintain(&mut self, now: Timestamp) {
+        self.rotation.refresh(now);
+        let lowest = self.rotation.lowest().cloned();
+        // Without a floor, a lagging replica would become one.
+        if let Some(lowest) = lowest.filter(|_| self.marks.floor().is_some()) {
+            self.marks.raise_floor(&lowest);
+        }
+    }
+}
--- a/src/traffic/refusal.rs
+++ b/src/traffic/refusal.rs
@@ -44,6 +44,12 @@
     Isolated,
     /// The statement uses session state that can't be kept between transactions.
     SessionStateUnsupported,
+    /// The caller cancelled the request before it started.
+    Cancelled,
+    /// The caller sent nothing for too long within a transaction, which was rolled back.
+    IdleInTransaction,
+    /// The connection was lost between two statements of a transaction, which was rolled back.
+    TransactionLost,
     /// The statement was sent and no answer came, or its save may be lost.
     AnswerLost,
     /// The term changed before the save stood on enough instances.
@@ -64,6 +70,9 @@
             Self::HomeUnknown | Self::PrimaryUnknown | Self::NoInstance => "57P03",
             Self::Draining | Self::Isolated => "57P01",
             Self::SessionStateUnsupported => "0A000",
+            Self::Cancelled => "57014",
+            Self::IdleInTransaction => "25P03",
+            Self::TransactionLost => "40001",
             Self::AnswerLost | Self::TermChanged | Self::GateTimeout => "08007",
         }
     }
@@ -92,6 +101,13 @@
             Self::SessionStateUnsupported => {
                 "the statement needs session state that is not kept between transactions"
             }
+            Self::Cancelled => "the caller cancelled the request",
+            Self::IdleInTransaction => {
+                "the transaction was idle for too long and was rolled back; run it again"
+            }
+            Self::TransactionLost => {
+                "the connection was lost and the transaction rolled back; run it again"
+            }
             Self::AnswerLost => "the database gave no answer; check whether the request ran",
             Self::TermChanged => "the primary was replaced; check whether the request ran",
             Self::GateTimeout => {
--- /dev/null
+++ b/src/traffic/upstream/answer.rs
@@ -0,0 +1,195 @@
+//! Messages of an instance on their way to the caller.
+
+use bytes::BytesMut;
+
+use super::connection::TransactionStatus;
+use super::replies::Reply;
+use super::wire::{body, message_bytes, split_string, whole_message_bytes};
+use super::{Connection, ProtocolSnafu, Result};
+
+const PARSE_COMPLETE: u8 = b'1';
+const CLOSE_COMPLETE: u8 = b'3';
+const COMMAND_COMPLETE: u8 = b'C';
+const ERROR_RESPONSE: u8 = b'E';
+const COPY_IN_RESPONSE: u8 = b'G';
+const PARAMETER_STATUS: u8 = b'S';
+const NOTIFICATION_RESPONSE: u8 = b'A';
+const READY_FOR_QUERY: u8 = b'Z';
+
+/// Messages that are passed on as they are.
+const PLAIN: [u8; 13] = *b"2DTtnNIsVHWcd";
+
+/// What a completed command did, as far as its tag tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CommandKind {
+    /// Ended a transaction with success.
+    Commit,
+    /// Changed nothing that outlives the transaction.
+    Read,
+    /// Undid a transaction, or ended one that had failed.
+    Rollback,
+    /// May have written.
+    Write,
+}
+
+/// Part of an answer.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Part {
+    /// Messages that the caller may have at once.
+    Pass(BytesMut),
+    /// A command completed.
+    Complete {
+        /// The message.
+        message: BytesMut,
+        /// What the command did.
+        kind: CommandKind,
+    },
+    /// A statement failed.
+    Failed(BytesMut),
+    /// The instance is ready for the next statement.
+    Ready(BytesMut),
+}
+
+impl Connection {
+    /// Takes the next part of the answer out of what was read; `None` when more must be read.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the instance sends what the protocol does not allow here.
+    pub(crate) fn next_part(&mut self) -> Result<Option<Part>> {
+        let run = self.plain_run()?;
+        if run > 0 {
+            return Ok(Some(Part::Pass(self.incoming.split_to(run))));
+        }
+        loop {
+            let Some(bytes) = whole_message_bytes(&self.incoming)? else {
+                self.reserve_message()?;
+                return Ok(None);
+            };
+            let message = self.incoming.split_to(bytes);
+            if let Some(part) = self.part(message)? {
+                return Ok(Some(part));
+            }
+        }
+    }
+
+    /// Returns the bytes of whole messages at the front that are passed on as they are.
+    fn plain_run(&self) -> Result<usize> {
+        let mut run = 0;
+        while let Some(bytes) = whole_message_bytes(&self.incoming[run..])? {
+            if !PLAIN.contains(&self.incoming[run]) {
+                break;
+            }
+            run += bytes;
+        }
+        Ok(run)
+    }
+
+    fn reserve_message(&mut self) -> Result<()> {
+        if let Some(bytes) = message_bytes(&self.incoming)? {
+            self.incoming.reserve(bytes - self.incoming.len());
+        }
+        Ok(())
+    }
+
+    /// Handles one message; `None` when the caller must not see it.
+    fn part(&mut self, message: BytesMut) -> Result<Option<Part>> {
+        let passed = |pass: bool, message: BytesMut| pass.then_some(Part::Pass(message));
+        match message[0] {
+            PARSE_COMPLETE => match self.replies.pop() {
+                Some(Reply::Parsed { name, pass }) => {
+                    self.statements.confirm(&name);
+                    Ok(passed(pass, message))
+                }
+                _ => unexpected(&message),
+            },
+            CLOSE_COMPLETE => match self.replies.pop() {
+                Some(Reply::Closed { pass }) => Ok(passed(pass, message)),
+                _ => unexpected(&message),
+            },
+            COMMAND_COMPLETE => Ok(Some(self.complete(message))),
+            ERROR_RESPONSE => Ok(Some(Part::Failed(message))),
+            COPY_IN_RESPONSE => {
+                self.replies.copy_in();
+                Ok(Some(Part::Pass(message)))
+            }
+            PARAMETER_STATUS => Ok(passed(!self.parameter(&message), message)),
+            NOTIFICATION_RESPONSE => Ok(None),
+            READY_FOR_QUERY => self.ready(message).map(Some),
+            _ => unexpected(&message),
+        }
+    }
+
+    fn parameter(&mut self, message: &[u8]) -> bool {
+        let Some((name, rest)) = split_string(body(message)) else {
+            return false;
+        };
+        split_string(rest).is_some_and(|(value, _)| self.note_parameter(name, value))
+    }
+
+    fn complete(&mut self, message: BytesMut) -> Part {
+        let tag = split_string(body(&message)).map_or("", |(tag, _)| tag);
+        let kind = command_kind(tag);
+        match tag {
+            "SET" | "RESET" => self.session.is_changed = true,
+            "DEALLOCATE ALL" | "DISCARD ALL" => {
+                self.session.is_changed = true;
+                self.statements.clear();
+            }
+            _ => {}
+        }
+        Part::Complete { message, kind }
+    }
+
+    fn ready(&mut self, message: BytesMut) -> Result<Part> {
+        self.status = match body(&message) {
+            b"I" => TransactionStatus::Idle,
+            b"T" => TransactionStatus::Open,
+            b"E" => TransactionStatus::Failed,
+            _ => return unexpected(&message),
+        };
+        if !self.replies.ready() {
+            return unexpected(&message);
+        }
+        self.statements.drop_unconfirmed();
+        Ok(Part::Ready(message))
+    }
+}
+
+fn command_kind(tag: &str) -> CommandKind {
+    let verb = tag.split(' ').next().unwrap_or_default();
+    match verb {
+        "COMMIT" | "PREPARE" => CommandKind::Commit,
+        "SELECT" | "SHOW" | "EXPLAIN" | "BEGIN" | "START" | "SAVEPOINT" | "RELEASE" | "FETCH"
+        | "MOVE" | "DECLARE" | "CLOSE" => CommandKind::Read,
+        "ROLLBACK" => CommandKind::Rollback,
+        _ => CommandKind::Write,
+    }
+}
+
+/// Returns a field of an `ErrorResponse`, such as `b'C'` for the SQLSTATE.
+pub(crate) fn error_field(message: &[u8], field: u8) -> Option<&str> {
+    let mut rest = body(message);
+    while let Some((kind, tail)) = rest.split_first() {
+        let (value, tail) = split_string(tail)?;
+        if *kind == field {
+            return Some(value);
+        }
+        rest = tail;
+    }
+    None
+}
+
+/// Returns whether the instance closes the connection after this `ErrorResponse`.
+pub(crate) fn is_fatal(message: &[u8]) -> bool {
+    let severity = error_field(message, b'V').or_else(|| error_field(message, b'S'));
+    matches!(severity, Some("FATAL" | "PANIC"))
+}
+
+fn unexpected<T>(message: &[u8]) -> Result<T> {
+    let what = format!("message {:?} from the instance", char::from(message[0]));
+    ProtocolSnafu { what }.fail()
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/traffic/upstream/statements.rs
@@ -0,0 +1,95 @@
+//! Prepared statements that one connection to an instance has.
+
+use std::collections::HashMap;
+
+/// Largest number of prepared statements kept on one connection.
+pub(crate) const MAX_STATEMENTS: usize = 200;
+
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    used: u64,
+    confirmed: bool,
+}
+
+/// Names of the prepared statements on a connection, least recently used first to go.
+#[derive(Debug, Default)]
+pub(crate) struct Statements {
+    known: HashMap<String, Known>,
+    unconfirmed: usize,
+    uses: u64,
+}
+
+impl Statements {
+    /// Returns whether the connection has the statement, or was just told to prepare it.
+    pub(crate) fn touch(&mut self, name: &str) -> bool {
+        self.uses += 1;
+        let Some(known) = self.known.get_mut(name) else {
+            return false;
+        };
+        known.used = self.uses;
+        true
+    }
+
+    /// Notes that a `Parse` was sent; returns a statement that has to be closed to make room.
+    pub(crate) fn prepare(&mut self, name: &str) -> Option<String> {
+        let evicted = self.least_recent(name);
+        if let Some(evicted) = &evicted {
+            self.remove(evicted);
+        }
+        self.uses += 1;
+        let known = Known {
+            used: self.uses,
+            confirmed: false,
+        };
+        let before = self.known.insert(name.to_owned(), known);
+        if before.is_none_or(|before| before.confirmed) {
+            self.unconfirmed += 1;
+        }
+        evicted
+    }
+
+    fn least_recent(&self, name: &str) -> Option<String> {
+        if self.known.len() < MAX_STATEMENTS || self.known.contains_key(name) {
+            return None;
+        }
+        let confirmed = self.known.iter().filter(|(_, known)| known.confirmed);
+        let oldest = confirmed.min_by_key(|(_, known)| known.used);
+        oldest.map(|(name, _)| name.clone())
+    }
+
+    /// Notes that the instance has prepared the statement.
+    pub(crate) fn confirm(&mut self, name: &str) {
+        let Some(known) = self.known.get_mut(name) else {
+            return;
+        };
+        if !known.confirmed {
+            known.confirmed = true;
+            self.unconfirmed -= 1;
+        }
+    }
+
+    /// Forgets statements whose `Parse` was not confirmed; called at `ReadyForQuery`.
+    pub(crate) fn drop_unconfirmed(&mut self) {
+        if self.unconfirmed > 0 {
+            self.known.retain(|_, known| known.confirmed);
+            self.unconfirmed = 0;
+        }
+    }
+
+    /// Forgets one statement.
+    pub(crate) fn remove(&mut self, name: &str) {
+        let removed = self.known.remove(name);
+        if removed.is_some_and(|known| !known.confirmed) {
+            self.unconfirmed -= 1;
+        }
+    }
+
+    /// Forgets all statements.
+    pub(crate) fn clear(&mut self) {
+        self.known.clear();
+        self.unconfirmed = 0;
+    }
+}
+
+#[cfg(test)]
+mod tests;
