Answer at once for a primary that was replaced; prove failover on the whole path

Cause: a statement on an isolated or paused primary got no answer until its deadline (30 s) although another primary served by then; the failure test showed it. Its silence was reported as of the start of the transaction, so that a long one raised no suspicion. Change: the relay looks at the view at each suspicion interval and gives the statement up once the instance was replaced (08007, or another try for a repeatable read); silence counts from the last sign of life; pushes that begin a term are always posted; two promotions in 10 s cost no patience.

--- a/lab/src/measure.rs
+++ b/lab/src/measure.rs
@@ -1,6 +1,7 @@
 //! Measurements: each figure beside its baseline and its stated target.
 
 pub mod control_slopes;
+pub mod failover_gap;
 mod fit;
 pub mod report;
 
@@ -51,11 +52,18 @@
 }
 
 /// Every measurement, in the order in which `all` runs them.
-pub const MEASUREMENTS: &[Measurement] = &[Measurement {
-    name: "control-slopes",
-    about: "what control costs a VM as databases, peers and changes grow in number",
-    run: || Box::pin(control_slopes::run()),
-}];
+pub const MEASUREMENTS: &[Measurement] = &[
+    Measurement {
+        name: "control-slopes",
+        about: "what control costs a VM as databases, peers and changes grow in number",
+        run: || Box::pin(control_slopes::run()),
+    },
+    Measurement {
+        name: "failover-gap",
+        about: "how long saves stop when a primary fails, and what becomes of them",
+        run: || Box::pin(failover_gap::run()),
+    },
+];
 
 /// Returns the names of the measurements.
 pub fn names() -> Vec<&'static str> {
--- a/src/control/term/group.rs
+++ b/src/control/term/group.rs
@@ -14,9 +14,13 @@
 use crate::settings::ControlSettings;
 use crate::time::Timestamp;
 
-/// Promotions within this time make the home more patient before the next one.
+/// Promotions within this time, beyond [`CALM_PROMOTIONS`], make the home more patient before the
+/// next one.
 const FLAPPING_WINDOW: Duration = Duration::from_secs(10);
 
+/// Promotions in close succession that two failures in a row may ask for.
+const CALM_PROMOTIONS: usize = 2;
+
 const MAX_PATIENCE: u32 = 4;
 
 /// What a decision about a group is made from, besides the group's own state.
@@ -243,7 +247,8 @@
         let disputed = evidence
             .answered_peer_at
             .is_some_and(|at| evidence.silent_since().is_some_and(|since| at >= since));
-        let flapping = u32::try_from(promotions).unwrap_or(MAX_PATIENCE);
+        let flapping = promotions.saturating_sub(CALM_PROMOTIONS);
+        let flapping = u32::try_from(flapping).unwrap_or(MAX_PATIENCE);
         (1 + flapping + u32::from(disputed)).min(MAX_PATIENCE)
     }
 
--- a/src/traffic/home/relay.rs
+++ b/src/traffic/home/relay.rs
@@ -65,6 +65,8 @@
     repeat: Option<VecDeque<CallerFrame>>,
     is_confirmed: bool,
     began_at: Timestamp,
+    /// When the instance was last sent something, or answered.
+    asked_at: Timestamp,
     timers: Timers,
 }
 
@@ -93,6 +95,7 @@
             cancelling: None,
             repeat: may_repeat.then(VecDeque::new),
             began_at,
+            asked_at: began_at,
             timers: Timers {
                 deadline: Instant::now(),
                 suspect_at: Instant::now(),
@@ -123,7 +126,7 @@
                 }
                 Wake::Read(Err(error)) => return Err(self.lost(&error, caller)),
                 Wake::Cancelled => self.cancelling = None,
-                Wake::Timer => self.act_on_time()?,
+                Wake::Timer => self.act_on_time(caller)?,
             }
         }
     }
@@ -334,6 +337,11 @@
     /// Handles the loss of the connection.
     fn lost(&mut self, error: &UpstreamError, caller: &mut Caller<'_, '_>) -> Stop {
         self.settings.place.instance.evidence.failed(error);
+        self.unanswered(RefusalReason::AnswerLost, caller)
+    }
+
+    /// Ends a statement that gets no answer any more, or lets it be tried elsewhere.
+    fn unanswered(&mut self, reason: RefusalReason, caller: &mut Caller<'_, '_>) -> Stop {
         // A lost connection needs no cancel request and holds no slot.
         self.lease = None;
         if !self.is_busy {
@@ -345,16 +353,31 @@
                 caller.backlog.extend(rest);
                 Stop::Retry
             }
-            _ => Refusal::last(RefusalReason::AnswerLost).into(),
+            _ => Refusal::last(reason).into(),
         }
     }
 
+    /// Returns whether control has given the instance up in the role that it was chosen for.
+    fn is_replaced(&self) -> bool {
+        let place = &self.settings.place;
+        let Some(view) = self.settings.home.view() else {
+            return false;
+        };
+        let name = &place.instance.name;
+        if place.is_primary {
+            return view.primary.as_ref().is_some_and(|primary| primary != name);
+        }
+        let mut instances = view.instances.iter();
+        !instances.any(|instance| instance.name == *name && instance.reachable)
+    }
+
     fn budget(&self) -> Duration {
         Duration::from_millis(self.settings.head.budget_ms)
     }
 
     fn restart_timers(&mut self) {
         let now = Instant::now();
+        self.asked_at = self.settings.home.clock.now();
         let home = &self.settings.home.settings;
         let suspect_after = Duration::from_millis(home.control.suspect_after_ms);
         self.timers.suspect_at = now + suspect_after;
@@ -370,7 +393,7 @@
         }
     }
 
-    fn act_on_time(&mut self) -> Result<(), Stop> {
+    fn act_on_time(&mut self, caller: &mut Caller<'_, '_>) -> Result<(), Stop> {
         let now = Instant::now();
         if !self.is_busy {
             return Err(Stop::Aborted(RefusalReason::IdleInTransaction));
@@ -378,7 +401,15 @@
         if now >= self.timers.suspect_at {
             let settings = &self.settings.home.settings.control;
             self.timers.suspect_at = now + Duration::from_millis(settings.suspect_after_ms);
-            self.settings.place.instance.evidence.silent(self.began_at);
+            self.settings.place.instance.evidence.silent(self.asked_at);
+            if self.is_replaced() {
+                let reason = if self.settings.place.is_primary {
+                    RefusalReason::TermChanged
+                } else {
+                    RefusalReason::AnswerLost
+                };
+                return Err(self.unanswered(reason, caller));
+            }
         }
         if now < self.timers.deadline {
             return Ok(());
--- a/src/traffic/instance/evidence.rs
+++ b/src/traffic/instance/evidence.rs
@@ -31,7 +31,7 @@
     silent_at: Option<Timestamp>,
     closed_at: Option<Timestamp>,
     pushed_at: Option<Timestamp>,
-    pushed: Option<(Term, bool)>,
+    pushed: Option<(Term, bool, Term)>,
 }
 
 fn is_due(last: &mut Option<Timestamp>, now: Timestamp) -> bool {
@@ -117,11 +117,12 @@
     }
 
     /// Posts a report that the instance pushed, unless it differs from the one before in nothing
-    /// but the position and that was posted a moment ago.
+    /// but the position within a term and that was posted a moment ago.
     pub(crate) fn pushed(&self, report: InstanceReport) {
         let now = self.clock.now();
         let due = self.with_last(|last| {
-            let key = Some((report.adopted.clone(), report.is_primary));
+            let last_term = report.last.term.clone();
+            let key = Some((report.adopted.clone(), report.is_primary, last_term));
             let changed = last.pushed != key;
             last.pushed = key;
             is_due(&mut last.pushed_at, now) || changed
