--- a/src/traffic/caller/tests.rs
+++ b/src/traffic/caller/tests.rs
@@ -1,6 +1,8 @@
 mod fake_home;
 mod fixture;
+mod tls;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,6 +14,7 @@
 
 use self::fake_home::{Arrival, moved};
 use self::fixture::{DATABASE, Fixture, connect, sqlstate};
+use super::{CallerRegistry, CancelKey};
 use crate::settings::CallerSettings;
 use crate::traffic::{Access, Refusal, RefusalReason};
 
@@ -181,7 +184,7 @@
 }
 
 #[tokio::test]
-async fn gives_up_on_a_home_within_the_budget() {
+async fn gives_up_on_a_home_well_within_the_budget() {
     let fixture = Fixture::start().await;
     let client = fixture.connect().await;
     for _ in 0..100 {
@@ -190,6 +193,8 @@
     let statement = "SELECT 1 /*timeout_ms='100'*/";
     let error = soon(client.batch_execute(statement)).await.unwrap_err();
     assert_eq!(sqlstate(&error), "57P03");
+    // Half of 100 ms has room for three attempts that are 20 ms apart.
+    assert!(fixture.home.heads().len() <= 3);
 }
 
 #[tokio::test]
@@ -302,6 +307,33 @@
     assert_eq!(count, 1);
 }
 
+#[tokio::test]
+async fn a_cancel_request_is_passed_on_to_the_vm_that_gave_the_key() {
+    let fixture = Fixture::start().await;
+    let registry = Arc::new(CallerRegistry::new(&"vm-2".into()));
+    let there = registry.register(&"council".into(), &"key-1".into());
+    let key = there.cancel_key;
+    let mut request = vec![0, 0, 0, 16, 4, 210, 22, 46];
+    request.extend_from_slice(&key.process.to_be_bytes());
+    request.extend_from_slice(&key.secret.to_be_bytes());
+    let mut stream = TcpStream::connect(fixture.listener.address).await.unwrap();
+    stream.write_all(&request).await.unwrap();
+    soon(
+        fixture
+            .home
+            .wait_for(|arrival| *arrival == Arrival::PeerCancel(key)),
+    )
+    .await;
+    there.signal.start_statement();
+    registry.cancel(CancelKey {
+        secret: key.secret.wrapping_add(1),
+        ..key
+    });
+    assert!(!there.signal.take_cancel());
+    registry.cancel(key);
+    assert!(there.signal.take_cancel());
+}
+
 #[tokio::test]
 async fn a_withdrawn_key_ends_idle_and_open_transactions() {
     let fixture = Fixture::start().await;
--- a/src/traffic/caller/tests/fake_home.rs
+++ b/src/traffic/caller/tests/fake_home.rs
@@ -9,6 +9,7 @@
 use pgwire::messages::response::{CommandComplete, TransactionStatus};
 
 use super::super::reader::{HEADER_BYTES, Message, MessageReader, split_text};
+use super::super::registry::CancelKey;
 use super::super::response::{
     CallerError, LocalReply, Severity, put, put_error, put_ready, put_reply,
 };
@@ -25,6 +26,8 @@
     Message(u8, String),
     Cancel,
     Gone,
+    /// Request of another VM to cancel a statement there.
+    PeerCancel(CancelKey),
 }
 
 /// Home that answers from a script: the text of a statement says what it does.
@@ -79,7 +82,7 @@
         }
     }
 
-    fn note(&self, arrival: Arrival) {
+    pub(super) fn note(&self, arrival: Arrival) {
         self.arrivals.lock().unwrap().push(arrival);
     }
 
--- a/src/traffic/caller/tests/fixture.rs
+++ b/src/traffic/caller/tests/fixture.rs
@@ -10,13 +10,14 @@
 use tokio_postgres::{Client, Config, NoTls};
 
 use super::super::{CallerListener, CallerParts, serve};
-use super::fake_home::FakeHome;
+use super::fake_home::{Arrival, FakeHome};
 use crate::configuration::{
     Configuration, DatabaseGroup, Key, KeyState, Limits, Record, Revision, Workspace,
 };
 use crate::control::blackboard::{Incarnation, LocalVm};
 use crate::control::snapshot::{HomeView, PeerView, Snapshot, Standing};
 use crate::controller::{SharedSnapshot, control_mailbox};
+use crate::peer::PeerMessage;
 use crate::peer::server::{PeerHandlers, PeerServer, PeerSockets};
 use crate::settings::{CallerSettings, PeerSettings, Settings};
 use crate::time::{Clock, Timestamp};
@@ -116,9 +117,13 @@
         let there = PeerSockets::bind(&peers, &local("vm-2")).await.unwrap();
         let snapshot: SharedSnapshot = Arc::new(ArcSwap::from_pointee(snapshot(there.address())));
         let home = FakeHome::default();
-        let running = home.clone();
+        let (running, cancelled) = (home.clone(), home.clone());
         let server = there.serve(PeerHandlers {
-            message: Box::new(|_, _, _| {}),
+            message: Box::new(move |_, _, message| {
+                if let PeerMessage::Cancel(key) = message {
+                    cancelled.note(Arrival::PeerCancel(key));
+                }
+            }),
             exchange: Box::new(move |head, end| {
                 tokio::spawn(running.clone().run(head, end));
             }),
--- a/src/traffic/dispatch.rs
+++ b/src/traffic/dispatch.rs
@@ -8,6 +8,7 @@
 use super::{CallerFrame, ExchangeHead, HomeFrame, HomeIo, Refusal, RefusalReason};
 use crate::name::VmName;
 use crate::peer::CallerEnd;
+use crate::telemetry::span::{Hop, Span};
 
 /// Time for which an exchange that has not run is brought to another home.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -31,14 +32,20 @@
 }
 
 /// Runs one exchange to its end.
-pub(crate) async fn run(session: &mut CallerSession, head: ExchangeHead) {
-    let budget = Duration::from_millis(head.budget_ms).min(MOVE_TIMEOUT);
+pub(crate) async fn run(session: &mut CallerSession, mut head: ExchangeHead) {
+    // The caller is told in time to ask again elsewhere.
+    let budget = Duration::from_millis(head.budget_ms / 2).min(MOVE_TIMEOUT);
     let deadline = Instant::now() + budget;
+    let mut span = Span::start(Hop::Caller, head.traceparent.as_deref());
+    span.set("workspace", head.workspace.to_string());
+    span.set("database", head.database.to_string());
+    head.traceparent = span.traceparent();
     loop {
         let Attempt::Refused(refusal) = attempt(session, &head).await else {
             session.end_exchange(None);
             return;
         };
+        span.fail(&refusal.reason);
         let may_move = refusal.reason == RefusalReason::HomeUnknown && session.rewind();
         if !may_move || Instant::now() + LOOKUP_INTERVAL >= deadline {
             session.end_exchange(Some(refusal));
@@ -69,7 +76,11 @@
         }
         Place::Peer(vm) => {
             let peers = session.peers();
-            match peers.open(&vm, head.clone()).await {
+            let mut head = head.clone();
+            let mut span = Span::start(Hop::Forward, head.traceparent.as_deref());
+            span.set("vm", vm.to_string());
+            head.traceparent = span.traceparent();
+            match peers.open(&vm, head).await {
                 Ok(end) => forward(session, end).await,
                 Err(error) => {
                     log::debug!(
