--- a/lab/src/client.rs
+++ b/lab/src/client.rs
@@ -8,8 +8,10 @@
 use rustls::pki_types::pem::PemObject;
 use rustls::{ClientConfig, RootCertStore};
 use snafu::{ResultExt, Snafu};
-use tokio_postgres::Client;
+use tokio::net::TcpStream;
 use tokio_postgres::config::{Config, SslMode};
+use tokio_postgres::tls::MakeTlsConnect;
+use tokio_postgres::{CancelToken, Client};
 use tokio_postgres_rustls::MakeRustlsConnect;
 
 use crate::deployment::key_of;
@@ -115,4 +117,15 @@
         tokio::spawn(connection);
         Ok(client)
     }
+
+    /// Asks any VM to cancel what a caller runs; returns whether the VM took the request.
+    pub async fn cancel(&self, address: SocketAddr, caller: &CancelToken) -> bool {
+        let mut maker = self.tls.clone();
+        let host = address.ip().to_string();
+        let Ok(tls) = MakeTlsConnect::<TcpStream>::make_tls_connect(&mut maker, &host);
+        let Ok(stream) = TcpStream::connect(address).await else {
+            return false;
+        };
+        caller.cancel_query_raw(stream, tls).await.is_ok()
+    }
 }
