Replay traces against stated outcomes and measure what a VM adds

Cause: each promise has to be shown by a run that an outsider can repeat, and the cost of the proxy has to stand beside a plain relay. Change: a trace format with stated outcomes, replay with a table promise by promise, traces of both deployments; measure overhead with VMs and the relay as processes of their own. Transactions of the stand-in database work on a copy and run again at commit, so that they never wait for each other: with one writer a transaction that was refused a slot stopped everyone.

--- a/lab/src/app.rs
+++ b/lab/src/app.rs
@@ -1,5 +1,6 @@
 //! Command line of the lab.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use argh::FromArgs;
@@ -17,6 +18,8 @@
     Demo(Demo),
     StandIns(StandIns),
     Measure(Measure),
+    Relay(Relay),
+    Replay(Replay),
 }
 
 /// Runs VMs on stand-ins until the process is asked to stop.
@@ -85,3 +88,37 @@
     #[argh(switch)]
     pub(crate) json: bool,
 }
+
+/// Relays connections to one address; the baseline of the measurements.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "relay")]
+pub(crate) struct Relay {
+    /// address to listen on; the one that was bound is printed
+    #[argh(option)]
+    pub(crate) listen: SocketAddr,
+
+    /// address to relay to
+    #[argh(option)]
+    pub(crate) to: SocketAddr,
+}
+
+/// Replays traces against VMs on stand-ins, and exits with 1 on any broken promise.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "replay")]
+pub(crate) struct Replay {
+    /// traces, JSON lines
+    #[argh(positional)]
+    pub(crate) files: Vec<PathBuf>,
+
+    /// seed of the sessions' roaming
+    #[argh(option, default = "1")]
+    pub(crate) seed: u64,
+
+    /// factor that times of the trace are divided by
+    #[argh(option, default = "1.0")]
+    pub(crate) speed: f64,
+
+    /// print JSON for programs
+    #[argh(switch)]
+    pub(crate) json: bool,
+}
--- a/lab/src/database.rs
+++ b/lab/src/database.rs
@@ -168,14 +168,9 @@
                 });
             }
         }
-        let generation = primary.begin_write()?;
-        {
-            let core = primary.core();
-            for statement in &statements {
-                core.store.run(true, &statement.sql, &[])?;
-            }
-        }
-        primary.commit(generation, statements)
+        let mut write = primary.begin_write()?;
+        write.statements = statements;
+        primary.commit(write)
     }
 
     fn instance(&self, name: &str) -> &Arc<Instance> {
@@ -324,6 +319,18 @@
         self.instance(instance).sessions().len()
     }
 
+    /// Returns how many statements an instance has run, reports and term changes apart.
+    pub fn statements(&self, instance: &str) -> u64 {
+        self.instance(instance).statements.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many statements an instance has run while it was a replica.
+    pub fn replica_statements(&self, instance: &str) -> u64 {
+        self.instance(instance)
+            .replica_statements
+            .load(Ordering::Relaxed)
+    }
+
     /// Returns the positions of an instance's log.
     pub fn log(&self, instance: &str) -> Vec<LogPosition> {
         self.instance(instance)
@@ -343,7 +350,7 @@
         let read = || -> error::Result<Vec<Vec<String>>> {
             let plans = sql::parse(text)?;
             let core = self.instance(instance).core();
-            let rows = core.store.run(false, &plans[0].sql, &[])?;
+            let rows = core.store.run(&plans[0].sql, &[])?;
             let texts = |row: Vec<_>| {
                 row.iter()
                     .map(|value| value::text_of(value::TEXT, value))
--- a/lab/src/database/copy.rs
+++ b/lab/src/database/copy.rs
@@ -30,7 +30,7 @@
         };
         let known = {
             let core = self.instance.core();
-            super::types::table_columns(core.store.connection(self.transaction.writes()), table)
+            super::types::table_columns(self.tables(&core), table)
         };
         if known.is_empty() {
             return Err(SqlError::new(
@@ -71,11 +71,11 @@
         }
     }
 
-    pub(crate) async fn copy_done(&mut self) {
+    pub(crate) fn copy_done(&mut self) {
         let Some(copy) = self.copy_in.take() else {
             return;
         };
-        let result = self.load(&copy).await;
+        let result = self.load(&copy);
         match result {
             Ok(count) => self.put_complete(&format!("COPY {count}")),
             Err(error) => self.fail(&error),
@@ -101,9 +101,9 @@
         }
     }
 
-    async fn load(&mut self, copy: &CopyIn) -> Result<usize> {
+    fn load(&mut self, copy: &CopyIn) -> Result<usize> {
         let instance = Arc::clone(&self.instance);
-        self.transaction.start_write(&instance).await?;
+        self.transaction.start_write(&instance)?;
         let text = std::str::from_utf8(&copy.data)
             .map_err(|error| SqlError::new("22021", error.to_string()))?;
         let mut count = 0;
@@ -112,7 +112,7 @@
             {
                 let core = instance.core();
                 self.transaction.check_generation(core.generation)?;
-                core.store.run(true, &copy.insert, &values)?;
+                self.run_on_tables(&core, &copy.insert, &values)?;
             }
             self.transaction.log(&copy.insert, &values);
             count += 1;
@@ -124,7 +124,7 @@
     pub(crate) async fn copy_out(&mut self, plan: &Plan) -> Result<()> {
         let rows = {
             let core = self.instance.core();
-            core.store.run(self.transaction.writes(), &plan.sql, &[])?
+            self.run_on_tables(&core, &plan.sql, &[])?
         };
         let oids = self.result_types(plan, &rows, &[]);
         let response = CopyOutResponse::new(0, oids.len() as i16, vec![0; oids.len()]);
--- a/lab/src/database/extended.rs
+++ b/lab/src/database/extended.rs
@@ -88,7 +88,7 @@
         };
         let described = {
             let core = self.instance.core();
-            let connection = core.store.connection(self.transaction.writes());
+            let connection = self.tables(&core);
             let columns = types::Columns::of(statement, connection);
             prepared.parameters = types::parameters(statement, &columns, &parse.type_oids);
             describe_rows(connection, &prepared.plan, prepared.parameters.len())?
@@ -261,6 +261,12 @@
                 ..ResultSet::default()
             });
         }
+        Kind::Set { .. } if plan.tag == "SELECT" => {
+            return Ok(ResultSet {
+                names: vec!["set_config".to_owned()],
+                ..ResultSet::default()
+            });
+        }
         Kind::Terminate { .. } => {
             return Ok(ResultSet {
                 names: vec!["pg_terminate_backend".to_owned()],
--- a/lab/src/database/instance.rs
+++ b/lab/src/database/instance.rs
@@ -15,7 +15,7 @@
 use super::error::{Result, SqlError};
 use super::log::{Entry, LoggedStatement, first_term, last_position};
 use super::network::Network;
-use super::store::Store;
+use super::store::{Store, WorkingCopy};
 
 /// What an instance says of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -70,10 +70,17 @@
     pub(crate) following: Option<String>,
     /// Whether entries that the primary doesn't have were dropped in this term.
     pub(crate) synced: bool,
-    /// Raised when the open write transaction was ended from outside.
+    /// Raised when open write transactions were ended by a change of term.
     pub(crate) generation: u64,
-    /// What `now()` and random functions give in the open write transaction.
-    started: (i64, u64),
+}
+
+/// Write transaction under way.
+pub(crate) struct Write {
+    pub(crate) copy: WorkingCopy,
+    pub(crate) generation: u64,
+    pub(crate) statements: Vec<LoggedStatement>,
+    now_ms: i64,
+    seed: u64,
 }
 
 /// One instance.
@@ -84,9 +91,10 @@
     pub(crate) password: Option<String>,
     pub(crate) network: Network,
     pub(crate) checks: Arc<Checks>,
-    pub(crate) writer: Arc<tokio::sync::Mutex<()>>,
     pub(crate) sessions: Mutex<HashMap<i32, SessionHandle>>,
     pub(crate) running: AtomicU32,
+    pub(crate) statements: AtomicU64,
+    pub(crate) replica_statements: AtomicU64,
     pub(crate) slow_ms: AtomicU64,
     pub(crate) lag_ms: AtomicU64,
     /// Counts changes of the whole group, which wake its replicas.
@@ -94,6 +102,7 @@
     core: Mutex<Core>,
     report: watch::Sender<Report>,
     next_pid: AtomicI32,
+    next_seed: AtomicU64,
 }
 
 impl std::fmt::Debug for Instance {
@@ -135,7 +144,6 @@
             following: (!is_primary).then_some(parts.primary),
             synced: false,
             generation: 0,
-            started: (0, 0),
         };
         Ok(Self {
             name: parts.name,
@@ -144,15 +152,17 @@
             password: parts.password,
             network: Network::new(parts.delay),
             checks: parts.checks,
-            writer: Arc::default(),
             sessions: Mutex::default(),
             running: AtomicU32::new(0),
+            statements: AtomicU64::new(0),
+            replica_statements: AtomicU64::new(0),
             slow_ms: AtomicU64::new(0),
             lag_ms: AtomicU64::new(parts.lag.as_millis() as u64),
             changed: parts.changed,
             core: Mutex::new(core),
             report: watch::Sender::new(report),
             next_pid: AtomicI32::new(1),
+            next_seed: AtomicU64::new(1),
         })
     }
 
@@ -191,37 +201,53 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
-    /// Starts a write transaction; the caller holds the writer's lock. Returns its generation.
-    pub(crate) fn begin_write(&self) -> Result<u64> {
-        let mut core = self.core();
+    /// Starts a write transaction.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the instance is not the primary.
+    pub(crate) fn begin_write(&self) -> Result<Write> {
+        let core = self.core();
         if !core.is_primary {
             return Err(SqlError::read_only());
         }
-        core.started = (now_ms(), seed_of(&self.name, core.log.len()));
-        let Core {
-            store,
-            log,
-            started: (now_ms, seed),
-            ..
-        } = &mut *core;
-        store.begin(log, *now_ms, *seed)?;
-        Ok(core.generation)
+        let now_ms = now_ms();
+        let seed = seed_of(&self.name, self.next_seed.fetch_add(1, Ordering::Relaxed));
+        let copy = core.store.working_copy(now_ms, seed)?;
+        Ok(Write {
+            copy,
+            generation: core.generation,
+            now_ms,
+            seed,
+            statements: Vec::new(),
+        })
     }
 
     /// Commits a write transaction.
-    pub(crate) fn commit(&self, generation: u64, statements: Vec<LoggedStatement>) -> Result<()> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when the term has changed, or when another transaction has committed what contradicts
+    /// this one.
+    pub(crate) fn commit(&self, write: Write) -> Result<()> {
+        let Write {
+            generation,
+            now_ms,
+            seed,
+            statements,
+            ..
+        } = write;
         let mut core = self.core();
         if core.generation != generation {
             return Err(SqlError::read_only());
         }
         if statements.is_empty() {
-            return core.store.commit(None);
+            return Ok(());
         }
         let position = LogPosition {
             term: core.adopted.clone(),
             position: core.log.len() as u64 + 1,
         };
-        let (now_ms, seed) = core.started;
         let entry = Entry {
             position,
             statements,
@@ -229,20 +255,12 @@
             seed,
             committed_at: Instant::now(),
         };
-        core.store.commit(Some(&entry))?;
+        core.store.apply(&entry)?;
         core.log.push(Arc::new(entry));
         self.announce(&core);
         Ok(())
     }
 
-    /// Rolls a write transaction back, unless it was ended from outside.
-    pub(crate) fn roll_back(&self, generation: u64) {
-        let mut core = self.core();
-        if core.generation == generation {
-            core.store.roll_back();
-        }
-    }
-
     /// Adopts a term if it is higher than the one adopted; returns whether it was.
     pub(crate) fn adopt(&self, term: &Term) -> bool {
         let mut core = self.core();
@@ -253,38 +271,19 @@
         core.synced = false;
         core.following = None;
         if std::mem::take(&mut core.is_primary) {
-            core.store.roll_back();
             core.generation += 1;
         }
         self.announce(&core);
         true
     }
 
-    /// Becomes the primary of a term that was adopted, and starts the term in its log.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the store does.
-    pub(crate) fn promote(&self, term: &Term) -> Result<()> {
+    /// Becomes the primary of a term that was adopted.
+    pub(crate) fn promote(&self, term: &Term) {
         let mut core = self.core();
-        if core.adopted != *term || core.following.is_some() || core.is_primary {
-            return Ok(());
+        if core.adopted == *term && core.following.is_none() {
+            core.is_primary = true;
+            self.announce(&core);
         }
-        let entry = Entry {
-            position: LogPosition {
-                term: term.clone(),
-                position: core.log.len() as u64 + 1,
-            },
-            statements: Vec::new(),
-            now_ms: now_ms(),
-            seed: 0,
-            committed_at: Instant::now(),
-        };
-        core.store.replicate(&entry)?;
-        core.log.push(Arc::new(entry));
-        core.is_primary = true;
-        self.announce(&core);
-        Ok(())
     }
 
     /// Follows the primary of a term.
@@ -328,8 +327,8 @@
     elapsed.as_millis() as i64
 }
 
-fn seed_of(name: &str, entries: usize) -> u64 {
-    name.bytes().fold(entries as u64 * 1_000_003, |seed, byte| {
+fn seed_of(name: &str, number: u64) -> u64 {
+    name.bytes().fold(number * 1_000_003, |seed, byte| {
         seed.wrapping_mul(31).wrapping_add(byte.into())
     })
 }
--- a/lab/src/database/replication.rs
+++ b/lab/src/database/replication.rs
@@ -62,7 +62,7 @@
             next_due = Some(due);
             break;
         }
-        if let Err(error) = core.store.replicate(&entry) {
+        if let Err(error) = core.store.apply(&entry) {
             log::error!(
                 "event=replication_failed instance={} error={:?}",
                 replica.name,
--- a/lab/src/database/run.rs
+++ b/lab/src/database/run.rs
@@ -5,10 +5,12 @@
 use currantlb::position::Term;
 use pgwire::messages::PgWireBackendMessage;
 use pgwire::messages::response::{CommandComplete, EmptyQueryResponse};
+use rusqlite::Connection;
 use rusqlite::types::Value;
 
 use super::checks::{ViolationKind, caller_tag};
 use super::error::{Result, SqlError};
+use super::instance::Core;
 use super::session::{FLUSH_BYTES, Session};
 use super::sql::{Kind, Plan, TermCall};
 use super::store::ResultSet;
@@ -45,7 +47,7 @@
     /// Commits what ran outside a block and says that the session is ready.
     pub(crate) fn end_simple_query(&mut self) {
         if !self.transaction.in_block
-            && let Err(error) = self.transaction.commit()
+            && let Err(error) = self.transaction.commit(&self.instance)
         {
             self.put_error(&error);
         }
@@ -65,6 +67,10 @@
                     self.copy_out(plan).await?;
                     continue;
                 }
+                Kind::Series { bytes, rows } => {
+                    self.put_series(*bytes, *rows).await;
+                    continue;
+                }
                 _ => {}
             }
             let outcome = self.run_plan(plan, &[]).await?;
@@ -78,6 +84,15 @@
         Ok(())
     }
 
+    async fn put_series(&mut self, bytes: usize, rows: u64) {
+        self.put_row_description(&["repeat".to_owned()], &[value::TEXT], &[]);
+        let row = vec![vec![Value::Text("x".repeat(bytes))]];
+        for _ in 0..rows {
+            self.put_rows(&row, &[value::TEXT], &[]).await;
+        }
+        self.put_complete(&format!("SELECT {rows}"));
+    }
+
     /// Checks a statement's text.
     pub(crate) fn look_at(&mut self, text: &str) {
         let instance = &self.instance;
@@ -114,7 +129,7 @@
                 Ok(tagged(plan.tag))
             }
             Kind::Commit => {
-                let committed = self.transaction.commit()?;
+                let committed = self.transaction.commit(&self.instance)?;
                 Ok(tagged(if committed { "COMMIT" } else { "ROLLBACK" }))
             }
             Kind::Rollback => {
@@ -131,6 +146,9 @@
         match &plan.kind {
             Kind::Set { name, value } => {
                 self.settings.insert(name.clone(), value.clone());
+                if plan.tag == "SELECT" {
+                    return one_text("set_config", value.clone());
+                }
             }
             Kind::Reset => {
                 self.settings.clear();
@@ -140,16 +158,7 @@
                 }
             }
             Kind::Show { name } => {
-                let value = self.setting(name);
-                let rows = ResultSet {
-                    names: vec![name.clone()],
-                    rows: vec![vec![Value::Text(value)]],
-                    ..ResultSet::default()
-                };
-                return Outcome {
-                    rows: Some(rows),
-                    tag: plan.tag.to_owned(),
-                };
+                return one_text(name, self.setting(name));
             }
             Kind::Listen { .. } => self.listening = true,
             Kind::Unlisten => self.listening = false,
@@ -190,7 +199,7 @@
             TermCall::Adopt { term } => {
                 self.instance.adopt(&parse(term)?);
             }
-            TermCall::Promote { term } => self.instance.promote(&parse(term)?)?,
+            TermCall::Promote { term } => self.instance.promote(&parse(term)?),
             TermCall::Follow { term, primary } => self.instance.follow(&parse(term)?, primary)?,
         }
         let report = self.instance.report();
@@ -248,7 +257,7 @@
                 tokio::time::sleep(std::time::Duration::from_secs_f64(seconds)).await;
             }
             if matches!(plan.kind, Kind::Write | Kind::Savepoint) {
-                self.transaction.start_write(&self.instance).await?;
+                self.transaction.start_write(&self.instance)?;
             }
             Ok(())
         };
@@ -265,8 +274,7 @@
         let rows = {
             let core = self.instance.core();
             self.transaction.check_generation(core.generation)?;
-            core.store
-                .run(self.transaction.writes(), &plan.sql, parameters)?
+            self.run_on_tables(&core, &plan.sql, parameters)?
         };
         if plan.kind == Kind::Savepoint {
             self.transaction.failed = false;
@@ -289,6 +297,27 @@
         Ok(Outcome { rows, tag })
     }
 
+    /// Returns the tables that a statement sees.
+    pub(crate) fn tables<'a>(&'a self, core: &'a Core) -> &'a Connection {
+        match self.transaction.copy() {
+            Some(copy) => copy.connection(),
+            None => core.store.connection(),
+        }
+    }
+
+    /// Runs a statement on the tables that it sees.
+    pub(crate) fn run_on_tables(
+        &self,
+        core: &Core,
+        sql: &str,
+        parameters: &[Value],
+    ) -> Result<ResultSet> {
+        match self.transaction.copy() {
+            Some(copy) => copy.run(sql, parameters),
+            None => core.store.run(sql, parameters),
+        }
+    }
+
     /// Returns the types of a statement's results.
     pub(crate) fn result_types(
         &self,
@@ -299,7 +328,7 @@
         let hints = match &plan.statement {
             Some(statement) => {
                 let core = self.instance.core();
-                let connection = core.store.connection(self.transaction.writes());
+                let connection = self.tables(&core);
                 let columns = super::types::Columns::of(statement, connection);
                 super::types::results(statement, &columns, parameters)
             }
@@ -347,6 +376,18 @@
     }
 }
 
+fn one_text(name: &str, value: String) -> Outcome {
+    let rows = ResultSet {
+        names: vec![name.to_owned()],
+        rows: vec![vec![Value::Text(value)]],
+        ..ResultSet::default()
+    };
+    Outcome {
+        rows: Some(rows),
+        tag: "SELECT 1".to_owned(),
+    }
+}
+
 fn tagged(tag: &str) -> Outcome {
     Outcome {
         rows: None,
@@ -362,6 +403,10 @@
 impl Running {
     fn start(session: &Session) -> Self {
         let instance = std::sync::Arc::clone(&session.instance);
+        instance.statements.fetch_add(1, Ordering::Relaxed);
+        if !instance.report().is_primary {
+            instance.replica_statements.fetch_add(1, Ordering::Relaxed);
+        }
         let before = instance.running.fetch_add(1, Ordering::AcqRel);
         if before >= instance.shape.slots && !session.vm.is_empty() {
             let detail = format!("{} statements run", before + 1);
--- a/lab/src/database/session.rs
+++ b/lab/src/database/session.rs
@@ -134,7 +134,7 @@
             Frontend::Sync(_) => self.sync(),
             Frontend::Flush(_) => self.flush().await?,
             Frontend::CopyData(data) => self.copy_data(&data.data),
-            Frontend::CopyDone(_) => self.copy_done().await,
+            Frontend::CopyDone(_) => self.copy_done(),
             Frontend::CopyFail(fail) => self.copy_fail(&fail.message),
             _ if self.skipping => {}
             Frontend::Parse(parse) => self.parse(parse),
@@ -204,7 +204,7 @@
     fn sync(&mut self) {
         self.skipping = false;
         if !self.transaction.in_block
-            && let Err(error) = self.transaction.commit()
+            && let Err(error) = self.transaction.commit(&self.instance)
         {
             self.put_error(&error);
         }
--- a/lab/src/database/sql.rs
+++ b/lab/src/database/sql.rs
@@ -64,6 +64,11 @@
     Sleep {
         seconds: String,
     },
+    /// Rows of one repeated text, made as they are sent.
+    Series {
+        bytes: usize,
+        rows: u64,
+    },
     Ignored,
 }
 
@@ -228,6 +233,13 @@
         return Kind::Term(call);
     }
     let mut literals = literals(&text).into_iter();
+    if text.contains("set_config(") {
+        let name = literals.next().unwrap_or_default();
+        return Kind::Set {
+            name,
+            value: literals.next().unwrap_or_default(),
+        };
+    }
     if text.contains("pg_terminate_backend") && text.contains("pg_stat_activity") {
         let like = literals.next().unwrap_or_default();
         return Kind::Terminate {
@@ -245,6 +257,9 @@
             seconds: seconds.to_owned(),
         };
     }
+    if let Some((bytes, rows)) = series(&text) {
+        return Kind::Series { bytes, rows };
+    }
     let writes = ["INSERT ", "UPDATE ", "DELETE "];
     if !query.locks.is_empty()
         || (query.with.is_some() && writes.iter().any(|word| text.contains(word)))
@@ -271,6 +286,13 @@
     }
 }
 
+/// Parses `SELECT repeat('x', BYTES) FROM generate_series(1, ROWS)`.
+fn series(text: &str) -> Option<(usize, u64)> {
+    let rest = text.strip_prefix("SELECT repeat('x', ")?;
+    let (bytes, rest) = rest.split_once(") FROM generate_series(1, ")?;
+    Some((bytes.parse().ok()?, rest.strip_suffix(')')?.parse().ok()?))
+}
+
 /// Returns the quoted literals of a statement in order.
 fn literals(text: &str) -> Vec<String> {
     text.split('\'')
--- a/lab/src/database/store.rs
+++ b/lab/src/database/store.rs
@@ -1,10 +1,11 @@
-//! The tables of one instance: what is committed, and a working copy for the open transaction.
+//! The tables of one instance: what is committed, and a copy for each open transaction.
 
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
 
+use rusqlite::backup::Backup;
 use rusqlite::functions::FunctionFlags;
 use rusqlite::types::Value;
 use rusqlite::{Connection, params_from_iter};
@@ -12,6 +13,9 @@
 use super::error::Result;
 use super::log::{Entry, LoggedStatement};
 
+/// Pages that one step of a copy takes: all of them.
+const ALL_PAGES: i32 = -1;
+
 /// Answer of one statement.
 #[derive(Debug, Default, Clone)]
 pub(crate) struct ResultSet {
@@ -35,82 +39,78 @@
 /// The tables of one instance.
 pub(crate) struct Store {
     committed: Connection,
-    working: Connection,
-    /// Entries that the working copy has.
-    working_entries: usize,
-    open: bool,
     determinism: Arc<Determinism>,
 }
 
+/// Copy of the tables that one write transaction works on.
+///
+/// Its statements run again on the committed tables when it commits, so that no transaction waits
+/// for another one.
+pub(crate) struct WorkingCopy {
+    connection: Connection,
+}
+
+impl WorkingCopy {
+    pub(crate) fn connection(&self) -> &Connection {
+        &self.connection
+    }
+
+    /// Runs one statement.
+    pub(crate) fn run(&self, sql: &str, parameters: &[Value]) -> Result<ResultSet> {
+        run(&self.connection, sql, parameters)
+    }
+}
+
 impl Store {
     pub(crate) fn new() -> Result<Self> {
         let determinism = Arc::new(Determinism::default());
+        let committed = connect(&determinism)?;
         Ok(Self {
-            committed: connect(&determinism)?,
-            working: connect(&determinism)?,
-            working_entries: 0,
-            open: false,
+            committed,
             determinism,
         })
     }
 
-    /// Returns the connection whose state a statement sees.
-    pub(crate) fn connection(&self, in_write: bool) -> &Connection {
-        if in_write {
-            &self.working
-        } else {
-            &self.committed
-        }
+    /// Returns the committed tables.
+    pub(crate) fn connection(&self) -> &Connection {
+        &self.committed
     }
 
-    /// Runs one statement.
-    pub(crate) fn run(&self, in_write: bool, sql: &str, parameters: &[Value]) -> Result<ResultSet> {
-        run(self.connection(in_write), sql, parameters)
+    /// Runs one statement that reads.
+    pub(crate) fn run(&self, sql: &str, parameters: &[Value]) -> Result<ResultSet> {
+        run(&self.committed, sql, parameters)
     }
 
-    /// Starts a transaction on the working copy, after bringing it up to the log.
-    pub(crate) fn begin(&mut self, log: &[Arc<Entry>], now_ms: i64, seed: u64) -> Result<()> {
-        for entry in &log[self.working_entries..] {
-            apply(&self.working, &self.determinism, entry)?;
-        }
-        self.working_entries = log.len();
-        self.determinism.set(now_ms, seed);
-        self.working.execute_batch("BEGIN")?;
-        self.open = true;
-        Ok(())
-    }
-
-    /// Ends the open transaction; `entry` is what it logged, `None` when nothing was written.
-    pub(crate) fn commit(&mut self, entry: Option<&Entry>) -> Result<()> {
-        self.working.execute_batch("COMMIT")?;
-        self.open = false;
-        if let Some(entry) = entry {
-            self.working_entries += 1;
-            apply(&self.committed, &self.determinism, entry)?;
-        }
-        Ok(())
+    /// Copies the committed tables for a transaction that writes.
+    pub(crate) fn working_copy(&self, now_ms: i64, seed: u64) -> Result<WorkingCopy> {
+        let determinism = Arc::new(Determinism::default());
+        determinism.set(now_ms, seed);
+        let mut connection = connect(&determinism)?;
+        let backup = Backup::new(&self.committed, &mut connection)?;
+        backup.step(ALL_PAGES)?;
+        drop(backup);
+        connection.execute_batch("BEGIN")?;
+        Ok(WorkingCopy { connection })
     }
 
-    /// Ends the open transaction, if there is one, without effect.
-    pub(crate) fn roll_back(&mut self) {
-        if std::mem::take(&mut self.open) {
+    /// Applies an entry of the log.
+    ///
+    /// # Errors
+    ///
+    /// Fails, without effect, when another transaction has committed what contradicts the entry.
+    pub(crate) fn apply(&self, entry: &Entry) -> Result<()> {
+        let applied = apply(&self.committed, &self.determinism, entry);
+        if applied.is_err() {
             // SQLite has ended the transaction itself when this fails.
-            let _ = self.working.execute_batch("ROLLBACK");
+            let _ = self.committed.execute_batch("ROLLBACK");
         }
-    }
-
-    /// Applies an entry that another instance committed.
-    pub(crate) fn replicate(&mut self, entry: &Entry) -> Result<()> {
-        apply(&self.committed, &self.determinism, entry)
+        applied
     }
 
     /// Builds the tables anew from a log.
     pub(crate) fn rebuild(&mut self, log: &[Arc<Entry>]) -> Result<()> {
         *self = Self::new()?;
-        for entry in log {
-            apply(&self.committed, &self.determinism, entry)?;
-        }
-        Ok(())
+        log.iter().try_for_each(|entry| self.apply(entry))
     }
 }
 
--- a/lab/src/database/transaction.rs
+++ b/lab/src/database/transaction.rs
@@ -4,48 +4,11 @@
 
 use pgwire::messages::response::TransactionStatus;
 use rusqlite::types::Value;
-use tokio::sync::OwnedMutexGuard;
 
 use super::error::{Result, SqlError};
-use super::instance::Instance;
+use super::instance::{Instance, Write};
 use super::log::LoggedStatement;
-
-/// Write transaction; holds the instance's one writer.
-pub(crate) struct WriteTransaction {
-    instance: Arc<Instance>,
-    generation: u64,
-    statements: Vec<LoggedStatement>,
-    ended: bool,
-    _writer: OwnedMutexGuard<()>,
-}
-
-impl WriteTransaction {
-    async fn begin(instance: &Arc<Instance>) -> Result<Self> {
-        let writer = Arc::clone(&instance.writer).lock_owned().await;
-        let generation = instance.begin_write()?;
-        Ok(Self {
-            instance: Arc::clone(instance),
-            generation,
-            statements: Vec::new(),
-            ended: false,
-            _writer: writer,
-        })
-    }
-
-    fn commit(mut self) -> Result<()> {
-        self.ended = true;
-        self.instance
-            .commit(self.generation, std::mem::take(&mut self.statements))
-    }
-}
-
-impl Drop for WriteTransaction {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.instance.roll_back(self.generation);
-        }
-    }
-}
+use super::store::WorkingCopy;
 
 /// Transaction state of one session.
 #[derive(Default)]
@@ -55,7 +18,7 @@
     /// Whether a statement of the block failed.
     pub(crate) failed: bool,
     read_only: bool,
-    write: Option<WriteTransaction>,
+    write: Option<Write>,
     /// Caller that the block's statements are tagged with.
     pub(crate) caller: Option<String>,
 }
@@ -75,7 +38,7 @@
     }
 
     /// Makes sure that a write transaction is open.
-    pub(crate) async fn start_write(&mut self, instance: &Arc<Instance>) -> Result<()> {
+    pub(crate) fn start_write(&mut self, instance: &Instance) -> Result<()> {
         if self.read_only && self.in_block {
             return Err(SqlError::new(
                 "25006",
@@ -83,7 +46,7 @@
             ));
         }
         if self.write.is_none() {
-            self.write = Some(WriteTransaction::begin(instance).await?);
+            self.write = Some(instance.begin_write()?);
         }
         Ok(())
     }
@@ -96,8 +59,9 @@
         }
     }
 
-    pub(crate) fn writes(&self) -> bool {
-        self.write.is_some()
+    /// Returns the tables that the transaction works on, when it writes.
+    pub(crate) fn copy(&self) -> Option<&WorkingCopy> {
+        self.write.as_ref().map(|write| &write.copy)
     }
 
     pub(crate) fn log(&mut self, sql: &Arc<str>, parameters: &[Value]) {
@@ -111,13 +75,13 @@
     }
 
     /// Ends the block or the implicit transaction; returns whether it was committed.
-    pub(crate) fn commit(&mut self) -> Result<bool> {
+    pub(crate) fn commit(&mut self, instance: &Instance) -> Result<bool> {
         let ended = std::mem::take(self);
         if ended.failed {
             return Ok(false);
         }
         if let Some(write) = ended.write {
-            write.commit()?;
+            instance.commit(write)?;
         }
         Ok(true)
     }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod certificate;
 pub mod client;
+pub mod daemons;
 pub mod database;
 pub mod demo;
 pub mod deployment;
@@ -15,4 +16,6 @@
 pub mod measure;
 pub mod platform;
 pub mod processes;
+pub mod relay;
+pub mod replay;
 pub mod stand_ins;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -11,11 +11,14 @@
 use currantlb_lab::fleet::FleetSettings;
 use currantlb_lab::measure::{self, Report};
 use currantlb_lab::processes;
+use currantlb_lab::relay;
+use currantlb_lab::replay::{self, Outcome, ReplayOptions};
 use currantlb_lab::stand_ins::StandInSettings;
 
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+use tokio::net::TcpListener;
 
-use crate::app::{Action, App, Demo, Measure, StandIns};
+use crate::app::{Action, App, Demo, Measure, Relay, Replay, StandIns};
 
 /// Counts allocations for the measurements.
 #[global_allocator]
@@ -32,6 +35,8 @@
         Action::Demo(arguments) => run_demo(&arguments).await,
         Action::StandIns(arguments) => run_stand_ins(&arguments).await,
         Action::Measure(arguments) => run_measurements(&arguments).await,
+        Action::Replay(arguments) => run_replay(&arguments).await,
+        Action::Relay(arguments) => exit_code(run_relay(&arguments).await),
     }
 }
 
@@ -100,6 +105,56 @@
     }
 }
 
+async fn run_replay(arguments: &Replay) -> ExitCode {
+    let options = ReplayOptions {
+        seed: arguments.seed,
+        speed: arguments.speed,
+        ..ReplayOptions::default()
+    };
+    let mut traces = Vec::new();
+    for file in &arguments.files {
+        match replay::trace::read(file) {
+            Ok(trace) => traces.push(trace),
+            Err(error) => {
+                eprintln!("{error}");
+                return ExitCode::from(EXIT_USAGE);
+            }
+        }
+    }
+    let mut is_met = true;
+    for trace in &traces {
+        match replay::run(trace, &options).await {
+            Ok(outcome) => {
+                is_met &= outcome.is_met();
+                print_outcome(&outcome, arguments.json);
+            }
+            Err(error) => {
+                eprintln!("{}: {error}", trace.header.name);
+                is_met = false;
+            }
+        }
+    }
+    if is_met {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+fn print_outcome(outcome: &Outcome, json: bool) {
+    if json {
+        println!("{}", serde_json::to_string(outcome).unwrap_or_default());
+    } else {
+        println!("{outcome}");
+    }
+}
+
+async fn run_relay(arguments: &Relay) -> std::io::Result<()> {
+    let listener = TcpListener::bind(arguments.listen).await?;
+    println!("{}", listener.local_addr()?);
+    relay::run(listener, arguments.to).await
+}
+
 fn deployment_named(name: &str) -> Option<Deployment> {
     let found = deployment::named(name);
     if found.is_none() {
--- a/lab/src/measure.rs
+++ b/lab/src/measure.rs
@@ -3,6 +3,7 @@
 pub mod control_slopes;
 pub mod failover_gap;
 mod fit;
+pub mod overhead;
 pub mod report;
 
 use futures::future::BoxFuture;
@@ -53,6 +54,11 @@
 
 /// Every measurement, in the order in which `all` runs them.
 pub const MEASUREMENTS: &[Measurement] = &[
+    Measurement {
+        name: "overhead",
+        about: "what a VM adds to a statement, beside a plain relay",
+        run: || Box::pin(overhead::run()),
+    },
     Measurement {
         name: "control-slopes",
         about: "what control costs a VM as databases, peers and changes grow in number",
--- /dev/null
+++ b/lab/src/measure/overhead/memory.rs
@@ -0,0 +1,154 @@
+//! Memory that idle callers and a slow reader of a large result take.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use futures::future::try_join_all;
+use futures::{FutureExt, TryStreamExt, pin_mut};
+use snafu::ResultExt;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::Sleep;
+use tokio_postgres::NoTls;
+
+use super::bench::{Bench, ProcessSnafu, Result};
+use super::load::Way;
+use crate::measure::{Figure, Target};
+
+/// Idle callers.
+const IDLE_CALLERS: usize = 8_000;
+
+/// Callers that log in at once.
+const LOGINS_AT_ONCE: usize = 100;
+
+/// Time for memory to settle.
+const SETTLE: Duration = Duration::from_secs(1);
+
+/// Rows of the large result, and bytes of each.
+const ROWS: u64 = 16 * 1_024;
+const ROW_BYTES: u64 = 64 * 1_024;
+
+/// Time for which the reader of the large result is slow.
+const SLOW_TIME: Duration = Duration::from_secs(3);
+
+/// Pause between two reads of a slow reader.
+const SLOW_PAUSE: Duration = Duration::from_millis(10);
+
+/// Measures memory through the home.
+pub(super) async fn figures(bench: &Bench) -> Result<Vec<Figure>> {
+    let grown = large_result(bench).await?;
+    let idle = idle_callers(bench).await?;
+    Ok(vec![
+        Figure::new(
+            format!("memory of an idle caller, of {IDLE_CALLERS}"),
+            idle,
+            "bytes",
+        )
+        .reaching(Target::AtMost(24.0 * 1_024.0)),
+        Figure::new(
+            "memory that a 1 GB result to a slow reader takes",
+            grown,
+            "bytes",
+        )
+        .reaching(Target::AtMost(8.0 * 1_024.0 * 1_024.0)),
+    ])
+}
+
+async fn idle_callers(bench: &Bench) -> Result<f64> {
+    let vm = &bench.daemons[bench.home()];
+    let before = vm.resident_bytes();
+    let mut clients = Vec::with_capacity(IDLE_CALLERS);
+    while clients.len() < IDLE_CALLERS {
+        let connecting = (0..LOGINS_AT_ONCE).map(|_| bench.connect(Way::Home));
+        clients.extend(try_join_all(connecting).await?);
+    }
+    tokio::time::sleep(SETTLE).await;
+    let grown = vm.resident_bytes().saturating_sub(before);
+    Ok(grown as f64 / clients.len() as f64)
+}
+
+async fn large_result(bench: &Bench) -> Result<f64> {
+    let config = bench.config(Way::Home);
+    let address = bench.caller_address(Way::Home);
+    let socket = TcpStream::connect(address).await.context(ProcessSnafu)?;
+    let slow = Arc::new(AtomicBool::new(true));
+    let socket = PacedSocket {
+        socket,
+        slow: Arc::clone(&slow),
+        pause: None,
+    };
+    let (client, connection) = config.connect_raw(socket, NoTls).await?;
+    tokio::spawn(connection.map(|_| ()));
+    let vm = &bench.daemons[bench.home()];
+    let before = vm.resident_bytes();
+    let statement = format!("SELECT repeat('x', {ROW_BYTES}) FROM generate_series(1, {ROWS})");
+    let reading = async {
+        let rows = client.simple_query_raw(&statement).await?;
+        pin_mut!(rows);
+        while rows.try_next().await?.is_some() {}
+        Ok::<_, tokio_postgres::Error>(())
+    };
+    let mut greatest = before;
+    let watching = async {
+        let start = tokio::time::Instant::now();
+        loop {
+            greatest = greatest.max(vm.resident_bytes());
+            if start.elapsed() > SLOW_TIME {
+                slow.store(false, Ordering::Relaxed);
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::select! {
+        result = reading => result?,
+        () = watching => {}
+    }
+    Ok(greatest.saturating_sub(before) as f64)
+}
+
+/// Socket whose reader pauses between reads while it is slow.
+struct PacedSocket {
+    socket: TcpStream,
+    slow: Arc<AtomicBool>,
+    pause: Option<Pin<Box<Sleep>>>,
+}
+
+impl AsyncRead for PacedSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if let Some(pause) = &mut self.pause {
+            futures::ready!(pause.as_mut().poll(cx));
+            self.pause = None;
+        }
+        futures::ready!(Pin::new(&mut self.socket).poll_read(cx, buf))?;
+        if self.slow.load(Ordering::Relaxed) {
+            self.pause = Some(Box::pin(tokio::time::sleep(SLOW_PAUSE)));
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for PacedSocket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(cx)
+    }
+}
--- a/lab/src/processes.rs
+++ b/lab/src/processes.rs
@@ -75,6 +75,15 @@
     pub caller_address: SocketAddr,
 }
 
+/// How callers connect to the VMs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Transport {
+    /// Over TLS.
+    Tls,
+    /// In plain text, for comparison with a plain relay.
+    Plain,
+}
+
 /// Starts the stand-ins, and writes the settings files of a number of VMs.
 ///
 /// Each VM has an IP number of its own on the loopback network, so that ports stay the same.
@@ -86,6 +95,20 @@
     settings: StandInSettings,
     vms: usize,
     directory: &Path,
+) -> Result<(StandIns, ProcessIndex)> {
+    prepare_with(settings, vms, directory, Transport::Tls).await
+}
+
+/// Does what [`prepare`] does, with a choice of how callers connect.
+///
+/// # Errors
+///
+/// Fails when a stand-in can't start or a file can't be written.
+pub async fn prepare_with(
+    settings: StandInSettings,
+    vms: usize,
+    directory: &Path,
+    transport: Transport,
 ) -> Result<(StandIns, ProcessIndex)> {
     let stand_ins = StandIns::start(settings).await.context(StandInSnafu)?;
     let hosts: Vec<_> = (0..vms).map(|_| loopback::next_host()).collect();
@@ -101,7 +124,11 @@
             peers: SocketAddr::from((host, PEER_PORT)),
             administration: SocketAddr::from((host, ADMINISTRATION_PORT)),
         };
-        let vm = vm_settings(&stand_ins, &certificates, number, &addresses);
+        let mut vm = vm_settings(&stand_ins, &certificates, number, &addresses);
+        if transport == Transport::Plain {
+            vm.callers.tls_certificate_file = None;
+            vm.callers.tls_key_file = None;
+        }
         let settings_file = write_settings(directory, &vm)?;
         let record = vm_record(&vm.vm, addresses.peers, VmState::Live);
         stand_ins
