--- a/lab/src/database/run.rs
+++ b/lab/src/database/run.rs
@@ -199,7 +199,7 @@
             TermCall::Adopt { term } => {
                 self.instance.adopt(&parse(term)?);
             }
-            TermCall::Promote { term } => self.instance.promote(&parse(term)?),
+            TermCall::Promote { term } => self.instance.promote(&parse(term)?)?,
             TermCall::Follow { term, primary } => self.instance.follow(&parse(term)?, primary)?,
         }
         let report = self.instance.report();
--- a/src/traffic/upstream/answer.rs
+++ b/src/traffic/upstream/answer.rs
@@ -57,11 +57,12 @@
     ///
     /// Fails when the instance sends what the protocol does not allow here.
     pub(crate) fn next_part(&mut self) -> Result<Option<Part>> {
-        let run = self.plain_run()?;
-        if run > 0 {
-            return Ok(Some(Part::Pass(self.incoming.split_to(run))));
-        }
         loop {
+            // A message that the caller must not see may be followed by plain ones.
+            let run = self.plain_run()?;
+            if run > 0 {
+                return Ok(Some(Part::Pass(self.incoming.split_to(run))));
+            }
             let Some(bytes) = whole_message_bytes(&self.incoming)? else {
                 self.reserve_message()?;
                 return Ok(None);
