Admit at homes by allowance

Cause: a home's buckets were made at first use, without demand, reserve or a time to come back that callers don't share. Change: allowances follow the share table from when it is adopted, refill no later than the lease, ask ahead of demand; a waiting request is counted until it ends. Conclusion: the traffic threads use what the controllers' tests prove.

--- a/src/control/allowance.rs
+++ b/src/control/allowance.rs
@@ -85,16 +85,13 @@
         admission
     }
 
-    /// Looks again for a request that was told to wait for other homes.
+    /// Looks again for a request that was told to wait for other homes; it counts as waiting until
+    /// [`Allowance::stop_waiting`].
     pub fn try_again(&mut self, tokens: f64, now: Timestamp) -> Admission {
-        let admission = self.decide(tokens, now);
-        if admission != Admission::Asked {
-            self.stop_waiting(tokens);
-        }
-        admission
+        self.decide(tokens, now)
     }
 
-    /// Takes note that a request that was told to wait has gone or can't wait any longer.
+    /// Takes note that a request that was told to wait waits no longer.
     pub fn stop_waiting(&mut self, tokens: f64) {
         self.missing = (self.missing - tokens).max(0.0);
     }
--- a/src/control/limit/tests.rs
+++ b/src/control/limit/tests.rs
@@ -203,12 +203,14 @@
             match home.allowance.try_again(1.0, now) {
                 Admission::Granted => self.admitted.push(self.cell.now),
                 Admission::Refused { .. } => self.refused += 1,
-                Admission::Asked if is_late => {
-                    home.allowance.stop_waiting(1.0);
-                    self.refused += 1;
+                Admission::Asked if is_late => self.refused += 1,
+                Admission::Asked => {
+                    self.waiting.push(waiting);
+                    self.ask(&key, now);
+                    continue;
                 }
-                Admission::Asked => self.waiting.push(waiting),
             }
+            home.allowance.stop_waiting(1.0);
             self.ask(&key, now);
         }
     }
--- a/src/traffic/home.rs
+++ b/src/traffic/home.rs
@@ -1,6 +1,7 @@
 //! Homes: the databases whose statements all run through this VM.
 
 mod admission;
+mod allowances;
 mod choose;
 mod confirm;
 mod database;
--- a/src/traffic/home/admission.rs
+++ b/src/traffic/home/admission.rs
@@ -9,9 +9,11 @@
 use super::database::Home;
 use crate::configuration::{KeyState, RoutePolicy};
 use crate::control::Event;
-use crate::control::bucket::Share;
+use crate::control::allowance::{Admission, Allowance};
 use crate::control::event::TrafficEvent;
 use crate::control::snapshot::{Snapshot, Standing};
+use crate::name::WorkspaceName;
+use crate::time::Timestamp;
 use crate::traffic::{ExchangeHead, Refusal, RefusalReason};
 
 /// Tokens that one exchange costs.
@@ -47,7 +49,7 @@
     }
     let no_share = || Refusal::last(RefusalReason::DatabaseNotAllowed);
     let share = home.share(&head.workspace).ok_or_else(no_share)?;
-    take_tokens(&home, head, share).await?;
+    take_tokens(&home, head).await?;
     Ok(Admitted {
         home,
         policy,
@@ -86,39 +88,69 @@
 }
 
 /// Takes the tokens of an exchange; asks the other homes for some before it refuses.
-async fn take_tokens(home: &Home, head: &ExchangeHead, share: Share) -> Result<(), Refusal> {
+async fn take_tokens(home: &Home, head: &ExchangeHead) -> Result<(), Refusal> {
     let mut changes = home.changes();
     let until = Instant::now() + TOKEN_WAIT.min(Duration::from_millis(head.budget_ms / 2));
-    let mut asked_in_round = None;
+    let mut admission = decide(home, head, Allowance::admit)?;
+    let _waiting = match admission {
+        Admission::Asked => Some(Waiting {
+            home,
+            workspace: &head.workspace,
+        }),
+        _ => None,
+    };
     loop {
-        let now = home.clock.now();
-        let (missing, round) = home.with_state(|state| {
-            let bucket = state.bucket(&head.workspace, share, now);
-            let missing = (!bucket.try_take(EXCHANGE_TOKENS, now))
-                .then(|| bucket.available_at(EXCHANGE_TOKENS, now));
-            (missing, state.transfer_rounds(&head.workspace))
-        });
-        let Some(available_at) = missing else {
-            return Ok(());
-        };
-        let retry = available_at.map_or(home.retry_after(), |at| at.since(now));
-        let has_ended = asked_in_round.is_some_and(|asked| asked != round);
-        if has_ended || Instant::now() >= until {
-            return Err(Refusal::retry(RefusalReason::RateExceeded, retry));
+        match admission {
+            Admission::Granted => return Ok(()),
+            Admission::Refused { retry_after } => return Err(over_rate(retry_after)),
+            Admission::Asked => {}
         }
-        if asked_in_round.is_none() {
-            asked_in_round = Some(round);
-            want_tokens(home, head);
+        let is_late = timeout_at(until, changes.changed()).await.is_err();
+        admission = decide(home, head, Allowance::try_again)?;
+        if is_late && admission == Admission::Asked {
+            let booked = |allowance: &mut Allowance, now| allowance.book(EXCHANGE_TOKENS, now);
+            let retry_after = home.with_allowance(&head.workspace, booked);
+            return Err(over_rate(retry_after.unwrap_or(home.retry_after())));
         }
-        // Looks again when tokens have come, by a transfer or by the bucket's own rate.
-        let _ = timeout_at(until.min(Instant::now() + retry), changes.changed()).await;
     }
 }
 
-fn want_tokens(home: &Home, head: &ExchangeHead) {
-    home.events.post(Event::Traffic(TrafficEvent::TokensWanted {
-        database: home.database().clone(),
-        workspace: head.workspace.clone(),
-        tokens: EXCHANGE_TOKENS,
-    }));
+/// Request that waits for tokens of other homes; no longer counted when dropped.
+struct Waiting<'a> {
+    home: &'a Home,
+    workspace: &'a WorkspaceName,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.home.with_allowance(self.workspace, |allowance, _now| {
+            allowance.stop_waiting(EXCHANGE_TOKENS);
+        });
+    }
+}
+
+fn over_rate(retry_after: Duration) -> Refusal {
+    Refusal::retry(RefusalReason::RateExceeded, retry_after)
+}
+
+/// Decides on a request, and asks the other homes when tokens run short.
+fn decide(
+    home: &Home,
+    head: &ExchangeHead,
+    decide: impl FnOnce(&mut Allowance, f64, Timestamp) -> Admission,
+) -> Result<Admission, Refusal> {
+    let decided = home.with_allowance(&head.workspace, |allowance, now| {
+        let admission = decide(allowance, EXCHANGE_TOKENS, now);
+        (admission, allowance.wanted(now))
+    });
+    let no_share = || Refusal::last(RefusalReason::DatabaseNotAllowed);
+    let (admission, wanted) = decided.ok_or_else(no_share)?;
+    if let Some(tokens) = wanted {
+        home.events.post(Event::Traffic(TrafficEvent::TokensWanted {
+            database: home.database().clone(),
+            workspace: head.workspace.clone(),
+            tokens,
+        }));
+    }
+    Ok(admission)
 }
--- /dev/null
+++ b/src/traffic/home/allowances.rs
@@ -0,0 +1,54 @@
+//! Allowances of the workspaces at one home.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::control::allowance::Allowance;
+use crate::control::bucket::TRANSFER_HOLD;
+use crate::control::snapshot::ShareTable;
+use crate::name::WorkspaceName;
+use crate::time::Timestamp;
+
+/// Allowances by workspace, as the share table has them.
+#[derive(Debug, Default)]
+pub(super) struct Allowances {
+    started_at: Timestamp,
+    table: Arc<ShareTable>,
+    by_workspace: HashMap<WorkspaceName, Allowance>,
+}
+
+impl Allowances {
+    /// Starts without any share.
+    pub(super) fn new(started_at: Timestamp) -> Self {
+        Self {
+            started_at,
+            ..Self::default()
+        }
+    }
+
+    /// Adopts a table of shares. Each bucket refills by a share from when the share is adopted, not
+    /// from its first use, since other homes may have had the tokens until then.
+    pub(super) fn follow(&mut self, table: &Arc<ShareTable>, now: Timestamp) {
+        if Arc::ptr_eq(&self.table, table) {
+            return;
+        }
+        self.table = Arc::clone(table);
+        // A former home may have given tokens away shortly before it ended.
+        let refills_from = now.max(self.started_at + TRANSFER_HOLD);
+        self.by_workspace
+            .retain(|workspace, _| table.contains_key(workspace));
+        for (workspace, share) in table.iter() {
+            let new = || Allowance::new(*share, refills_from);
+            let allowance = self
+                .by_workspace
+                .entry(workspace.clone())
+                .or_insert_with(new);
+            allowance.set_share(*share, now);
+        }
+    }
+
+    /// Returns the allowance of a workspace; `None` when it has no share here.
+    pub(super) fn get(&mut self, workspace: &WorkspaceName) -> Option<&mut Allowance> {
+        self.by_workspace.get_mut(workspace)
+    }
+}
--- a/src/traffic/home/database.rs
+++ b/src/traffic/home/database.rs
@@ -12,6 +12,7 @@
 use super::Shared;
 use super::state::HomeState;
 use super::work::Work;
+use crate::control::allowance::Allowance;
 use crate::control::bucket::Share;
 use crate::control::command::InstanceRequest;
 use crate::control::event::{InstanceReport, TrafficEvent};
@@ -63,7 +64,7 @@
             events: shared.events.clone(),
             runtime: shared.runtime.clone(),
             instances: ArcSwap::default(),
-            state: Mutex::new(HomeState::default()),
+            state: Mutex::new(HomeState::new(shared.clock.now())),
             work: Work::new(Arc::clone(&shared.ended)),
             reported: Mutex::default(),
             changes: watch::Sender::new(0),
@@ -134,6 +135,11 @@
             self.instances.store(Arc::new(instances.collect()));
         }
         let now = self.clock.now();
+        let shares = self.snapshot.load().shares.get(self.database()).cloned();
+        if let Some(shares) = shares {
+            let adopted_at = now.min(view.lease.valid_until);
+            self.with_state(|state| state.allowances.follow(&shares, adopted_at));
+        }
         if self.with_state(|state| state.follow(view, now)) {
             self.notify_changed();
         }
@@ -199,32 +205,51 @@
         shares.get(workspace).copied()
     }
 
-    /// Adds tokens that another home gave; beyond the burst they are kept until `until`.
-    pub(super) fn deposit(&self, workspace: &WorkspaceName, tokens: f64, until: Timestamp) {
-        let Some(share) = self.share(workspace) else {
-            return;
+    /// Lets `f` use the allowance of a workspace, at the present time or the end of the lease: a
+    /// home whose lease has run out spends what it has and gets no more.
+    pub(super) fn with_allowance<T>(
+        &self,
+        workspace: &WorkspaceName,
+        f: impl FnOnce(&mut Allowance, Timestamp) -> T,
+    ) -> Option<T> {
+        let (table, valid_until) = {
+            let snapshot = self.snapshot.load();
+            let table = Arc::clone(snapshot.shares.get(self.database())?);
+            (
+                table,
+                snapshot.databases.get(self.database())?.lease.valid_until,
+            )
         };
-        let now = self.clock.now();
+        let now = self.clock.now().min(valid_until);
         self.with_state(|state| {
-            let bucket = state.bucket(workspace, share, now);
-            bucket.deposit(tokens, until, now);
+            state.allowances.follow(&table, now);
+            let allowance = state.allowances.get(workspace)?;
+            Some(f(allowance, now))
+        })
+    }
+
+    /// Adds tokens that another home gave; beyond the burst they are kept until `until`.
+    pub(super) fn deposit(&self, workspace: &WorkspaceName, tokens: f64, until: Timestamp) {
+        self.with_allowance(workspace, |allowance, now| {
+            allowance.deposit(tokens, until, now);
         });
         self.notify_changed();
     }
 
     /// Notes that the other homes have given what they can.
     pub(super) fn transfers_ended(&self, workspace: &WorkspaceName) {
-        self.with_state(|state| state.end_transfers(workspace));
+        self.with_allowance(workspace, Allowance::round_ended);
         self.notify_changed();
     }
 
     /// Takes tokens out so that they can be sent to another home; returns how many.
     pub(super) fn withdraw(&self, workspace: &WorkspaceName, tokens: f64) -> f64 {
-        let Some(share) = self.share(workspace) else {
+        if !self.is_leased() {
             return 0.0;
-        };
-        let now = self.clock.now();
-        self.with_state(|state| state.bucket(workspace, share, now).withdraw(tokens, now))
+        }
+        let given =
+            self.with_allowance(workspace, |allowance, now| allowance.withdraw(tokens, now));
+        given.unwrap_or(0.0)
     }
 
     /// Returns the reports of work that has ended and was waited for, each once.
--- a/src/traffic/home/state.rs
+++ b/src/traffic/home/state.rs
@@ -1,12 +1,12 @@
 //! What the home of a database keeps in memory, used by the traffic threads under one lock.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use slotmap::SecondaryMap;
 use tokio::sync::oneshot;
 
-use crate::control::bucket::{Bucket, Share};
+use super::allowances::Allowances;
 use crate::control::event::InstanceReport;
 use crate::control::fairness::{FairQueue, FairQueueSettings, RunKey};
 use crate::control::gate::{AnswerGate, Held, Release, Save, WaiterKey};
@@ -14,7 +14,7 @@
 use crate::control::routing::Rotation;
 use crate::control::session::SessionMarks;
 use crate::control::snapshot::DatabaseView;
-use crate::name::{InstanceName, WorkspaceName};
+use crate::name::InstanceName;
 use crate::position::{LogPosition, Term};
 use crate::time::Timestamp;
 use crate::traffic::{Refusal, RefusalReason};
@@ -44,9 +44,7 @@
     pub(super) marks: SessionMarks,
     pub(super) rotation: Rotation,
     pub(super) retries: RetryBudget,
-    buckets: HashMap<WorkspaceName, Bucket>,
-    /// Rounds of transfers that have ended, by workspace.
-    transfer_rounds: HashMap<WorkspaceName, u64>,
+    pub(super) allowances: Allowances,
     queues: BTreeMap<InstanceName, FairQueue<Ticket>>,
     heard: BTreeMap<InstanceName, Heard>,
     /// Term whose positions the rotation holds.
@@ -62,8 +60,7 @@
             marks: SessionMarks::default(),
             rotation: Rotation::default(),
             retries: RetryBudget::default(),
-            buckets: HashMap::new(),
-            transfer_rounds: HashMap::new(),
+            allowances: Allowances::default(),
             queues: BTreeMap::new(),
             heard: BTreeMap::new(),
             term: None,
@@ -73,6 +70,14 @@
 }
 
 impl HomeState {
+    /// Builds the state of a home that starts now.
+    pub(super) fn new(now: Timestamp) -> Self {
+        Self {
+            allowances: Allowances::new(now),
+            ..Self::default()
+        }
+    }
+
     /// Follows the instances and the floor of the view; returns whether anything has changed.
     pub(super) fn follow(&mut self, view: &Arc<DatabaseView>, now: Timestamp) -> bool {
         let before = self.view.replace(Arc::clone(view));
@@ -201,37 +206,6 @@
         verdicts.collect()
     }
 
-    /// Returns the bucket of a workspace with its present share.
-    pub(super) fn bucket(
-        &mut self,
-        workspace: &WorkspaceName,
-        share: Share,
-        now: Timestamp,
-    ) -> &mut Bucket {
-        if !self.buckets.contains_key(workspace) {
-            self.buckets
-                .insert(workspace.clone(), Bucket::empty(share, now));
-        }
-        let bucket = self.buckets.get_mut(workspace).expect("was just inserted");
-        if bucket.share() != share {
-            bucket.set_share(share, now);
-        }
-        bucket
-    }
-
-    /// Notes that a round of transfers to a workspace's bucket has ended.
-    pub(super) fn end_transfers(&mut self, workspace: &WorkspaceName) {
-        *self.transfer_rounds.entry(workspace.clone()).or_default() += 1;
-    }
-
-    /// Returns how many rounds of transfers to a workspace's bucket have ended.
-    pub(super) fn transfer_rounds(&self, workspace: &WorkspaceName) -> u64 {
-        self.transfer_rounds
-            .get(workspace)
-            .copied()
-            .unwrap_or_default()
-    }
-
     /// Returns the queue of an instance.
     pub(super) fn queue(&mut self, instance: &InstanceName) -> Option<&mut FairQueue<Ticket>> {
         self.queues.get_mut(instance)
