--- a/src/control/home.rs
+++ b/src/control/home.rs
@@ -68,6 +68,11 @@
         self.member.lead()
     }
 
+    /// Returns whether the lead that this VM follows answers it.
+    pub const fn is_answered(&self) -> bool {
+        self.member.is_answered
+    }
+
     /// Returns the members that follow this VM, when it leads.
     pub fn followers(&self) -> Vec<VmName> {
         self.lead.as_ref().map(LeadState::names).unwrap_or_default()
--- a/src/control/home/member.rs
+++ b/src/control/home/member.rs
@@ -45,6 +45,9 @@
     sent: VecDeque<Sent>,
     sent_at: Option<Timestamp>,
     is_agreed: bool,
+    /// Whether the lead has answered since the last heartbeat but one.
+    pub(super) is_answered: bool,
+    answered_at: Option<Timestamp>,
     cursor: usize,
 }
 
@@ -91,6 +94,7 @@
         echo: Timestamp::ZERO,
     });
     member.is_agreed = false;
+    member.answered_at = None;
     send_heartbeat(board, now)
 }
 
@@ -114,6 +118,9 @@
     let Some(following) = member.following.as_ref() else {
         return Vec::new();
     };
+    let patience = heartbeat(&board.settings) * 2;
+    let recently = |at: Timestamp| now.since(at) <= patience;
+    member.is_answered = member.answered_at.is_some_and(recently);
     member.sequence += 1;
     member.sent_at = Some(now);
     member.sent.push_back(Sent {
@@ -178,6 +185,7 @@
         following.record_seen_at = now;
     }
     member.promise_until = promise_until;
+    member.answered_at = Some(now);
     let Some(sent_at) = member.sent_time(answer.sequence) else {
         return Vec::new();
     };
--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -13,6 +13,7 @@
 use super::command::{Command, PlatformRequest};
 use super::event::{Event, PlatformAnswer, PlatformEvent};
 use super::snapshot::PeerView;
+use crate::configuration::Revision;
 use crate::name::{CellName, RegionName, VmName, ZoneName};
 use crate::peer::PeerMessage;
 use crate::time::Timestamp;
@@ -79,6 +80,8 @@
     /// When each peer was last heard.
     pub heard_at: BTreeMap<VmName, Timestamp>,
     digest: u64,
+    /// Revision of the platform's service at which the list was read.
+    revision: Revision,
     read: Option<Read>,
     read_at: Option<Timestamp>,
     parts: Parts,
@@ -122,6 +125,7 @@
             to: to.clone(),
             message: PeerMessage::Membership(MembershipMessage::Vms {
                 digest: self.digest,
+                revision: self.revision,
                 part: part as u32,
                 parts: parts.len() as u32,
                 records: records.to_vec(),
@@ -171,6 +175,8 @@
     Vms {
         /// Digest of the whole list.
         digest: u64,
+        /// Revision at which the list was read; an older list replaces no newer one.
+        revision: Revision,
         /// Place of this part, from 0.
         part: u32,
         /// Count of parts.
@@ -199,9 +205,13 @@
             if board.membership.read.map(|read| read.call) == Some(*call) =>
         {
             board.membership.read = None;
-            let Ok(PlatformAnswer::Found { keys, .. }) = result else {
+            let Ok(PlatformAnswer::Found { keys, revision }) = result else {
                 return Vec::new();
             };
+            if *revision < board.membership.revision {
+                return Vec::new();
+            }
+            board.membership.revision = *revision;
             let decode = |value: &[u8]| serde_json::from_slice::<VmRecord>(value).ok();
             let records = keys.iter().filter_map(|key| decode(key.value.as_deref()?));
             if !board.membership.replace(records) {
@@ -238,12 +248,13 @@
 fn receive(board: &mut Blackboard, message: &MembershipMessage) -> Vec<Command> {
     let MembershipMessage::Vms {
         digest,
+        revision,
         part,
         parts,
         records,
     } = message;
     let membership = &mut board.membership;
-    if *digest == membership.digest {
+    if *digest == membership.digest || *revision < membership.revision {
         return Vec::new();
     }
     if membership.parts.digest != *digest {
@@ -258,6 +269,7 @@
         return Vec::new();
     }
     let collected = std::mem::take(&mut membership.parts);
+    membership.revision = *revision;
     let is_new = membership.replace(collected.records.into_values().flatten());
     if is_new {
         vec![Command::Publish]
@@ -270,10 +282,12 @@
 ///
 /// The lead reads for its cell; a member reads rarely, in case that what it hears is wrong.
 fn read_interval(board: &Blackboard) -> Duration {
-    if board.homes.is_lead() {
+    let is_listed = |vm: &VmName| board.membership.vms.contains_key(vm);
+    if board.homes.is_lead() && board.homes.followers().iter().all(is_listed) {
         return LEAD_READ_INTERVAL;
     }
-    if board.homes.followed_lead().is_some() && board.membership.is_known() {
+    // A lead that is not listed can't be reached, and one that is lost may have moved.
+    if board.homes.is_answered() && board.homes.followed_lead().is_some_and(is_listed) {
         let cell = board.membership.names_in(&board.local.cell).len();
         return MEMBER_READ_INTERVAL * cell as u32;
     }
--- a/src/control/membership/tests.rs
+++ b/src/control/membership/tests.rs
@@ -54,3 +54,19 @@
     cell.run(3_000);
     assert!(cell.board(1).membership.incarnations[&vm(2)] > before);
 }
+
+#[test]
+fn a_vm_that_is_listed_late_joins_and_unsettles_nobody() {
+    let mut cell = TestCell::new(2, 3);
+    for index in 1..=3 {
+        cell.start(index);
+    }
+    cell.run(60);
+    cell.list(3, VmState::Live);
+    cell.run_until_served(2_000);
+    cell.run(4_000);
+    let lead = cell.lead().unwrap();
+    assert_eq!(cell.board_of(&lead).unwrap().homes.followers().len(), 2);
+    let gap = cell.longest_gap.values().max().copied();
+    assert!(gap <= Some(Duration::from_millis(200)), "{gap:?}");
+}
