Index databases and VMs by cell

Change: both are kept by cell and updated when the configuration or the list changes. Conclusion: the cost of a tick follows the cell, not the fleet.

--- a/src/control/configuration.rs
+++ b/src/control/configuration.rs
@@ -10,7 +10,7 @@
 mod source;
 mod standing;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,7 +20,7 @@
 use super::command::{Command, LogEvent};
 use super::event::{Event, PlatformEvent};
 use crate::configuration::{Configuration, ConfigurationChange, Revision};
-use crate::name::VmName;
+use crate::name::{CellName, DatabaseName, VmName};
 use crate::peer::PeerMessage;
 use crate::time::Timestamp;
 
@@ -37,12 +37,23 @@
     pub current: Arc<Configuration>,
     /// Whether this VM has had any configuration.
     pub is_loaded: bool,
+    /// Databases of this VM's cell.
+    pub own_databases: BTreeSet<DatabaseName>,
     log: ChangeLog,
     source: source::Source,
     digests: digest::Digests,
     contact: standing::Contact,
 }
 
+impl ConfigurationState {
+    fn set(&mut self, configuration: Arc<Configuration>, cell: &CellName) {
+        let groups = configuration.databases.values();
+        let own = groups.filter(|group| group.cell == *cell);
+        self.own_databases = own.map(|group| group.name.clone()).collect();
+        self.current = configuration;
+    }
+}
+
 /// Latest changes, for VMs that missed some of them.
 #[derive(Debug, Default)]
 struct ChangeLog {
@@ -175,7 +186,7 @@
         .filter(|change| change.revision > own)
         .collect();
     state.log.extend(&news);
-    state.current = Arc::new(configuration);
+    state.set(Arc::new(configuration), &board.local.cell);
     let mut commands = vec![Command::Publish];
     if let Some(origin) = origin {
         let batch = Batch {
@@ -197,7 +208,7 @@
     let revision = configuration.revision;
     state.is_loaded = true;
     state.log.restart(revision);
-    state.current = configuration;
+    state.set(configuration, &board.local.cell);
     let line = LogEvent::info("configuration_loaded").with("revision", revision.0);
     vec![Command::Log(line), Command::Publish]
 }
--- a/src/control/home/lead/grant.rs
+++ b/src/control/home/lead/grant.rs
@@ -1,7 +1,6 @@
 //! What the lead grants: claims of members, new homes, moves and answers.
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
 use std::time::Duration;
 
 use super::super::assignment::{Candidate, Placement};
@@ -194,17 +193,15 @@
 fn assign(board: &mut Blackboard, now: Timestamp) -> Vec<Command> {
     let candidates = candidates(board, now);
     let lapses_at = now + lapse(&board.settings);
-    let configuration = Arc::clone(&board.configuration.current);
+    let own = &board.configuration.own_databases;
     let Some(lead) = board.homes.lead.as_mut() else {
         return Vec::new();
     };
     if now < lead.unaccounted_until {
         return Vec::new();
     }
-    let groups = configuration.databases.values();
-    let own = groups.filter(|group| group.cell == board.local.cell);
     let free: Vec<_> = own
-        .map(|group| &group.name)
+        .iter()
         .filter(|name| !lead.grants.contains_key(*name))
         .collect();
     if free.is_empty() || candidates.is_empty() {
--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -79,6 +79,8 @@
     pub incarnations: BTreeMap<VmName, Incarnation>,
     /// When each peer was last heard.
     pub heard_at: BTreeMap<VmName, Timestamp>,
+    /// Names of the listed VMs by cell.
+    cells: BTreeMap<CellName, BTreeSet<VmName>>,
     digest: u64,
     /// Revision of the platform's service at which the list was read.
     revision: Revision,
@@ -108,8 +110,7 @@
 
     /// Returns the listed VMs of a cell.
     pub fn names_in(&self, cell: &CellName) -> BTreeSet<VmName> {
-        let members = self.vms.values().filter(|vm| vm.cell == *cell);
-        members.map(|vm| vm.name.clone()).collect()
+        self.cells.get(cell).cloned().unwrap_or_default()
     }
 
     /// Returns a digest of the list, by which two VMs find that theirs differ.
@@ -134,7 +135,7 @@
         parts.iter().enumerate().map(message).collect()
     }
 
-    fn replace(&mut self, records: impl Iterator<Item = VmRecord>) -> bool {
+    pub(crate) fn replace(&mut self, records: impl Iterator<Item = VmRecord>) -> bool {
         let vms: BTreeMap<_, _> = records.map(|vm| (vm.name.clone(), vm)).collect();
         if vms.is_empty() || vms == self.vms {
             return false;
@@ -142,6 +143,11 @@
         self.digest = digest_of(&vms);
         self.heard_at.retain(|vm, _| vms.contains_key(vm));
         self.incarnations.retain(|vm, _| vms.contains_key(vm));
+        self.cells.clear();
+        for vm in vms.values() {
+            let members = self.cells.entry(vm.cell.clone()).or_default();
+            members.insert(vm.name.clone());
+        }
         self.vms = vms;
         true
     }
--- a/src/control/tests/cell.rs
+++ b/src/control/tests/cell.rs
@@ -259,7 +259,7 @@
             .vms
             .clone();
         self.start(index);
-        self.board_mut(index).membership.vms = vms;
+        self.board_mut(index).membership.replace(vms.into_values());
     }
 
     /// Lets a VM's calls to the service go unanswered.
