Teach a new lead the homes that its members hold

Cause: a lead that takes office without having seen the table of homes kept the claims of its members as grants only, so that it, and every VM with as little of the table, refused statements with 57P03 for good. Ruled out: lost datagrams (the digest of the table repairs them, but the lead's own table was the poor one) and missing VMs in the list. Change: what a lead takes over from claims goes into its table. Conclusion: the table heals from the holders.

--- a/src/control/home/lead.rs
+++ b/src/control/home/lead.rs
@@ -286,8 +286,8 @@
         cursor: known.map_or(0, |known| known.cursor),
     };
     lead.followers.insert(from.clone(), follower);
-    grant::take_claims(board, from, heartbeat, now);
-    let mut commands = grant::answer(board, from, now);
+    let mut commands = grant::take_claims(board, from, heartbeat, now);
+    commands.extend(grant::answer(board, from, now));
     if heartbeat.table_digest != board.homes.table_digest() {
         let table = board.homes.table();
         commands.extend(table_messages(&table).map(|message| send(from, message)));
--- a/src/control/home/lead/grant.rs
+++ b/src/control/home/lead/grant.rs
@@ -6,7 +6,8 @@
 use super::super::assignment::{Candidate, Placement};
 use super::super::message::{Heartbeat, HeartbeatAnswer, Holding, HomeMessage, TableEntry};
 use super::super::{
-    election, heartbeat, holdings_digest, lapse, lease, member, release, send, table_messages,
+    election, heartbeat, holdings_digest, lapse, learn_table, lease, member, release, send,
+    table_messages,
 };
 use super::{EPOCH_SHIFT, Grant, write};
 use crate::configuration::Revision;
@@ -117,11 +118,12 @@
     from: &VmName,
     claims: &Heartbeat,
     now: Timestamp,
-) {
+) -> Vec<Command> {
     let lapses_at = now + lapse(&board.settings);
     let Some(lead) = board.homes.lead.as_mut() else {
-        return;
+        return Vec::new();
     };
+    let mut taken = Vec::new();
     for released in &claims.released {
         let is_same = |grant: &Grant| grant.vm == *from && grant.epoch == released.epoch;
         if lead.grants.get(&released.database).is_some_and(is_same) {
@@ -142,7 +144,14 @@
             is_moving: false,
         };
         lead.grants.insert(claim.database.clone(), grant);
+        taken.push(TableEntry {
+            database: claim.database.clone(),
+            vm: from.clone(),
+            epoch: claim.epoch,
+        });
     }
+    // The table of a lead that has just started may lack homes that an earlier one granted.
+    learn_table(board, &taken)
 }
 
 fn expire(board: &mut Blackboard, now: Timestamp) {
--- a/src/control/home/tests.rs
+++ b/src/control/home/tests.rs
@@ -79,6 +79,29 @@
     assert_eq!(kept.count(), 7, "{:?}", cell.longest_gap);
 }
 
+#[test]
+fn a_lead_that_never_saw_the_table_learns_it_from_the_holders() {
+    let mut cell = started(3, 6);
+    let lead = cell.lead().unwrap();
+    let indexes = 1..=3;
+    for index in indexes.clone() {
+        if vm(index) == lead {
+            cell.kill(index);
+        } else {
+            cell.board_mut(index).homes.homes = std::sync::Arc::default();
+        }
+    }
+    cell.run(10_000);
+    assert_eq!(cell.served().len(), 6);
+    for index in indexes.filter(|index| cell.is_running(*index)) {
+        let board = cell.board(index);
+        for (database, holder) in cell.served() {
+            let known = board.homes.homes.get(&database).map(|view| &view.vm);
+            assert_eq!(known, Some(&holder), "{database} at {}", vm(index));
+        }
+    }
+}
+
 #[test]
 fn a_cell_goes_on_while_the_service_is_down() {
     let mut cell = started(8, 3);
