Count a member as gone only by a list that covers the cell's record

Cause: a VM whose list of VMs was older than the cell's record took unlisted members for gone ones. It made itself the lead beside one that a majority followed, so that callers at it were refused with 57P03 for 20 s and two leads could have granted homes. Ruled out: lost datagrams and the poor table mended before. Change: a list carries the revision at which it was read; it proves a member gone only from the revision of the record on. A VM that finds unlisted members in the record reads the list at once. Conclusion: the fault was in the evidence, not in the protocol.

--- a/src/control/home/election.rs
+++ b/src/control/home/election.rs
@@ -129,7 +129,7 @@
     };
     let others_lost = board.homes.election.lost.len();
     let own_vote = usize::from(seen.record.members.contains(&board.local.name));
-    let lost = others_lost + gone_members(board, &seen.record) + own_vote;
+    let lost = others_lost + gone_members(board, &seen.record, seen.revision) + own_vote;
     let not_before = seen.since + lapse(&board.settings);
     // Half of the cell leaves a lead alone that the service keeps in office; a majority does not.
     let is_enough =
@@ -144,8 +144,10 @@
 }
 
 /// Counts members that the platform no longer lists, and that therefore keep no promise.
-pub(super) fn gone_members(board: &Blackboard, record: &CellRecord) -> usize {
-    if !board.membership.is_known() {
+///
+/// A list that was read before the record was written may lack members that came meanwhile.
+pub(super) fn gone_members(board: &Blackboard, record: &CellRecord, written: Revision) -> usize {
+    if !board.membership.covers(written) {
         return 0;
     }
     let is_gone = |vm: &&VmName| !board.membership.vms.contains_key(*vm);
@@ -319,6 +321,13 @@
         since,
         read_at: now,
     });
+    if record
+        .members
+        .iter()
+        .any(|vm| !board.membership.vms.contains_key(vm))
+    {
+        board.membership.read_soon();
+    }
     if record.lead == board.local.name {
         return found_own(board, record, revision, now);
     }
--- a/src/control/home/lead/grant.rs
+++ b/src/control/home/lead/grant.rs
@@ -76,7 +76,8 @@
                 None => **vm == board.local.name && own_free,
             };
             let free = replaced.members.iter().filter(is_free).count();
-            free + election::gone_members(board, replaced) >= replaced.blocking()
+            free + election::gone_members(board, replaced, lead.office.revision)
+                >= replaced.blocking()
         }
     };
     if !is_free || now < lead.office.not_before {
--- a/src/control/home/tests.rs
+++ b/src/control/home/tests.rs
@@ -417,3 +417,35 @@
         cell.run_until_served(15_000);
     }
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(60))]
+
+    /// VMs are listed and started one after the other, as a platform does.
+    #[test]
+    fn every_vm_of_a_growing_cell_knows_every_home(
+        pauses_ms in proptest::collection::vec(
+            prop_oneof![0_u64..60, 0_u64..1_500],
+            2..5,
+        ),
+        start_ms in 0_u64..60,
+    ) {
+        let mut cell = TestCell::new(0, 3);
+        let vms = pauses_ms.len() + 1;
+        for index in 1..=vms {
+            cell.start(index);
+            cell.run(start_ms);
+            cell.list(index, VmState::Live);
+            cell.run(pauses_ms.get(index - 1).copied().unwrap_or(15_000));
+        }
+        let served = cell.served();
+        prop_assert_eq!(served.len(), 3);
+        for index in 1..=vms {
+            let homes = &cell.board(index).homes.homes;
+            for (database, holder) in &served {
+                let known = homes.get(database).map(|view| &view.vm);
+                prop_assert_eq!(known, Some(holder), "{} at {}", database, vm(index));
+            }
+        }
+    }
+}
--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -99,6 +99,7 @@
 #[derive(Debug, Default)]
 struct Parts {
     digest: u64,
+    revision: Revision,
     records: BTreeMap<u32, Vec<VmRecord>>,
 }
 
@@ -113,6 +114,17 @@
         self.cells.get(cell).cloned().unwrap_or_default()
     }
 
+    /// Returns whether the list was read at a revision or later, so that a VM that was listed then and
+    /// isn't now has gone.
+    pub fn covers(&self, revision: Revision) -> bool {
+        self.is_known() && self.revision >= revision
+    }
+
+    /// Lets the list be read at once.
+    pub fn read_soon(&mut self) {
+        self.read_at = None;
+    }
+
     /// Returns a digest of the list, by which two VMs find that theirs differ.
     pub const fn digest(&self) -> u64 {
         self.digest
@@ -260,12 +272,18 @@
         records,
     } = message;
     let membership = &mut board.membership;
-    if *digest == membership.digest || *revision < membership.revision {
+    if *digest == membership.digest {
+        membership.revision = membership.revision.max(*revision);
+        return Vec::new();
+    }
+    if *revision < membership.revision {
+        // This VM has read the list later than the sender.
         return Vec::new();
     }
     if membership.parts.digest != *digest {
         membership.parts = Parts {
             digest: *digest,
+            revision: *revision,
             records: BTreeMap::new(),
         };
     }
@@ -275,7 +293,7 @@
         return Vec::new();
     }
     let collected = std::mem::take(&mut membership.parts);
-    membership.revision = *revision;
+    membership.revision = membership.revision.max(collected.revision);
     let is_new = membership.replace(collected.records.into_values().flatten());
     if is_new {
         vec![Command::Publish]
--- a/src/control/tests/cell.rs
+++ b/src/control/tests/cell.rs
@@ -530,6 +530,10 @@
         );
         self.messages += 1;
         self.message_bytes += bytes as u64;
+        // A VM can't reach another whose address it has not learned.
+        if !self.processes[from].board.membership.vms.contains_key(to) {
+            return;
+        }
         let is_lost = self.lose_every > 0 && self.messages.is_multiple_of(self.lose_every);
         if is_lost || self.cut.contains(&(from.clone(), to.clone())) {
             return;
