--- a/src/traffic/home.rs
+++ b/src/traffic/home.rs
@@ -121,10 +121,7 @@
 
     fn order(&self, order: Order) {
         if self.orders.send(order).is_err() {
-            log::warn!("event=homes_stopped");
+            log::debug!("event=homes_stopped");
         }
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/src/traffic/instance.rs
+++ b/src/traffic/instance.rs
@@ -140,6 +140,3 @@
         idle_timeout: Duration::from_millis(settings.databases.idle_timeout_ms),
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/src/traffic/pool.rs
+++ b/src/traffic/pool.rs
@@ -251,6 +251,3 @@
         self.open_wanted();
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/src/traffic/upstream/request/tests.rs
+++ b/src/traffic/upstream/request/tests.rs
@@ -1,1 +1,128 @@
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 
+use super::*;
+use crate::traffic::upstream::answer::Part;
+
+/// A connection whose instance is played by the test.
+async fn connection() -> (Connection, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (instance, _) = listener.accept().await.unwrap();
+    (Connection::new(stream, address), instance)
+}
+
+fn parse(name: &str) -> Bytes {
+    let mut message = BytesMut::new();
+    frontend::parse(name, "SELECT 1", [], &mut message).unwrap();
+    message.freeze()
+}
+
+fn sync() -> Bytes {
+    let mut message = BytesMut::new();
+    frontend::sync(&mut message);
+    message.freeze()
+}
+
+/// Returns the tags of what was sent to the instance, leaving nothing.
+fn sent(connection: &mut Connection) -> String {
+    let mut tags = String::new();
+    while let Some(bytes) = whole_message_bytes(&connection.outgoing).unwrap() {
+        tags.push(char::from(connection.outgoing.split_to(bytes)[0]));
+    }
+    tags
+}
+
+/// Lets the instance answer; returns the tags of what the caller gets.
+async fn answered(connection: &mut Connection, instance: &mut TcpStream, tags: &str) -> String {
+    for tag in tags.chars() {
+        let mut message = vec![tag as u8, 0, 0, 0, 4];
+        if tag == 'Z' {
+            message = b"Z\0\0\0\x05I".to_vec();
+        }
+        instance.write_all(&message).await.unwrap();
+    }
+    let mut passed = String::new();
+    loop {
+        match connection.next_part().unwrap() {
+            Some(Part::Ready(_)) => return passed + "Z",
+            Some(Part::Pass(mut messages)) => {
+                while let Some(bytes) = whole_message_bytes(&messages).unwrap() {
+                    passed.push(char::from(messages.split_to(bytes)[0]));
+                }
+            }
+            Some(Part::Failed(_)) => passed.push('E'),
+            Some(Part::Complete { .. }) => passed.push('C'),
+            None => connection.progress().await.unwrap(),
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_definition_is_sent_once_and_its_answers_are_swallowed() {
+    let (mut connection, mut instance) = connection().await;
+    connection.define("a", &parse("a")).unwrap();
+    connection.take_messages(sync()).unwrap();
+    assert_eq!(sent(&mut connection), "CPS");
+    assert_eq!(answered(&mut connection, &mut instance, "31Z").await, "Z");
+    connection.define("a", &parse("a")).unwrap();
+    connection.take_messages(sync()).unwrap();
+    assert_eq!(sent(&mut connection), "S");
+    assert_eq!(answered(&mut connection, &mut instance, "Z").await, "Z");
+    assert!(connection.is_clean());
+}
+
+#[tokio::test]
+async fn a_callers_own_parse_replaces_the_statement() {
+    let (mut connection, mut instance) = connection().await;
+    for _ in 0..2 {
+        connection.take_messages(parse("a")).unwrap();
+        connection.take_messages(sync()).unwrap();
+        assert_eq!(sent(&mut connection), "CPS");
+        assert_eq!(answered(&mut connection, &mut instance, "31Z").await, "1Z");
+    }
+}
+
+#[tokio::test]
+async fn a_definition_that_an_error_skipped_is_sent_again() {
+    let (mut connection, mut instance) = connection().await;
+    connection.define("a", &parse("a")).unwrap();
+    connection.take_messages(sync()).unwrap();
+    sent(&mut connection);
+    assert_eq!(answered(&mut connection, &mut instance, "EZ").await, "EZ");
+    connection.define("a", &parse("a")).unwrap();
+    assert_eq!(sent(&mut connection), "CP");
+}
+
+#[tokio::test]
+async fn messages_may_come_in_parts() {
+    let (mut connection, mut instance) = connection().await;
+    let whole = parse("a");
+    for byte in whole.iter().copied() {
+        connection.take_messages(Bytes::from(vec![byte])).unwrap();
+    }
+    assert!(connection.partial.is_empty());
+    connection.write_now().unwrap();
+    let mut received = vec![0; whole.len()];
+    // A `Close` of the same name goes first.
+    let mut close = vec![0; 8];
+    instance.read_exact(&mut close).await.unwrap();
+    instance.read_exact(&mut received).await.unwrap();
+    assert_eq!(received, whole);
+}
+
+#[tokio::test]
+async fn an_answer_that_nothing_asked_for_is_an_error() {
+    for message in [
+        &b"1\0\0\0\x04"[..],
+        b"3\0\0\0\x04",
+        b"Z\0\0\0\x05I",
+        b"?\0\0\0\x04",
+    ] {
+        let (mut connection, mut instance) = connection().await;
+        instance.write_all(message).await.unwrap();
+        connection.progress().await.unwrap();
+        assert!(connection.next_part().is_err(), "{message:?}");
+    }
+}
