--- a/lab/src/database.rs
+++ b/lab/src/database.rs
@@ -331,6 +331,11 @@
             .load(Ordering::Relaxed)
     }
 
+    /// Returns how many statements run on an instance.
+    pub fn running(&self, instance: &str) -> u32 {
+        self.instance(instance).running.load(Ordering::Acquire)
+    }
+
     /// Returns the positions of an instance's log.
     pub fn log(&self, instance: &str) -> Vec<LogPosition> {
         self.instance(instance)
--- a/src/traffic/home/release/tests.rs
+++ b/src/traffic/home/release/tests.rs
@@ -31,120 +31,125 @@
     tags
 }
 
+struct Case {
+    name: &'static str,
+    /// D row, E error; completed commands: W write, R read, C commit, B rollback.
+    parts: &'static str,
+    access: Access,
+    status: TransactionStatus,
+    /// Tags of what may be sent before the gate.
+    before: &'static str,
+    gated: bool,
+}
+
+const GATE_CASES: [Case; 11] = [
+    Case {
+        name: "write",
+        parts: "W",
+        access: Access::Write,
+        status: TransactionStatus::Idle,
+        before: "",
+        gated: true,
+    },
+    Case {
+        name: "write that returns rows",
+        parts: "DW",
+        access: Access::Write,
+        status: TransactionStatus::Idle,
+        before: "D",
+        gated: true,
+    },
+    Case {
+        name: "commit",
+        parts: "C",
+        access: Access::Write,
+        status: TransactionStatus::Idle,
+        before: "",
+        gated: true,
+    },
+    Case {
+        name: "write in a transaction",
+        parts: "W",
+        access: Access::Write,
+        status: TransactionStatus::Open,
+        before: "",
+        gated: false,
+    },
+    Case {
+        name: "commit, then more",
+        parts: "WCDR",
+        access: Access::Write,
+        status: TransactionStatus::Open,
+        before: "C",
+        gated: true,
+    },
+    Case {
+        name: "commit, then an error",
+        parts: "CE",
+        access: Access::Write,
+        status: TransactionStatus::Failed,
+        before: "",
+        gated: true,
+    },
+    Case {
+        name: "error",
+        parts: "WE",
+        access: Access::Write,
+        status: TransactionStatus::Idle,
+        before: "CE",
+        gated: false,
+    },
+    Case {
+        name: "rollback",
+        parts: "B",
+        access: Access::Write,
+        status: TransactionStatus::Idle,
+        before: "",
+        gated: false,
+    },
+    Case {
+        name: "read",
+        parts: "DR",
+        access: Access::Read,
+        status: TransactionStatus::Idle,
+        before: "D",
+        gated: false,
+    },
+    Case {
+        name: "read that wrote",
+        parts: "W",
+        access: Access::Read,
+        status: TransactionStatus::Idle,
+        before: "",
+        gated: true,
+    },
+    Case {
+        name: "function of unknown effect",
+        parts: "DR",
+        access: Access::Write,
+        status: TransactionStatus::Idle,
+        before: "D",
+        gated: true,
+    },
+];
+
+fn part(symbol: char) -> Part {
+    match symbol {
+        'D' => rows(),
+        'E' => failed(),
+        'W' => complete(CommandKind::Write),
+        'R' => complete(CommandKind::Read),
+        'C' => complete(CommandKind::Commit),
+        _ => complete(CommandKind::Rollback),
+    }
+}
+
 #[test]
 fn success_is_held_until_the_gate_has_passed() {
-    use CommandKind::{Commit, Read, Rollback, Write};
-    use TransactionStatus::{Failed, Idle, Open};
-    struct Case {
-        name: &'static str,
-        parts: Vec<Part>,
-        access: Access,
-        status: TransactionStatus,
-        before: &'static str,
-        gated: bool,
-    }
-    let case = |name, parts, access, status, before, gated| Case {
-        name,
-        parts,
-        access,
-        status,
-        before,
-        gated,
-    };
-    let cases = [
-        case(
-            "write",
-            vec![complete(Write)],
-            Access::Write,
-            Idle,
-            "",
-            true,
-        ),
-        case(
-            "returning",
-            vec![rows(), complete(Write)],
-            Access::Write,
-            Idle,
-            "D",
-            true,
-        ),
-        case(
-            "commit",
-            vec![complete(Commit)],
-            Access::Write,
-            Idle,
-            "",
-            true,
-        ),
-        case(
-            "in a transaction",
-            vec![complete(Write)],
-            Access::Write,
-            Open,
-            "",
-            false,
-        ),
-        case(
-            "commit, then more",
-            vec![complete(Write), complete(Commit), rows(), complete(Read)],
-            Access::Write,
-            Open,
-            "C",
-            true,
-        ),
-        case(
-            "commit, then an error",
-            vec![complete(Commit), failed()],
-            Access::Write,
-            Failed,
-            "",
-            true,
-        ),
-        case(
-            "error",
-            vec![complete(Write), failed()],
-            Access::Write,
-            Idle,
-            "CE",
-            false,
-        ),
-        case(
-            "rollback",
-            vec![complete(Rollback)],
-            Access::Write,
-            Idle,
-            "",
-            false,
-        ),
-        case(
-            "read",
-            vec![rows(), complete(Read)],
-            Access::Read,
-            Idle,
-            "D",
-            false,
-        ),
-        case(
-            "read that wrote",
-            vec![complete(Write)],
-            Access::Read,
-            Idle,
-            "",
-            true,
-        ),
-        case(
-            "function",
-            vec![rows(), complete(Read)],
-            Access::Write,
-            Idle,
-            "D",
-            true,
-        ),
-    ];
-    for case in cases {
+    for case in GATE_CASES {
         let mut output = Output::default();
-        for part in case.parts {
-            output.push(part).unwrap();
+        for symbol in case.parts.chars() {
+            output.push(part(symbol)).unwrap();
         }
         assert_eq!(sent(&mut output), case.before, "{}", case.name);
         let gated = output.needs_gate(case.access, case.status);
--- a/src/traffic/upstream/session.rs
+++ b/src/traffic/upstream/session.rs
@@ -30,16 +30,24 @@
         }
         for setting in wanted {
             if reset || !self.applied.contains(setting) {
-                let name = literal(&setting.name);
-                let value = literal(&setting.value);
                 // Writing to a string can't fail.
-                let _ = write!(sql, "SELECT set_config({name}, {value}, false);");
+                let _ = write!(sql, "SET {} TO {};", setting.name, value_list(setting));
             }
         }
         sql
     }
 }
 
+/// Quotes the value of a setting; a search path is a list, each of whose names is quoted.
+fn value_list(setting: &SessionSetting) -> String {
+    if setting.name != "search_path" {
+        return literal(&setting.value);
+    }
+    let names = setting.value.split(',');
+    let names = names.map(|name| literal(name.trim().trim_matches('"')));
+    names.collect::<Vec<_>>().join(", ")
+}
+
 /// Quotes text as an SQL literal.
 pub(crate) fn literal(text: &str) -> String {
     if text.contains('\\') {
--- a/src/traffic/upstream/session/tests.rs
+++ b/src/traffic/upstream/session/tests.rs
@@ -31,14 +31,14 @@
             applied: vec![zone.clone()],
             is_changed: false,
             wanted: vec![path.clone(), zone.clone()],
-            sql: "SELECT set_config('search_path', 'a, b', false);",
+            sql: "SET search_path TO 'a', 'b';",
         },
         Case {
             name: "one less",
             applied: vec![path, zone.clone()],
             is_changed: false,
             wanted: vec![zone.clone()],
-            sql: "RESET ALL;SELECT set_config('timezone', 'UTC', false);",
+            sql: "RESET ALL;SET timezone TO 'UTC';",
         },
         Case {
             name: "changed by a caller's own statement",
@@ -52,7 +52,7 @@
             applied: Vec::new(),
             is_changed: false,
             wanted: vec![setting("application_name", r"it's a \")],
-            sql: r"SELECT set_config('application_name', E'it''s a \\', false);",
+            sql: r"SET application_name TO E'it''s a \\';",
         },
     ];
     for case in cases {
