--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -287,7 +287,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when that takes longer than [`READY_TIMEOUT`].
+    /// Fails when that takes longer than 20 s.
     pub async fn ready(&self) -> Result<()> {
         let deadline = Instant::now() + READY_TIMEOUT;
         let workspace = self.stand_ins.deployment.workspaces[0].0;
