Take answers while a forwarded request waits for its window

Cause: the caller's task sent a frame without receiving meanwhile; a request and an answer that both exceed the stream's window waited for each other until the request timed out. Change: the stream has a sending half; forwarding holds one pending frame beside the receive. Conclusion: forwarding can't stall on its own window.

--- a/src/peer/server/tests.rs
+++ b/src/peer/server/tests.rs
@@ -191,6 +191,41 @@
     drop(sending.await.unwrap());
 }
 
+#[tokio::test]
+async fn both_directions_may_be_full_at_once() {
+    let (one, mut two) = pair().await;
+    let mut caller = one.client.open(&"vm-2".into(), head()).await.unwrap();
+    let mut home = within(two.exchanges.recv()).await.unwrap();
+    let frames = 4 * settings().stream_window_bytes as usize / (16 * 1024);
+    let chunk = Bytes::from(vec![0; 16 * 1024]);
+
+    // The home answers everything before it reads on; the caller receives while it sends.
+    let answer = HomeFrame::Messages(chunk.clone());
+    let answering = async {
+        for _ in 0..frames {
+            home.send(answer.clone()).await.unwrap();
+        }
+        for _ in 0..frames {
+            home.recv().await.unwrap();
+        }
+    };
+    let sender = caller.sender();
+    let sending = async {
+        for _ in 0..frames {
+            sender
+                .send(CallerFrame::Messages(chunk.clone()))
+                .await
+                .unwrap();
+        }
+    };
+    let receiving = async {
+        for _ in 0..frames {
+            caller.recv().await.unwrap();
+        }
+    };
+    within(async { tokio::join!(answering, sending, receiving) }).await;
+}
+
 #[tokio::test]
 async fn a_frame_larger_than_the_window_passes() {
     let (one, mut two) = pair().await;
--- a/src/peer/stream.rs
+++ b/src/peer/stream.rs
@@ -142,10 +142,10 @@
         send_window_bytes: u32,
         wrap: fn(StreamId, S) -> LinkFrame,
     ) -> Result<PeerStream<S, R>> {
-        let (sender, incoming) = mpsc::unbounded_channel();
+        let (frames, incoming) = mpsc::unbounded_channel();
         let window = Arc::new(Semaphore::new(send_window_bytes as usize));
         let entry = StreamEntry {
-            incoming: sender,
+            incoming: frames,
             window: Arc::clone(&window),
             held_bytes: 0,
         };
@@ -156,12 +156,15 @@
         entries.open.insert(id, entry);
         drop(entries);
         let table = Arc::clone(self);
-        Ok(PeerStream {
+        let sender = StreamSender {
             id,
             link,
             wrap,
             window,
-            send_window_bytes,
+            window_bytes: send_window_bytes,
+        };
+        Ok(PeerStream {
+            sender,
             incoming,
             untold_bytes: 0,
             table,
@@ -229,16 +232,63 @@
     bytes.min(window_bytes)
 }
 
+/// Sending half of one end of a stream; for sending while the same task receives.
+pub struct StreamSender<S> {
+    id: StreamId,
+    link: LinkSender,
+    wrap: fn(StreamId, S) -> LinkFrame,
+    window: Arc<Semaphore>,
+    window_bytes: u32,
+}
+
+impl<S> fmt::Debug for StreamSender<S> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("StreamSender")
+            .field("id", &self.id)
+            .finish_non_exhaustive()
+    }
+}
+
+impl<S> Clone for StreamSender<S> {
+    fn clone(&self) -> Self {
+        Self {
+            id: self.id,
+            link: self.link.clone(),
+            wrap: self.wrap,
+            window: Arc::clone(&self.window),
+            window_bytes: self.window_bytes,
+        }
+    }
+}
+
+impl<S: StreamFrame> StreamSender<S> {
+    /// Sends one frame, waiting for room in the window. Cancelling the returned future sends
+    /// nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection to the peer was lost, or the peer ended the stream.
+    pub async fn send(&self, frame: S) -> Result<()> {
+        let bytes = cost(&frame, self.window_bytes);
+        let permit = self
+            .window
+            .acquire_many(bytes)
+            .await
+            .map_err(|_closed| StreamError::Lost)?;
+        self.link
+            .send_counted((self.wrap)(self.id, frame), bytes)
+            .await?;
+        permit.forget();
+        Ok(())
+    }
+}
+
 /// One end of a stream: sends `S`, receives `R`.
 ///
 /// Sending waits while the other end has not taken what was sent before, so that a slow receiver
 /// holds at most one window of memory. Dropping an end ends the stream.
 pub struct PeerStream<S, R: StreamFrame> {
-    id: StreamId,
-    link: LinkSender,
-    wrap: fn(StreamId, S) -> LinkFrame,
-    window: Arc<Semaphore>,
-    send_window_bytes: u32,
+    sender: StreamSender<S>,
     incoming: mpsc::UnboundedReceiver<R>,
     /// Bytes taken that the other end has not been told of.
     untold_bytes: u32,
@@ -248,7 +298,7 @@
 impl<S, R: StreamFrame> fmt::Debug for PeerStream<S, R> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("PeerStream")
-            .field("id", &self.id)
+            .field("id", &self.sender.id)
             .finish_non_exhaustive()
     }
 }
@@ -260,23 +310,18 @@
 pub type HomeEnd = PeerStream<HomeFrame, CallerFrame>;
 
 impl<S: StreamFrame, R: StreamFrame> PeerStream<S, R> {
+    /// Returns the sending half.
+    pub fn sender(&self) -> StreamSender<S> {
+        self.sender.clone()
+    }
+
     /// Sends one frame, waiting for room in the window.
     ///
     /// # Errors
     ///
     /// Fails when the connection to the peer was lost, or the peer ended the stream.
     pub async fn send(&mut self, frame: S) -> Result<()> {
-        let bytes = cost(&frame, self.send_window_bytes);
-        let permit = self
-            .window
-            .acquire_many(bytes)
-            .await
-            .map_err(|_closed| StreamError::Lost)?;
-        self.link
-            .send_counted((self.wrap)(self.id, frame), bytes)
-            .await?;
-        permit.forget();
-        Ok(())
+        self.sender.send(frame).await
     }
 
     /// Receives the next frame. Cancelling the returned future loses no frame.
@@ -288,13 +333,13 @@
         let frame = self.incoming.recv().await.ok_or(StreamError::Lost)?;
         let window_bytes = self.table.receive_window_bytes;
         let bytes = cost(&frame, window_bytes);
-        self.table.release(self.id, bytes);
+        self.table.release(self.sender.id, bytes);
         self.untold_bytes += bytes;
         if self.untold_bytes >= window_bytes / 4 {
             let bytes = std::mem::take(&mut self.untold_bytes);
             // A lost connection shows at the next receive.
-            let _ = self.link.send(LinkFrame::Taken {
-                stream: self.id,
+            let _ = self.sender.link.send(LinkFrame::Taken {
+                stream: self.sender.id,
                 bytes,
             });
         }
@@ -304,8 +349,10 @@
 
 impl<S, R: StreamFrame> Drop for PeerStream<S, R> {
     fn drop(&mut self) {
-        if self.table.remove(self.id) {
-            let _ = self.link.send(LinkFrame::Reset { stream: self.id });
+        if self.table.remove(self.sender.id) {
+            let _ = self.sender.link.send(LinkFrame::Reset {
+                stream: self.sender.id,
+            });
         }
     }
 }
--- a/src/traffic/dispatch.rs
+++ b/src/traffic/dispatch.rs
@@ -8,6 +8,7 @@
 use super::{CallerFrame, ExchangeHead, HomeFrame, HomeIo, Refusal, RefusalReason};
 use crate::name::VmName;
 use crate::peer::CallerEnd;
+use crate::peer::stream::{StreamError, StreamSender};
 use crate::telemetry::span::{Hop, Span};
 
 /// Time for which an exchange that has not run is brought to another home.
@@ -126,7 +127,11 @@
     }
 }
 
+/// Passes frames both ways. Answers are taken while a frame waits for room in the window, so that
+/// a long request and its long answer do not wait for each other.
 async fn forward(session: &mut CallerSession, mut end: CallerEnd) -> Attempt {
+    let sender = end.sender();
+    let mut pending = None;
     loop {
         tokio::select! {
             biased;
@@ -141,18 +146,30 @@
                     return outcome(session);
                 }
             }
-            frame = session.recv() => {
-                let Ok(frame) = frame else {
-                    return Attempt::Ended;
-                };
-                let gone = frame == CallerFrame::Gone;
-                if end.send(frame).await.is_err() {
+            sent = send_pending(&sender, pending.as_ref()), if pending.is_some() => {
+                if sent.is_err() {
                     return outcome(session);
                 }
-                if gone {
+                if pending.take() == Some(CallerFrame::Gone) {
                     return Attempt::Ended;
                 }
             }
+            frame = session.recv(), if pending.is_none() => {
+                let Ok(frame) = frame else {
+                    return Attempt::Ended;
+                };
+                pending = Some(frame);
+            }
         }
     }
 }
+
+async fn send_pending(
+    sender: &StreamSender<CallerFrame>,
+    pending: Option<&CallerFrame>,
+) -> Result<(), StreamError> {
+    match pending {
+        Some(frame) => sender.send(frame.clone()).await,
+        None => Ok(()),
+    }
+}
