Let a transaction that may hold locks keep its slot

Cause: a transaction gave its slot back between statements and queued for the next one like new work; with every slot taken by statements that wait for its locks it could not end before their deadlines. Change: a write transaction keeps its slot until it ends; idle ones end after 10 s instead of 30 s. Conclusion: holders of locks always make progress; an idle writer costs a slot for 10 s at most.

--- a/lab/tests/home/main.rs
+++ b/lab/tests/home/main.rs
@@ -9,7 +9,9 @@
 use currantlb::control::snapshot::{Snapshot, Standing};
 use currantlb::settings::Settings;
 use currantlb::time::Timestamp;
-use currantlb::traffic::{Access, CallerFrame, ExchangeHead, RefusalReason, SessionSetting};
+use currantlb::traffic::{
+    Access, CallerFrame, ExchangeHead, Refusal, RefusalReason, SessionSetting,
+};
 use currantlb_lab::database::{InstanceSettings, InstanceShape};
 
 const INSERT: &str = "INSERT INTO tree (id, name) VALUES (1, 'oak')";
@@ -257,6 +259,18 @@
     );
 }
 
+async fn save_in_transaction(bench: &Bench, sql: &str) -> Option<Refusal> {
+    let mut caller = bench.open(head(Access::Write)).await;
+    for statement in ["BEGIN", sql, "COMMIT"] {
+        caller.query(statement).await;
+        let refusal = caller.answer().await.refusal;
+        if refusal.is_some() {
+            return refusal;
+        }
+    }
+    None
+}
+
 #[tokio::test]
 async fn many_callers_exceed_neither_slots_nor_connections() {
     let shape = InstanceShape {
@@ -278,6 +292,9 @@
     let bench = Bench::start(settings).await;
     let save = async |number: u32| {
         let sql = format!("INSERT INTO tree (id, name) VALUES ({number}, 'oak')");
+        if number.is_multiple_of(4) {
+            return save_in_transaction(&bench, &sql).await;
+        }
         bench.run(Access::Write, &sql).await.refusal
     };
     let refusals: Vec<_> = futures::future::join_all((0..100).map(save)).await;
@@ -286,3 +303,29 @@
     assert_eq!(count.values(), ["100"]);
     assert_eq!(bench.group.violations(), []);
 }
+
+#[tokio::test]
+async fn a_transaction_that_holds_locks_ends_however_busy_the_slots_are() {
+    let bench = Bench::start(BenchSettings {
+        slots: 2,
+        ..BenchSettings::default()
+    })
+    .await;
+    let mut caller = bench.open(head(Access::Write)).await;
+    for statement in ["BEGIN", INSERT] {
+        caller.query(statement).await;
+        assert_eq!(caller.answer().await.refusal, None);
+    }
+    // As statements do that wait for the transaction's locks.
+    let busy = async || bench.run(Access::Write, "SELECT pg_sleep(3)").await.refusal;
+    let commit = async {
+        until("a slot is busy", || bench.group.running("instance-1") > 0).await;
+        let start = tokio::time::Instant::now();
+        caller.query("COMMIT").await;
+        assert_eq!(caller.answer().await.refusal, None);
+        start.elapsed()
+    };
+    let (first, second, took) = tokio::join!(busy(), busy(), commit);
+    assert_eq!((first, second), (None, None));
+    assert!(took < Duration::from_secs(1), "the commit took {took:?}");
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -242,7 +242,7 @@
             connect_timeout_ms: 2_000,
             max_opening: 2,
             idle_timeout_ms: 60_000,
-            idle_in_transaction_timeout_ms: 30_000,
+            idle_in_transaction_timeout_ms: 10_000,
         }
     }
 }
--- a/src/traffic/home/relay.rs
+++ b/src/traffic/home/relay.rs
@@ -244,7 +244,11 @@
         let has_ended = is_answered && status == TransactionStatus::Idle;
         if is_answered {
             self.is_busy = false;
-            self.slot = None;
+            // A transaction that may hold locks keeps its slot: were every slot taken by
+            // statements that wait for those locks, it could never end.
+            if has_ended || self.settings.head.access == Access::Read {
+                self.slot = None;
+            }
         }
         if has_ended {
             self.give_back();
