Let callers read why their connection ends

Cause: a VM that stops closed connections on which a statement had just arrived; the reset that follows made the caller lose the 57P01 that says that nothing ran. Change: after its last message the VM ends its side and reads on until the caller closes, for 1 s.

--- a/src/traffic/caller/session.rs
+++ b/src/traffic/caller/session.rs
@@ -4,9 +4,11 @@
 mod outbound;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::BytesMut;
 use pgwire::messages::response::TransactionStatus;
+use tokio::time::timeout;
 
 use super::exchange_state::{ExchangeState, Phase, Presence};
 use super::prepared::PreparedStatements;
@@ -25,6 +27,9 @@
 use crate::position::SessionToken;
 use crate::traffic::{CallerFrame, ExchangeHead, ExchangeId, Homes, Refusal, RefusalReason};
 
+/// Time that a caller has to read why its connection ends.
+const LINGER_LIMIT: Duration = Duration::from_secs(1);
+
 /// Bytes that are read ahead while a statement runs, so that a closed connection is noticed.
 const READ_AHEAD_BYTES: usize = 8 * 1024;
 /// Bytes of a statement's messages after which they are passed on before their end has come.
@@ -115,12 +120,24 @@
             if self.presence != Presence::Connected {
                 // The caller may have gone already; there is no one else to tell.
                 let _ = self.flush().await;
+                let _ = timeout(LINGER_LIMIT, self.linger()).await;
                 return None;
             }
             self.wait().await;
         }
     }
 
+    /// Lets the caller read its last message: closing while something that it sent is unread would
+    /// reset the connection, and the message could be lost on its way.
+    async fn linger(&mut self) -> std::io::Result<()> {
+        self.socket.shut_down().await?;
+        let mut unread = BytesMut::new();
+        while self.socket.fill(&mut unread).await? > 0 {
+            unread.clear();
+        }
+        Ok(())
+    }
+
     fn is_between_messages(&self) -> bool {
         self.reader.buffer.is_empty() && self.unit.is_empty()
     }
--- a/src/traffic/caller/socket.rs
+++ b/src/traffic/caller/socket.rs
@@ -6,7 +6,7 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::{Buf, BytesMut};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
 use tokio_rustls::server::TlsStream;
 
@@ -59,6 +59,14 @@
         }
     }
 
+    /// Tells the caller that nothing more will be written.
+    pub(crate) async fn shut_down(&mut self) -> io::Result<()> {
+        match self {
+            Self::Plain(stream) => stream.shutdown().await,
+            Self::Tls(stream) => stream.shutdown().await,
+        }
+    }
+
     /// Reads what has arrived; cancelling the future loses nothing.
     pub(crate) async fn fill(&mut self, buffer: &mut BytesMut) -> io::Result<usize> {
         std::future::poll_fn(|cx| self.poll_fill(buffer, cx)).await
