Ask callers to come back when a new home lacks its shares

Cause: a home that had not learned its shares yet told callers of rightful workspaces that they may not use the database (42501). Change: such a caller is told that the home is not ready and when to come back.

--- a/src/traffic/home/admission.rs
+++ b/src/traffic/home/admission.rs
@@ -53,8 +53,8 @@
     if !home.is_leased() {
         return Err(home_unknown());
     }
-    let no_share = || Refusal::last(RefusalReason::DatabaseNotAllowed);
-    let share = home.share(&head.workspace).ok_or_else(no_share)?;
+    let share = home.share(&head.workspace);
+    let share = share.ok_or_else(|| no_share(&home, head))?;
     take_tokens(&home, head).await?;
     Ok(Admitted {
         home,
@@ -143,6 +143,17 @@
     }
 }
 
+/// Returns why a workspace has no share at this home: it may not use the database, or the home is
+/// too new to have its shares.
+fn no_share(home: &Home, head: &ExchangeHead) -> Refusal {
+    let snapshot = home.snapshot.load();
+    let workspace = snapshot.configuration.workspaces.get(&head.workspace);
+    if workspace.is_some_and(|workspace| workspace.databases.contains(&head.database)) {
+        return home_unknown();
+    }
+    Refusal::last(RefusalReason::DatabaseNotAllowed)
+}
+
 fn over_rate(retry_after: Duration) -> Refusal {
     Refusal::retry(RefusalReason::RateExceeded, retry_after)
 }
@@ -157,8 +168,7 @@
         let admission = decide(allowance, EXCHANGE_TOKENS, now);
         (admission, allowance.wanted(now))
     });
-    let no_share = || Refusal::last(RefusalReason::DatabaseNotAllowed);
-    let (admission, wanted) = decided.ok_or_else(no_share)?;
+    let (admission, wanted) = decided.ok_or_else(|| no_share(home, head))?;
     if let Some(tokens) = wanted {
         home.events.post(Event::Traffic(TrafficEvent::TokensWanted {
             database: home.database().clone(),
