Keep the peers' view and the cell's databases between events

Change: the view is renewed when the list or an incarnation changes; the databases of the cell follow each change.

--- a/src/control/configuration.rs
+++ b/src/control/configuration.rs
@@ -19,7 +19,7 @@
 use super::blackboard::{Blackboard, CallId};
 use super::command::{Command, LogEvent};
 use super::event::{Event, PlatformEvent};
-use crate::configuration::{Configuration, ConfigurationChange, Revision};
+use crate::configuration::{Configuration, ConfigurationChange, Record, RecordPath, Revision};
 use crate::name::{CellName, DatabaseName, VmName};
 use crate::peer::PeerMessage;
 use crate::time::Timestamp;
@@ -52,6 +52,21 @@
         self.own_databases = own.map(|group| group.name.clone()).collect();
         self.current = configuration;
     }
+
+    /// Updates the databases of the cell by one change.
+    fn note(&mut self, change: &ConfigurationChange, cell: &CellName) {
+        let RecordPath::Database(name) = &change.path else {
+            return;
+        };
+        match &change.record {
+            Some(Record::Database(group)) if group.cell == *cell => {
+                self.own_databases.insert(name.clone());
+            }
+            _ => {
+                self.own_databases.remove(name);
+            }
+        }
+    }
 }
 
 /// Latest changes, for VMs that missed some of them.
@@ -185,8 +200,11 @@
         .into_iter()
         .filter(|change| change.revision > own)
         .collect();
+    for change in &news {
+        state.note(change, &board.local.cell);
+    }
     state.log.extend(&news);
-    state.set(Arc::new(configuration), &board.local.cell);
+    state.current = Arc::new(configuration);
     let mut commands = vec![Command::Publish];
     if let Some(origin) = origin {
         let batch = Batch {
--- a/src/control/configuration/tests.rs
+++ b/src/control/configuration/tests.rs
@@ -1,7 +1,7 @@
 use proptest::prelude::*;
 
 use super::*;
-use crate::configuration::{PresetInForce, Record, Route, RoutePolicy};
+use crate::configuration::{PresetInForce, Route, RoutePolicy};
 use crate::control::snapshot::Standing;
 use crate::control::tests::cell::{Service, TestCell, vm};
 
--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -81,6 +81,8 @@
     pub heard_at: BTreeMap<VmName, Timestamp>,
     /// Names of the listed VMs by cell.
     cells: BTreeMap<CellName, BTreeSet<VmName>>,
+    /// What the traffic threads see of the list.
+    views: Arc<BTreeMap<VmName, PeerView>>,
     digest: u64,
     /// Revision of the platform's service at which the list was read.
     revision: Revision,
@@ -161,22 +163,23 @@
             members.insert(vm.name.clone());
         }
         self.vms = vms;
+        self.renew_views();
         true
     }
 
     /// Returns the other VMs as the traffic threads need them.
     pub fn views(&self) -> Arc<BTreeMap<VmName, PeerView>> {
+        Arc::clone(&self.views)
+    }
+
+    fn renew_views(&mut self) {
         let view = |vm: &VmRecord| PeerView {
             address: vm.peer_address,
             incarnation: self.incarnations.get(&vm.name).copied(),
             availability_zone: vm.availability_zone.clone(),
         };
-        Arc::new(
-            self.vms
-                .values()
-                .map(|vm| (vm.name.clone(), view(vm)))
-                .collect(),
-        )
+        let views = self.vms.values().map(|vm| (vm.name.clone(), view(vm)));
+        self.views = Arc::new(views.collect());
     }
 }
 
@@ -259,6 +262,7 @@
         return Vec::new();
     }
     membership.incarnations.insert(from.clone(), incarnation);
+    membership.renew_views();
     vec![Command::Publish]
 }
 
