--- a/lab/src/measure/overhead/memory.rs
+++ b/lab/src/measure/overhead/memory.rs
@@ -40,7 +40,11 @@
 
 /// Measures memory through the home.
 pub(super) async fn figures(bench: &Bench) -> Result<Vec<Figure>> {
-    let grown = large_result(bench).await?;
+    // A result that does not arrive misses its target, and takes no other figure with it.
+    let grown = large_result(bench).await.unwrap_or_else(|error| {
+        log::error!("event=large_result_failed error=\"{error}\"");
+        f64::INFINITY
+    });
     let idle = idle_callers(bench).await?;
     Ok(vec![
         Figure::new(
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -261,7 +261,10 @@
         }),
         exchange: Box::new(move |head, mut end| {
             let homes = homes.clone();
-            tokio::spawn(async move { homes.run(head, &mut HomeIo::Remote(&mut end)).await });
+            tokio::spawn(async move {
+                let ended = homes.run(head, &mut HomeIo::Remote(&mut end)).await;
+                log::trace!("event=exchange_ended place=peer end={ended:?}");
+            });
         }),
     }
 }
--- a/src/traffic/dispatch.rs
+++ b/src/traffic/dispatch.rs
@@ -72,7 +72,8 @@
         Place::Here => {
             let homes = session.homes();
             // What the end says reached the session as frames.
-            homes.run(head.clone(), &mut HomeIo::Local(session)).await;
+            let end = homes.run(head.clone(), &mut HomeIo::Local(session)).await;
+            log::trace!("event=exchange_ended place=here end={end:?}");
             outcome(session)
         }
         Place::Peer(vm) => {
@@ -121,6 +122,7 @@
 /// Returns the refusal of an exchange whose home was lost.
 fn lost(session: &CallerSession) -> Refusal {
     if session.has_sent() {
+        log::debug!("event=exchange_lost");
         Refusal::last(RefusalReason::AnswerLost)
     } else {
         home_unknown()
@@ -132,6 +134,7 @@
 async fn forward(session: &mut CallerSession, mut end: CallerEnd) -> Attempt {
     let sender = end.sender();
     let mut pending = None;
+    let mut is_sending = true;
     loop {
         tokio::select! {
             biased;
@@ -147,14 +150,13 @@
                 }
             }
             sent = send_pending(&sender, pending.as_ref()), if pending.is_some() => {
-                if sent.is_err() {
-                    return outcome(session);
-                }
                 if pending.take() == Some(CallerFrame::Gone) {
                     return Attempt::Ended;
                 }
+                // The home may have ended the stream; its last frames are still to be taken.
+                is_sending &= sent.is_ok();
             }
-            frame = session.recv(), if pending.is_none() => {
+            frame = session.recv(), if pending.is_none() && is_sending => {
                 let Ok(frame) = frame else {
                     return Attempt::Ended;
                 };
