Leave the next statement to the next exchange

Cause: a ReadyForQuery was written to the caller before the home's End had come; a caller that sent its next statement at once had it taken into the exchange that was ending, and was told 08007. Ruled out: the home, the connection between the VMs, the window. Change: after an answer that ends between transactions the session gives the exchange no more frames.

--- a/src/traffic/caller/exchange_state.rs
+++ b/src/traffic/caller/exchange_state.rs
@@ -126,6 +126,11 @@
 }
 
 impl ExchangeState {
+    /// Returns whether the answer has come to its end between transactions.
+    pub(super) fn has_ended(&self) -> bool {
+        self.answered && self.phase == Phase::Ready && self.status == TransactionStatus::Idle
+    }
+
     /// Gathers a message of a copy into the frames.
     pub(super) fn add_copy(&mut self, message: &Message) {
         self.copy.extend_from_slice(&message.bytes);
--- a/src/traffic/caller/session.rs
+++ b/src/traffic/caller/session.rs
@@ -186,6 +186,11 @@
     /// Fails when the caller has gone and the home was told.
     pub(crate) async fn recv(&mut self) -> Result<CallerFrame> {
         loop {
+            if self.exchange.has_ended() {
+                // The home ends the exchange next; what the caller sends now belongs to another.
+                let _ = self.flush().await;
+                std::future::pending::<()>().await;
+            }
             if let Some(frame) = self.ready_frame()? {
                 return Ok(frame);
             }
