--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -1,6 +1,7 @@
 //! Receiving side of the messages between VMs.
 
 use std::fmt;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -22,6 +23,9 @@
 use crate::settings::PeerSettings;
 use crate::traffic::{CallerFrame, ExchangeHead, HomeFrame};
 
+/// Ports that are tried when any may be chosen.
+const PORT_ATTEMPTS: u32 = 16;
+
 /// Result of starting the messages between VMs.
 pub type Result<T, E = ServerError> = std::result::Result<T, E>;
 
@@ -72,11 +76,10 @@
         let listen = ListenSnafu {
             address: settings.listen_address,
         };
-        let listener = TcpListener::bind(settings.listen_address)
-            .await
-            .context(listen)?;
+        let bound = bind_both(settings.listen_address).await;
+        let (listener, socket) = bound.context(listen)?;
         let address = listener.local_addr().context(listen)?;
-        let socket = Arc::new(UdpSocket::bind(address).await.context(listen)?);
+        let socket = Arc::new(socket);
         // Sending never waits, and fails until the socket has once been seen ready.
         socket.writable().await.context(listen)?;
         let local = Introduction {
@@ -127,6 +130,25 @@
     }
 }
 
+/// Binds one port for TCP and UDP; port 0 chooses one that is free for both.
+async fn bind_both(address: SocketAddr) -> std::io::Result<(TcpListener, UdpSocket)> {
+    let mut attempts = if address.port() == 0 {
+        PORT_ATTEMPTS
+    } else {
+        1
+    };
+    loop {
+        let listener = TcpListener::bind(address).await?;
+        attempts -= 1;
+        match UdpSocket::bind(listener.local_addr()?).await {
+            Ok(socket) => return Ok((listener, socket)),
+            // The port that was chosen for TCP may be in use for UDP.
+            Err(error) if error.kind() == ErrorKind::AddrInUse && attempts > 0 => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
+
 /// Running server; dropping it closes the sockets and every connection.
 #[derive(Debug)]
 pub struct PeerServer {
