--- a/src/admin.rs
+++ b/src/admin.rs
@@ -24,7 +24,7 @@
 use self::auth::Operators;
 use self::write::Writer;
 use crate::controller::SharedSnapshot;
-use crate::platform::Platform;
+use crate::store::Platform;
 
 /// What the handlers share.
 #[derive(Debug, Clone)]
--- a/src/admin/write.rs
+++ b/src/admin/write.rs
@@ -15,7 +15,7 @@
 use crate::control::configuration::CONFIGURATION_PREFIX;
 use crate::control::event::{KeyValue, PlatformAnswer, PlatformFailure};
 use crate::controller::SharedSnapshot;
-use crate::platform::Platform;
+use crate::store::Platform;
 
 /// Times that a write with a lost answer is looked for.
 const LOOKUPS: u32 = 5;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -25,9 +25,9 @@
     SpansSnafu, ThreadsSnafu,
 };
 use crate::peer::{PeerClient, PeerHandlers, PeerMessage, PeerServer, PeerSockets};
-use crate::platform::runner::PlatformRunner;
-use crate::platform::{Platform, etcd};
 use crate::settings::{Settings, VmSettings};
+use crate::store::runner::PlatformRunner;
+use crate::store::{Platform, etcd};
 use crate::telemetry::{log_line, span};
 use crate::time::Clock;
 use crate::traffic::caller::{self, CallerListener, CallerParts, CallerRegistry};
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,45 @@
+//! Serves callers straight from the VM that they are connected to.
+//!
+//! Each VM holds its own share of the connections to the instances. The store holds one record a
+//! database that names its primary; a VM runs statements that need the primary only while its
+//! [`guard`] proves that the record can't have changed without its knowledge. Everything here is
+//! independent of the protocols spoken outside: an [`Adapter`] provides them.
+
+pub mod adapter;
+pub mod agreement;
+pub mod catalog;
+pub mod clock;
+pub mod confirmation;
+pub mod control;
+pub mod directory;
+pub mod duty;
+pub mod execution;
+pub mod freshness;
+pub mod gossip;
+pub mod guard;
+pub mod health;
+pub mod instance;
+pub mod keys;
+pub mod link;
+pub mod listener;
+pub mod node;
+pub mod peers;
+pub mod placement;
+pub mod pool;
+pub mod position;
+pub mod promotion;
+pub mod quota;
+pub mod record;
+pub mod records;
+pub mod registration;
+pub mod service;
+pub mod session;
+pub mod settings;
+pub mod shutdown;
+pub mod statement;
+pub mod takeover;
+pub mod transaction;
+
+pub use adapter::Adapter;
+pub use node::Node;
+pub use settings::EntrySettings;
--- /dev/null
+++ b/src/entry/agreement.rs
@@ -0,0 +1,227 @@
+//! Keeps the configuration and the records of this VM in line with the store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+
+use super::catalog::Catalog;
+use super::clock;
+use super::keys;
+use super::node::{Node, State};
+use super::record::{DutyRecord, Phase, PrimaryRecord, VersionedRecord, VmRecord};
+use crate::configuration::Revision;
+use crate::control::command::PlatformRequest;
+use crate::control::event::{KeyValue, PlatformAnswer};
+use crate::name::{DatabaseName, VmName};
+use crate::time::Timestamp;
+
+/// Pause before the store is asked again after a failure.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Batches of a watch that may wait to be applied.
+const WATCH_QUEUE_BATCHES: usize = 16;
+
+/// Longest time for which a confirmation waits for the proofs that were lent to other VMs.
+const MAX_LENT: Duration = Duration::from_millis(500);
+
+/// Reads and watches the shared keys until the process ends.
+pub async fn run(node: Rc<Node>) {
+    loop {
+        if !refresh(&node).await {
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        }
+        let from = Revision(node.state.borrow().shared_revision.0 + 1);
+        let (sender, mut batches) = mpsc::channel(WATCH_QUEUE_BATCHES);
+        let watching = (node.adapter.store.watch)(keys::SHARED.to_owned(), from, sender);
+        let applying = async {
+            while let Some(batch) = batches.recv().await {
+                for key in batch.keys {
+                    apply(&node, key);
+                }
+                let mut state = node.state.borrow_mut();
+                state.shared_revision = state.shared_revision.max(batch.revision);
+            }
+        };
+        tokio::join!(watching, applying);
+        log::info!("event=watch_ended action=read_again");
+    }
+}
+
+/// Reads the shared keys; returns whether the store answered.
+pub async fn refresh(node: &Rc<Node>) -> bool {
+    let prefix = keys::SHARED.to_owned();
+    let answer = node.call(PlatformRequest::List { prefix }).await;
+    let Ok(PlatformAnswer::Found { keys, revision }) = answer else {
+        log::warn!("event=shared_keys_unread answer={answer:?}");
+        return false;
+    };
+    forget_missing(node, &keys, revision);
+    for key in keys {
+        apply(node, key);
+    }
+    let mut state = node.state.borrow_mut();
+    state.shared_revision = state.shared_revision.max(revision);
+    true
+}
+
+fn forget_missing(node: &Rc<Node>, found: &[KeyValue], revision: Revision) {
+    let mut state = node.state.borrow_mut();
+    if revision < state.shared_revision {
+        return;
+    }
+    let present = |key: &str| found.iter().any(|found| found.key == key);
+    state.vms.retain(|vm, _| present(&keys::vm(vm)));
+    if !present(keys::DUTY) {
+        state.duty_holder = None;
+    }
+}
+
+/// Applies one key as the store, or another VM, holds it.
+pub fn apply(node: &Rc<Node>, key: KeyValue) {
+    let KeyValue {
+        key,
+        value,
+        revision,
+    } = key;
+    if key == keys::CONFIGURATION {
+        apply_configuration(node, revision, value);
+    } else if key == keys::DUTY {
+        let record = value.and_then(|value| serde_json::from_slice::<DutyRecord>(&value).ok());
+        node.state.borrow_mut().duty_holder = record.map(|record| record.holder);
+    } else if let Some(vm) = key.strip_prefix(keys::VMS) {
+        apply_vm(&mut node.state.borrow_mut(), vm, value);
+    } else if let Some(database) = key.strip_prefix(keys::DATABASES) {
+        apply_record(node, DatabaseName::from(database), revision, value);
+    }
+    node.changed.notify_waiters();
+}
+
+/// Takes over a configuration if it is newer than the one in force.
+pub fn apply_configuration(node: &Rc<Node>, revision: Revision, value: Option<Vec<u8>>) {
+    let Some(value) = value else {
+        log::warn!("event=configuration_removed action=kept");
+        return;
+    };
+    let catalog = match (node.adapter.decode_catalog)(&value) {
+        Ok(catalog) => catalog,
+        Err(error) => {
+            log::warn!(
+                "event=configuration_unreadable revision={} error=\"{error}\"",
+                revision.0
+            );
+            return;
+        }
+    };
+    let mut state = node.state.borrow_mut();
+    let current = state.catalog.as_ref().map_or(0, |catalog| catalog.version);
+    if state.catalog.is_some() && catalog.version <= current {
+        return;
+    }
+    log::info!(
+        "event=configuration_in_force version={} previous={current} revision={} routes={} keys={}",
+        catalog.version,
+        revision.0,
+        catalog.routes.len(),
+        catalog.keys.len()
+    );
+    note_databases(&mut state, &catalog);
+    state.catalog = Some(Rc::new(catalog));
+    state.catalog_value = Some((revision, value));
+}
+
+fn note_databases(state: &mut State, catalog: &Catalog) {
+    for name in catalog.databases.keys() {
+        state.database(name);
+    }
+}
+
+fn apply_vm(state: &mut State, vm: &str, value: Option<Vec<u8>>) {
+    let record = value.and_then(|value| serde_json::from_slice::<VmRecord>(&value).ok());
+    match record {
+        Some(record) => {
+            state.vms.insert(VmName::from(vm), record);
+        }
+        None => {
+            state.vms.remove(vm);
+        }
+    }
+}
+
+/// Takes over a record if it is newer than the one known; confirms that a replacement has begun.
+pub fn apply_record(
+    node: &Rc<Node>,
+    database: DatabaseName,
+    revision: Revision,
+    value: Option<Vec<u8>>,
+) {
+    let Some(value) = value else { return };
+    let record: PrimaryRecord = match serde_json::from_slice(&value) {
+        Ok(record) => record,
+        Err(error) => {
+            log::warn!("event=record_unreadable database={database} error=\"{error}\"");
+            return;
+        }
+    };
+    let now = clock::now();
+    if !take_record(&mut node.state.borrow_mut(), &database, &record, revision) {
+        return;
+    }
+    log::info!(
+        "event=primary_recorded database={database} primary={} term={} phase={} revision={}",
+        record.primary,
+        record.term,
+        record.phase,
+        revision.0
+    );
+    if let Phase::Moving { generation, .. } = record.phase {
+        let node = Rc::clone(node);
+        tokio::task::spawn_local(confirm(node, database, generation, now));
+    }
+}
+
+fn take_record(
+    state: &mut State,
+    database: &DatabaseName,
+    record: &PrimaryRecord,
+    revision: Revision,
+) -> bool {
+    let known = state.database(database);
+    let previous = known.record.as_ref();
+    if previous.is_some_and(|previous| previous.revision >= revision) {
+        return false;
+    }
+    let primary_changed = previous.is_none_or(|previous| previous.record.primary != record.primary);
+    if primary_changed || record.phase == Phase::Steady {
+        known.health = super::health::Health::default();
+    }
+    known.record = Some(VersionedRecord {
+        record: record.clone(),
+        revision,
+    });
+    true
+}
+
+/// Confirms that this VM sends nothing new to the former primary: its record says so already, and
+/// the proofs that it lent have ended.
+async fn confirm(node: Rc<Node>, database: DatabaseName, generation: u64, now: Timestamp) {
+    let (lent, lease) = {
+        let state = node.state.borrow();
+        (state.lent_until.since(now).min(MAX_LENT), state.lease)
+    };
+    if !lent.is_zero() {
+        tokio::time::sleep(lent).await;
+    }
+    let prefix = keys::confirmations(&database, generation);
+    let key = format!("{prefix}{}", node.settings.vm);
+    let request = PlatformRequest::CompareAndSwap {
+        key,
+        expected: Revision(0),
+        value: Some(Vec::new()),
+        lease,
+    };
+    if let Err(error) = node.call(request).await {
+        log::warn!("event=move_unconfirmed database={database} error=\"{error}\"");
+    }
+}
--- /dev/null
+++ b/src/entry/link.rs
@@ -0,0 +1,324 @@
+//! Connection to one instance, opened for one workspace.
+
+use std::collections::HashSet;
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use snafu::Snafu;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
+
+use super::instance::Instance;
+use super::position::Position;
+use super::statement::{
+    Answer, Failure, FailureKind, InstanceCommand, InstanceMessage, Outcome, Prepared, Protocol,
+    SessionState,
+};
+use crate::name::WorkspaceName;
+
+/// Result of using a connection.
+pub type Result<T, E = LinkError> = std::result::Result<T, E>;
+
+/// Prepared statements kept on one connection; beyond it they are dropped before the next use.
+const MAX_PREPARED: usize = 64;
+
+/// Room for one ordinary answer.
+const INPUT_BYTES: usize = 1_024;
+
+/// Why a connection can't be used.
+#[derive(Debug, Clone, Snafu)]
+pub enum LinkError {
+    /// The instance refused the connection at once: no process listens.
+    #[snafu(display("the instance refuses connections; check that it runs"))]
+    Refused,
+    /// The connection broke.
+    #[snafu(display("the connection broke: {reason}; it is replaced"))]
+    Broken {
+        /// What happened.
+        reason: String,
+    },
+    /// No answer came in time.
+    #[snafu(display("no answer came in time; the connection is replaced"))]
+    TimedOut,
+    /// The instance didn't accept the session.
+    #[snafu(display("the instance rejected the session: {} {}", failure.kind, failure.text))]
+    Rejected {
+        /// The instance's answer.
+        failure: Failure,
+    },
+}
+
+/// Values and prepared statements that a session expects on its connection.
+#[derive(Debug, Clone, Default)]
+pub struct SessionValues {
+    /// Values in the order in which they were first set.
+    pub values: Vec<(Arc<str>, Arc<str>)>,
+}
+
+impl SessionValues {
+    /// Sets a value.
+    pub fn set(&mut self, name: Arc<str>, value: Arc<str>) {
+        match self.values.iter_mut().find(|(known, _)| *known == name) {
+            Some((_, current)) => *current = value,
+            None => self.values.push((name, value)),
+        }
+    }
+
+    fn get(&self, name: &str) -> Option<&Arc<str>> {
+        let mut values = self.values.iter();
+        values
+            .find(|(known, _)| **known == *name)
+            .map(|(_, value)| value)
+    }
+}
+
+/// Connection to an instance.
+#[derive(Debug)]
+pub struct Link {
+    /// The instance.
+    pub instance: Rc<Instance>,
+    /// Workspace that the connection was opened for.
+    pub workspace: WorkspaceName,
+    /// When it was last used.
+    pub used_at: Instant,
+    stream: TcpStream,
+    input: BytesMut,
+    output: BytesMut,
+    protocol: Protocol,
+    applied: SessionValues,
+    prepared: HashSet<Arc<str>>,
+}
+
+impl Link {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the instance can't be reached in time or rejects the session.
+    pub async fn open(
+        instance: Rc<Instance>,
+        workspace: WorkspaceName,
+        protocol: Protocol,
+        deadline: Instant,
+    ) -> Result<Self> {
+        let connecting = TcpStream::connect(instance.address);
+        let stream = match timeout_at(deadline, connecting).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return Err(LinkError::Refused);
+            }
+            Ok(Err(error)) => return Err(broken(&error)),
+            Err(_) => return Err(LinkError::TimedOut),
+        };
+        stream.set_nodelay(true).map_err(|error| broken(&error))?;
+        let mut link = Self {
+            instance,
+            workspace,
+            used_at: Instant::now(),
+            stream,
+            input: BytesMut::with_capacity(INPUT_BYTES),
+            output: BytesMut::new(),
+            protocol,
+            applied: SessionValues::default(),
+            prepared: HashSet::new(),
+        };
+        link.start(deadline).await?;
+        Ok(link)
+    }
+
+    async fn start(&mut self, deadline: Instant) -> Result<()> {
+        (self.protocol.encode_start)(
+            &mut self.output,
+            &self.instance.database,
+            &self.workspace,
+            &self.instance.name,
+        );
+        self.flush(deadline).await?;
+        match self.message(deadline).await? {
+            InstanceMessage::Ready { .. } => Ok(()),
+            InstanceMessage::Failed(failure) => Err(LinkError::Rejected { failure }),
+            InstanceMessage::Row(_) | InstanceMessage::Done(_) => Err(unexpected()),
+        }
+    }
+
+    /// Returns whether the connection is still open and silent, as it must be between uses.
+    pub fn is_usable(&self) -> bool {
+        let mut byte = [0];
+        let silent = matches!(
+            self.stream.try_read(&mut byte),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock
+        );
+        silent && self.input.is_empty()
+    }
+
+    /// Gives the connection the session's values and a prepared statement, if it lacks them.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection breaks or the instance refuses.
+    pub async fn adopt(
+        &mut self,
+        values: &SessionValues,
+        statement: Option<(&Arc<str>, &Prepared)>,
+        in_transaction: bool,
+        deadline: Instant,
+    ) -> Result<()> {
+        let mut commands = Vec::new();
+        let surplus = self.applied.values.iter();
+        let has_surplus = surplus.clone().any(|(name, _)| values.get(name).is_none());
+        let full = self.prepared.len() >= MAX_PREPARED;
+        if !in_transaction && (has_surplus || full) {
+            commands.push(InstanceCommand::Reset);
+            self.applied.values.clear();
+            self.prepared.clear();
+        }
+        for (name, value) in &values.values {
+            if self.applied.get(name) != Some(value) {
+                commands.push(InstanceCommand::Set {
+                    name: Arc::clone(name),
+                    value: Arc::clone(value),
+                });
+            }
+        }
+        if let Some((name, prepared)) = statement.filter(|(name, _)| !self.prepared.contains(*name))
+        {
+            commands.push(InstanceCommand::Prepare {
+                name: Arc::clone(name),
+                prepared: prepared.clone(),
+            });
+        }
+        if commands.is_empty() {
+            return Ok(());
+        }
+        for command in &commands {
+            (self.protocol.encode_command)(&mut self.output, command, None);
+        }
+        self.flush(deadline).await?;
+        for command in commands {
+            let answer = self.answer(deadline).await?;
+            if let Outcome::Failed(failure) = answer.outcome {
+                return Err(LinkError::Rejected { failure });
+            }
+            match command {
+                InstanceCommand::Set { name, value } => self.applied.set(name, value),
+                InstanceCommand::Prepare { name, .. } => {
+                    self.prepared.insert(name);
+                }
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+
+    /// Forgets which statements are prepared on the connection.
+    pub fn forget_prepared(&mut self) {
+        self.prepared.clear();
+    }
+
+    /// Sends a command and waits for its whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection breaks or the deadline passes; the command may have run then.
+    pub async fn run(
+        &mut self,
+        command: &InstanceCommand,
+        after: Option<Position>,
+        deadline: Instant,
+    ) -> Result<Answer> {
+        (self.protocol.encode_command)(&mut self.output, command, after);
+        self.flush(deadline).await?;
+        let answer = self.answer(deadline).await?;
+        self.used_at = Instant::now();
+        Ok(answer)
+    }
+
+    async fn answer(&mut self, deadline: Instant) -> Result<Answer> {
+        let mut rows = BytesMut::new();
+        let mut outcome = None;
+        loop {
+            match self.message(deadline).await? {
+                InstanceMessage::Row(row) => rows.extend_from_slice(&row),
+                InstanceMessage::Done(signature) => {
+                    outcome = Some(Outcome::Done(Some(signature)));
+                }
+                InstanceMessage::Failed(failure) => outcome = Some(Outcome::Failed(failure)),
+                InstanceMessage::Ready { state, position } => {
+                    return Ok(Answer {
+                        rows: rows.freeze(),
+                        outcome: outcome.ok_or_else(unexpected)?,
+                        state,
+                        position,
+                    });
+                }
+            }
+        }
+    }
+
+    async fn message(&mut self, deadline: Instant) -> Result<InstanceMessage> {
+        loop {
+            let decoded = (self.protocol.decode_instance)(&mut self.input);
+            match decoded {
+                Ok(Some(message)) => return Ok(message),
+                Ok(None) => {}
+                Err(error) => return Err(broken(&error)),
+            }
+            let reading = self.stream.read_buf(&mut self.input);
+            match timeout_at(deadline, reading).await {
+                Ok(Ok(0)) => return Err(broken(&"closed by the instance")),
+                Ok(Ok(_)) => {}
+                Ok(Err(error)) => return Err(broken(&error)),
+                Err(_) => return Err(LinkError::TimedOut),
+            }
+        }
+    }
+
+    async fn flush(&mut self, deadline: Instant) -> Result<()> {
+        let output = self.output.split();
+        let writing = self.stream.write_all(&output);
+        match timeout_at(deadline, writing).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(error)) => Err(broken(&error)),
+            Err(_) => Err(LinkError::TimedOut),
+        }
+    }
+}
+
+/// Returns whether an answer leaves the connection between transactions.
+pub fn is_idle(answer: &Answer) -> bool {
+    answer.state == SessionState::Idle
+}
+
+/// Returns the failure kind with which the instance rejected a session.
+pub const fn rejection(error: &LinkError) -> Option<FailureKind> {
+    match error {
+        LinkError::Rejected { failure } => Some(failure.kind),
+        _ => None,
+    }
+}
+
+fn broken(error: &impl ToString) -> LinkError {
+    LinkError::Broken {
+        reason: error.to_string(),
+    }
+}
+
+fn unexpected() -> LinkError {
+    broken(&"unexpected message of the instance")
+}
+
+/// Returns the name under which a statement is prepared on connections: the same for the same
+/// statement, whatever its callers call it.
+pub fn shared_name(prepared: &Prepared) -> Arc<str> {
+    let text = format!("{}/{}", prepared.access, prepared.shape);
+    let hash = xxhash_rust::xxh3::xxh3_64(text.as_bytes());
+    Arc::from(format!("s{hash:016x}"))
+}
+
+/// Returns the bytes of the first row, without its line end.
+pub fn first_row(rows: &Bytes) -> &[u8] {
+    rows.split(|byte| *byte == b'\n').next().unwrap_or_default()
+}
--- /dev/null
+++ b/src/entry/listener.rs
@@ -0,0 +1,206 @@
+//! Accepts callers and carries messages between them and their sessions.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use snafu::{ResultExt, Snafu};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, timeout};
+
+use super::node::{Node, StopPhase};
+use super::session::Session;
+use super::statement::{Answer, CallerMessage, SessionState};
+
+/// Result of serving a caller.
+pub type Result<T, E = CallerError> = std::result::Result<T, E>;
+
+/// Room for one ordinary message of a caller.
+const INPUT_BYTES: usize = 512;
+
+/// Longest time for which a caller may leave an answer unread.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Pause after a connection could not be accepted, for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Why a caller's connection ended early.
+#[derive(Debug, Snafu)]
+pub enum CallerError {
+    /// Reading or writing failed.
+    #[snafu(display("the caller's connection broke: {source}"))]
+    Connection {
+        /// What happened.
+        source: io::Error,
+    },
+    /// The caller didn't read its answer.
+    #[snafu(display("the caller doesn't read its answers; the connection is closed"))]
+    Stalled,
+    /// The caller sent something else than messages of the protocol.
+    #[snafu(display("{source}"), context(false))]
+    Malformed {
+        /// What is wrong.
+        source: super::statement::MalformedMessage,
+    },
+    /// The caller didn't open a session in time.
+    #[snafu(display("no session was opened in time; the connection is closed"))]
+    Silent,
+}
+
+/// Accepts callers until the process ends.
+pub async fn run(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let node = Rc::clone(&node);
+                tokio::task::spawn_local(serve(node, stream));
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed error=\"{error}\"");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(node: Rc<Node>, stream: TcpStream) {
+    node.sessions.set(node.sessions.get() + 1);
+    let mut connection = Connection {
+        node: Rc::clone(&node),
+        stream,
+        input: BytesMut::with_capacity(INPUT_BYTES),
+        output: BytesMut::new(),
+    };
+    if let Err(error) = connection.serve().await {
+        log::debug!("event=caller_lost error=\"{error}\"");
+    }
+    node.sessions.set(node.sessions.get() - 1);
+}
+
+/// What ended the wait for a caller's message.
+enum Received {
+    Message(CallerMessage),
+    Closed,
+    TransactionIdle,
+    Stopping,
+}
+
+struct Connection {
+    node: Rc<Node>,
+    stream: TcpStream,
+    input: BytesMut,
+    output: BytesMut,
+}
+
+impl Connection {
+    async fn serve(&mut self) -> Result<()> {
+        self.stream.set_nodelay(true).context(ConnectionSnafu)?;
+        let Some(mut session) = self.open().await? else {
+            return Ok(());
+        };
+        let served = self.converse(&mut session).await;
+        session.abandon().await;
+        served
+    }
+
+    async fn open(&mut self) -> Result<Option<Session>> {
+        let patience = self.node.settings.start_timeout;
+        let first = timeout(patience, self.read_message()).await;
+        let Some(message) = first.map_err(|_elapsed| CallerError::Silent)?? else {
+            return Ok(None);
+        };
+        let CallerMessage::Start { route, key } = message else {
+            return Ok(None);
+        };
+        let encode = self.node.adapter.protocol;
+        match Session::open(Rc::clone(&self.node), route, key) {
+            Ok(session) => {
+                (encode.encode_accepted)(&mut self.output);
+                self.flush().await?;
+                Ok(Some(session))
+            }
+            Err(failure) => {
+                log::info!(
+                    "event=session_refused reason={} version={}",
+                    failure.kind,
+                    self.node.catalog().map_or(0, |catalog| catalog.version)
+                );
+                (encode.encode_rejected)(&mut self.output, &failure);
+                self.flush().await?;
+                Ok(None)
+            }
+        }
+    }
+
+    async fn converse(&mut self, session: &mut Session) -> Result<()> {
+        while !session.has_ended() {
+            match self.receive(session).await? {
+                Received::Message(CallerMessage::Request(request)) => {
+                    let answer = session.answer(request).await;
+                    self.send(&answer).await?;
+                }
+                Received::Message(_) | Received::Closed | Received::Stopping => return Ok(()),
+                Received::TransactionIdle => session.end_idle_transaction().await,
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits for the caller; a stopping VM closes sessions between transactions.
+    async fn receive(&mut self, session: &Session) -> Result<Received> {
+        let node = Rc::clone(&self.node);
+        let idle_limit = match session.state() {
+            SessionState::Open => node.catalog().and_then(|catalog| catalog.transaction_idle),
+            SessionState::Idle | SessionState::Failed => None,
+        };
+        let idle_until = idle_limit.map(|limit| Instant::now() + limit);
+        loop {
+            let stopping = node.stopping.notified();
+            let draining = node.state.borrow().stop == StopPhase::Draining;
+            if draining && session.state() == SessionState::Idle && self.input.is_empty() {
+                return Ok(Received::Stopping);
+            }
+            let expired = async {
+                match idle_until {
+                    Some(until) => tokio::time::sleep_until(until).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                message = self.read_message() => {
+                    return Ok(message?.map_or(Received::Closed, Received::Message));
+                }
+                () = stopping => {}
+                () = expired => return Ok(Received::TransactionIdle),
+            }
+        }
+    }
+
+    /// Reads one message; `None` when the caller has gone.
+    async fn read_message(&mut self) -> Result<Option<CallerMessage>> {
+        loop {
+            if let Some(message) = (self.node.adapter.protocol.decode_caller)(&mut self.input)? {
+                return Ok(Some(message));
+            }
+            let read = self.stream.read_buf(&mut self.input).await;
+            if read.context(ConnectionSnafu)? == 0 {
+                return Ok(None);
+            }
+        }
+    }
+
+    async fn send(&mut self, answer: &Answer) -> Result<()> {
+        (self.node.adapter.protocol.encode_answer)(&mut self.output, answer);
+        self.flush().await
+    }
+
+    async fn flush(&mut self) -> Result<()> {
+        let output = self.output.split();
+        let written = timeout(WRITE_TIMEOUT, self.stream.write_all(&output)).await;
+        let written = written.map_err(|_elapsed| CallerError::Stalled)?;
+        written.context(ConnectionSnafu)
+    }
+}
--- /dev/null
+++ b/src/entry/node.rs
@@ -0,0 +1,244 @@
+//! What one VM knows and shares between its sessions and its duties.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+
+use super::adapter::Adapter;
+use super::catalog::Catalog;
+use super::clock;
+use super::freshness::Freshness;
+use super::guard::Guard;
+use super::health::Health;
+use super::instance::{Change, Directory, Instance};
+use super::pool::{Limits, Pool};
+use super::quota::Quota;
+use super::record::{Phase, VersionedRecord, VmRecord};
+use super::settings::EntrySettings;
+use crate::configuration::Revision;
+use crate::control::command::PlatformRequest;
+use crate::control::event::PlatformAnswer;
+use crate::name::{DatabaseName, InstanceName, VmName};
+use crate::store;
+use crate::time::Timestamp;
+
+/// Shared state of one VM: read and written by its tasks, all on one thread.
+#[derive(Debug)]
+pub struct Node {
+    /// Settings.
+    pub settings: EntrySettings,
+    /// Surroundings.
+    pub adapter: Adapter,
+    /// What the VM believes.
+    pub state: RefCell<State>,
+    /// Signals that a record, the guard or the configuration has changed.
+    pub changed: Notify,
+    /// Signals that the VM must be registered anew.
+    pub registration_lost: Notify,
+    /// Signals sessions that the VM is stopping.
+    pub stopping: Notify,
+    /// Callers connected.
+    pub sessions: Cell<usize>,
+    pools: RefCell<HashMap<InstanceName, Rc<Pool>>>,
+}
+
+/// What a VM believes of its surroundings.
+#[derive(Debug, Default)]
+pub struct State {
+    /// Configuration in force; `None` until it has been read.
+    pub catalog: Option<Rc<Catalog>>,
+    /// Configuration as the store holds it, for VMs that can't read it.
+    pub catalog_value: Option<(Revision, Vec<u8>)>,
+    /// Instances that announce themselves.
+    pub directory: Directory,
+    /// When the announcements were last read.
+    pub directory_read_at: Option<Timestamp>,
+    /// Proof from this VM's own lease.
+    pub guard: Guard,
+    /// Proof lent by another VM.
+    pub borrowed_guard: Guard,
+    /// Until when proofs lent to other VMs hold.
+    pub lent_until: Timestamp,
+    /// Lease of this VM's registration.
+    pub lease: Option<u64>,
+    /// When the store last answered a renewal.
+    pub store_heard_at: Timestamp,
+    /// What is known of each database.
+    pub databases: HashMap<DatabaseName, DatabaseState>,
+    /// Registered VMs.
+    pub vms: BTreeMap<VmName, VmRecord>,
+    /// Holder of the duty to replace primaries.
+    pub duty_holder: Option<VmName>,
+    /// Revision up to which the shared keys have been read.
+    pub shared_revision: Revision,
+    /// Limits of the workspaces.
+    pub quota: Quota,
+    /// How far a planned stop has come.
+    pub stop: StopPhase,
+}
+
+/// How far a planned stop has come.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopPhase {
+    /// Not asked to stop.
+    #[default]
+    Running,
+    /// Reports itself not ready; still serves.
+    Leaving,
+    /// Closes idle sessions and takes no new operation.
+    Draining,
+}
+
+/// What a VM knows of one database.
+#[derive(Debug, Default)]
+pub struct DatabaseState {
+    /// Record of the primary.
+    pub record: Option<VersionedRecord>,
+    /// Positions of the primary.
+    pub freshness: Freshness,
+    /// Evidence about the primary.
+    pub health: Health,
+    /// Instances that the database had when most of them announced themselves.
+    pub group_size: usize,
+}
+
+impl State {
+    /// Returns whether the records can be relied on.
+    pub fn guarded(&self, now: Timestamp) -> bool {
+        self.guard.holds(now) || self.borrowed_guard.holds(now)
+    }
+
+    /// Returns the primary of a database that takes statements; `None` while it is being replaced.
+    pub fn primary(&self, database: &DatabaseName) -> Option<&Rc<Instance>> {
+        let record = &self.databases.get(database)?.record.as_ref()?.record;
+        if record.phase != Phase::Steady {
+            return None;
+        }
+        self.directory.get(&record.primary)
+    }
+
+    /// Returns whether the primary of a database is being replaced.
+    pub fn is_moving(&self, database: &DatabaseName) -> bool {
+        let known = self.databases.get(database);
+        let record = known.and_then(|known| known.record.as_ref());
+        record.is_some_and(|record| record.record.phase != Phase::Steady)
+    }
+
+    /// Returns what is known of a database, to be changed.
+    pub fn database(&mut self, name: &DatabaseName) -> &mut DatabaseState {
+        self.databases.entry(name.clone()).or_default()
+    }
+}
+
+impl Node {
+    /// Builds a VM that knows nothing yet.
+    pub fn new(settings: EntrySettings, adapter: Adapter) -> Rc<Self> {
+        Rc::new(Self {
+            settings,
+            adapter,
+            state: RefCell::default(),
+            changed: Notify::new(),
+            registration_lost: Notify::new(),
+            stopping: Notify::new(),
+            sessions: Cell::new(0),
+            pools: RefCell::default(),
+        })
+    }
+
+    /// Returns whether the balancer should send callers here.
+    pub fn is_ready(&self) -> bool {
+        let state = self.state.borrow();
+        let now = clock::now();
+        state.stop == StopPhase::Running
+            && state.catalog.is_some()
+            && state.directory_read_at.is_some()
+            && state.guarded(now)
+            && !state.databases.is_empty()
+    }
+
+    /// Returns the configuration in force.
+    pub fn catalog(&self) -> Option<Rc<Catalog>> {
+        self.state.borrow().catalog.clone()
+    }
+
+    /// Calls the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the store's client does.
+    pub async fn call(&self, request: PlatformRequest) -> store::Result<PlatformAnswer> {
+        (self.adapter.store.call)(request).await
+    }
+
+    /// Returns the pool of an instance.
+    pub fn pool(&self, instance: &Rc<Instance>) -> Rc<Pool> {
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools.entry(instance.name.clone()).or_insert_with(|| {
+            let limits = self.limits(&instance.database);
+            Pool::new(Rc::clone(instance), self.adapter.protocol, limits)
+        });
+        Rc::clone(pool)
+    }
+
+    /// Brings the pools in line with a change of the announcements.
+    pub fn apply_change(&self, change: &Change) {
+        match (&change.previous, &change.current) {
+            (_, Some(current)) => {
+                if let Some(pool) = self.pools.borrow().get(&current.name) {
+                    pool.update(Rc::clone(current));
+                }
+                log_instance(current);
+            }
+            (Some(previous), None) => {
+                if let Some(pool) = self.pools.borrow_mut().remove(&previous.name) {
+                    pool.close_idle();
+                }
+                log::info!(
+                    "event=instance_gone database={} instance={}",
+                    previous.database,
+                    previous.name
+                );
+            }
+            (None, None) => {}
+        }
+    }
+
+    /// Applies the current limits to every pool and closes what has been idle for long.
+    pub fn tidy_pools(&self, elapsed: Duration) {
+        let directory: Vec<Rc<Instance>> = {
+            let state = self.state.borrow();
+            state.directory.all().cloned().collect()
+        };
+        for instance in directory {
+            let pool = self.pools.borrow().get(&instance.name).cloned();
+            if let Some(pool) = pool {
+                pool.set_limits(self.limits(&instance.database));
+                pool.tidy(elapsed);
+            }
+        }
+    }
+
+    fn limits(&self, database: &DatabaseName) -> Limits {
+        let state = self.state.borrow();
+        let catalog = state.catalog.as_ref();
+        let known = catalog.and_then(|catalog| catalog.databases.get(database));
+        let max_connections = known.map_or(1, |database| database.max_connections);
+        Limits::divide(max_connections, state.vms.len())
+    }
+}
+
+fn log_instance(instance: &Instance) {
+    log::info!(
+        "event=instance_announced database={} instance={} address={} state={} primary={} \
+         started_at_ms={}",
+        instance.database,
+        instance.name,
+        instance.address,
+        instance.state,
+        instance.is_primary,
+        instance.started_at_ms
+    );
+}
--- /dev/null
+++ b/src/entry/peers.rs
@@ -0,0 +1,307 @@
+//! Exchanges demands, proofs and configurations with the other VMs.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::time::{sleep, timeout};
+
+use super::agreement;
+use super::clock;
+use super::gossip::{Datagram, MAX_DATAGRAM_BYTES, ProvenRecord};
+use super::node::Node;
+use super::quota::Demand;
+use crate::configuration::Revision;
+use crate::name::VmName;
+use crate::time::Timestamp;
+
+/// Interval at which demand is announced.
+const DEMAND_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Interval at which a proof is asked for while the store can't be heard.
+const PROOF_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Silence of the store after which proofs are asked for.
+const STORE_SILENCE: Duration = Duration::from_millis(1_800);
+
+/// Longest time for which a proof is lent; a replacement of a primary may wait for it.
+const MAX_PROOF: Duration = Duration::from_millis(400);
+
+/// Shortest time of a proof that is worth sending.
+const MIN_PROOF: Duration = Duration::from_millis(100);
+
+/// Longest time to fetch a configuration from another VM.
+const FETCH_WITHIN: Duration = Duration::from_secs(1);
+
+/// Largest configuration: the largest value of the store.
+const MAX_CONFIGURATION_BYTES: u64 = 1_048_576;
+
+/// Smallest change of a demand that is announced before the next full announcement.
+const ANNOUNCE_ALWAYS_ABOVE: f64 = 0.05;
+
+/// Sockets towards the other VMs.
+#[derive(Debug)]
+pub struct Peers {
+    node: Rc<Node>,
+    socket: UdpSocket,
+    asked: Cell<Option<(u64, Timestamp)>>,
+    fetching: Cell<bool>,
+}
+
+impl Peers {
+    /// Binds the sockets.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address is taken.
+    pub async fn bind(node: Rc<Node>) -> io::Result<(Rc<Self>, TcpListener)> {
+        let address = node.settings.peer_address;
+        let socket = UdpSocket::bind(address).await?;
+        let listener = TcpListener::bind(address).await?;
+        let peers = Self {
+            node,
+            socket,
+            asked: Cell::new(None),
+            fetching: Cell::new(false),
+        };
+        Ok((Rc::new(peers), listener))
+    }
+
+    /// Announces this VM's demand until the process ends.
+    pub async fn announce(self: Rc<Self>) {
+        loop {
+            sleep(DEMAND_INTERVAL).await;
+            let now = clock::now();
+            let demand = self.node.state.borrow_mut().quota.measure(now);
+            if demand.values().any(|rate| *rate > ANNOUNCE_ALWAYS_ABOVE) {
+                self.send_demand(&demand).await;
+            }
+        }
+    }
+
+    async fn send_demand(&self, demand: &Demand) {
+        let demand = demand.iter();
+        let datagram = Datagram::Demand {
+            vm: self.node.settings.vm.clone(),
+            demand: demand
+                .map(|(workspace, rate)| (workspace.clone(), *rate as f32))
+                .collect(),
+        };
+        for address in self.others() {
+            self.send(&datagram, address).await;
+        }
+    }
+
+    /// Asks other VMs for proofs while the store can't be heard.
+    pub async fn seek_proofs(self: Rc<Self>) {
+        let mut turn = 0;
+        loop {
+            sleep(PROOF_INTERVAL).await;
+            let now = clock::now();
+            let (silent, version) = {
+                let state = self.node.state.borrow();
+                let version = state.catalog.as_ref().map_or(0, |catalog| catalog.version);
+                let heard = state.store_heard_at;
+                (
+                    heard > Timestamp::ZERO && now.since(heard) > STORE_SILENCE,
+                    version,
+                )
+            };
+            let others = self.others();
+            if !silent || others.is_empty() {
+                continue;
+            }
+            turn += 1;
+            self.asked.set(Some((turn, now)));
+            let question = Datagram::ProofWanted {
+                nonce: turn,
+                version,
+            };
+            let index = usize::try_from(turn).unwrap_or_default();
+            for offset in 0..2.min(others.len()) {
+                self.send(&question, others[(index + offset) % others.len()])
+                    .await;
+            }
+        }
+    }
+
+    /// Handles what other VMs send until the process ends.
+    pub async fn listen(self: Rc<Self>) {
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+        loop {
+            match self.socket.recv_from(&mut buffer).await {
+                Ok((length, from)) => match postcard::from_bytes(&buffer[..length]) {
+                    Ok(datagram) => self.handle(datagram, from).await,
+                    Err(error) => {
+                        log::debug!("event=datagram_unreadable from={from} error=\"{error}\"");
+                    }
+                },
+                Err(error) => log::debug!("event=datagram_unreceived error=\"{error}\""),
+            }
+        }
+    }
+
+    async fn handle(self: &Rc<Self>, datagram: Datagram, from: SocketAddr) {
+        match datagram {
+            Datagram::Demand { vm, demand } => {
+                let demand = demand
+                    .into_iter()
+                    .map(|(name, rate)| (name, f64::from(rate)));
+                let mut state = self.node.state.borrow_mut();
+                state.quota.heard(vm, demand.collect(), clock::now());
+            }
+            Datagram::ProofWanted { nonce, .. } => {
+                if let Some(proof) = self.lend(nonce) {
+                    self.send(&proof, from).await;
+                }
+            }
+            Datagram::Proof {
+                nonce,
+                holds_ms,
+                version,
+                records,
+            } => self.borrow(
+                nonce,
+                Duration::from_millis(holds_ms.into()),
+                version,
+                records,
+                from,
+            ),
+        }
+    }
+
+    /// Builds a proof from this VM's own guard; remembers that it is lent.
+    fn lend(&self, nonce: u64) -> Option<Datagram> {
+        let now = clock::now();
+        let mut state = self.node.state.borrow_mut();
+        let holds = state.guard.time_left(now).min(MAX_PROOF);
+        if holds < MIN_PROOF {
+            return None;
+        }
+        state.lent_until = state.lent_until.max(now + holds);
+        let records = state.databases.iter().filter_map(|(database, known)| {
+            let record = known.record.as_ref()?;
+            Some(ProvenRecord {
+                database: database.clone(),
+                record: record.record.clone(),
+                revision: record.revision.0,
+            })
+        });
+        Some(Datagram::Proof {
+            nonce,
+            holds_ms: u32::try_from(holds.as_millis()).unwrap_or_default(),
+            version: state.catalog.as_ref().map_or(0, |catalog| catalog.version),
+            records: records.collect(),
+        })
+    }
+
+    /// Takes a proof, counted from when it was asked for: it was lent later.
+    fn borrow(
+        self: &Rc<Self>,
+        nonce: u64,
+        holds: Duration,
+        version: u64,
+        records: Vec<ProvenRecord>,
+        from: SocketAddr,
+    ) {
+        let Some((_, asked_at)) = self.asked.get().filter(|(asked, _)| *asked == nonce) else {
+            return;
+        };
+        for proven in records {
+            let value = serde_json::to_vec(&proven.record).ok();
+            let revision = Revision(proven.revision);
+            agreement::apply_record(&self.node, proven.database, revision, value);
+        }
+        let mut state = self.node.state.borrow_mut();
+        state.borrowed_guard.lend(asked_at, holds);
+        let own = state.catalog.as_ref().map_or(0, |catalog| catalog.version);
+        drop(state);
+        self.node.changed.notify_waiters();
+        if version > own && !self.fetching.replace(true) {
+            let peers = Rc::clone(self);
+            tokio::task::spawn_local(async move {
+                peers.fetch(from).await;
+                peers.fetching.set(false);
+            });
+        }
+    }
+
+    async fn fetch(&self, from: SocketAddr) {
+        match timeout(FETCH_WITHIN, fetch_configuration(from)).await {
+            Ok(Ok((revision, value))) => {
+                log::info!(
+                    "event=configuration_fetched from={from} revision={}",
+                    revision.0
+                );
+                agreement::apply_configuration(&self.node, revision, Some(value));
+            }
+            Ok(Err(error)) => {
+                log::warn!("event=configuration_unfetched from={from} error=\"{error}\"");
+            }
+            Err(_) => log::warn!("event=configuration_unfetched from={from} error=timeout"),
+        }
+    }
+
+    fn others(&self) -> Vec<SocketAddr> {
+        let state = self.node.state.borrow();
+        let own: &VmName = &self.node.settings.vm;
+        let others = state.vms.iter().filter(|(vm, _)| *vm != own);
+        others.map(|(_, record)| record.peer_address).collect()
+    }
+
+    async fn send(&self, datagram: &Datagram, to: SocketAddr) {
+        match postcard::to_stdvec(datagram) {
+            Ok(bytes) => {
+                if let Err(error) = self.socket.send_to(&bytes, to).await {
+                    log::debug!("event=datagram_unsent to={to} error=\"{error}\"");
+                }
+            }
+            Err(error) => log::warn!("event=datagram_unencoded error=\"{error}\""),
+        }
+    }
+}
+
+/// Sends the configuration to every VM that connects.
+pub async fn serve_configuration(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(PROOF_INTERVAL).await;
+            continue;
+        };
+        let held = node.state.borrow().catalog_value.clone();
+        let Some((revision, value)) = held else {
+            continue;
+        };
+        tokio::task::spawn_local(async move {
+            let sending = send_configuration(stream, revision, &value);
+            if let Ok(Err(error)) = timeout(FETCH_WITHIN, sending).await {
+                log::debug!("event=configuration_unsent error=\"{error}\"");
+            }
+        });
+    }
+}
+
+async fn send_configuration(
+    mut stream: TcpStream,
+    revision: Revision,
+    value: &[u8],
+) -> io::Result<()> {
+    stream.write_u64(revision.0).await?;
+    stream.write_all(value).await?;
+    stream.shutdown().await
+}
+
+async fn fetch_configuration(from: SocketAddr) -> io::Result<(Revision, Vec<u8>)> {
+    let mut stream = TcpStream::connect(from).await?;
+    let revision = Revision(stream.read_u64().await?);
+    let mut value = Vec::new();
+    stream
+        .take(MAX_CONFIGURATION_BYTES)
+        .read_to_end(&mut value)
+        .await?;
+    Ok((revision, value))
+}
--- /dev/null
+++ b/src/entry/placement/tests.rs
@@ -0,0 +1,104 @@
+use std::time::Duration;
+
+use super::{Candidate, Latency, choose};
+use crate::entry::position::Position;
+
+const IDLE: Candidate = Candidate {
+    is_primary: false,
+    in_flight: 0,
+    connected: true,
+    exhausted: false,
+    latency: Duration::from_millis(20),
+    position: Some(Position {
+        term: 1,
+        number: 100,
+    }),
+};
+
+struct Case {
+    name: &'static str,
+    candidates: [Candidate; 2],
+    expected: usize,
+}
+
+#[test]
+fn the_cheapest_candidate_is_chosen() {
+    let primary = Candidate {
+        is_primary: true,
+        ..IDLE
+    };
+    let cases = [
+        Case {
+            name: "a replica before the primary",
+            candidates: [primary, IDLE],
+            expected: 1,
+        },
+        Case {
+            name: "the primary before a busy replica",
+            candidates: [
+                primary,
+                Candidate {
+                    in_flight: 2,
+                    ..IDLE
+                },
+            ],
+            expected: 0,
+        },
+        Case {
+            name: "an open connection before a new one",
+            candidates: [
+                Candidate {
+                    connected: false,
+                    ..IDLE
+                },
+                IDLE,
+            ],
+            expected: 1,
+        },
+        Case {
+            name: "a replica known to be fresh before one that isn't",
+            candidates: [
+                Candidate {
+                    position: None,
+                    ..IDLE
+                },
+                IDLE,
+            ],
+            expected: 1,
+        },
+        Case {
+            name: "a fast instance before a slow one",
+            candidates: [
+                Candidate {
+                    latency: Duration::from_millis(90),
+                    ..IDLE
+                },
+                IDLE,
+            ],
+            expected: 1,
+        },
+    ];
+    let need = Some(Position {
+        term: 1,
+        number: 90,
+    });
+    for case in cases {
+        assert_eq!(
+            choose(need, &case.candidates),
+            Some(case.expected),
+            "{}",
+            case.name
+        );
+    }
+}
+
+#[test]
+fn a_slow_instance_is_tried_again_after_a_while() {
+    let mut latency = Latency::default();
+    for _ in 0..20 {
+        latency.note(Duration::from_millis(200));
+    }
+    assert!(latency.expected() > Duration::from_millis(150));
+    latency.grow_older(Duration::from_secs(10));
+    assert!(latency.expected() < Duration::from_millis(30));
+}
--- /dev/null
+++ b/src/entry/pool.rs
@@ -0,0 +1,309 @@
+//! This VM's connections to one instance.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::time::{Instant, timeout_at};
+
+use super::instance::Instance;
+use super::link::{Link, LinkError, rejection};
+use super::placement::Latency;
+use super::position::Position;
+use super::statement::{FailureKind, Protocol};
+use crate::name::WorkspaceName;
+
+/// Result of taking a connection.
+pub type Result<T, E = LinkError> = std::result::Result<T, E>;
+
+/// Time after an instance said that it has no connection left, in which none is opened.
+const FULL_PAUSE: Duration = Duration::from_millis(100);
+
+/// Idle time after which a connection beyond [`Limits::kept`] is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(20);
+
+/// How many connections a VM may have to one instance.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Limits {
+    /// Connections that may be open.
+    pub open: usize,
+    /// Connections that are kept while they are idle.
+    pub kept: usize,
+}
+
+impl Limits {
+    /// Divides an instance's connections among VMs. A VM may open more than its part, because the
+    /// others seldom use all of theirs, but keeps only part of it idle.
+    pub fn divide(max_connections: usize, vms: usize) -> Self {
+        let part = max_connections / vms.max(1);
+        Self {
+            open: (part * 2).clamp(1, max_connections.max(1)),
+            kept: part.max(1),
+        }
+    }
+}
+
+/// Connections to one instance.
+#[derive(Debug)]
+pub struct Pool {
+    instance: RefCell<Rc<Instance>>,
+    protocol: Protocol,
+    limits: Cell<Limits>,
+    idle: RefCell<Vec<Link>>,
+    open: Cell<usize>,
+    full_until: Cell<Option<Instant>>,
+    freed: Notify,
+    latency: Cell<Latency>,
+    position: Cell<Option<Position>>,
+    in_flight: Cell<u32>,
+}
+
+/// Connection that is taken from a pool; goes back or is closed when dropped.
+#[derive(Debug)]
+pub struct Lease {
+    pool: Rc<Pool>,
+    link: Option<Link>,
+}
+
+impl Pool {
+    /// Builds an empty pool.
+    pub fn new(instance: Rc<Instance>, protocol: Protocol, limits: Limits) -> Rc<Self> {
+        Rc::new(Self {
+            instance: RefCell::new(instance),
+            protocol,
+            limits: Cell::new(limits),
+            idle: RefCell::default(),
+            open: Cell::new(0),
+            full_until: Cell::new(None),
+            freed: Notify::new(),
+            latency: Cell::default(),
+            position: Cell::new(None),
+            in_flight: Cell::new(0),
+        })
+    }
+
+    /// Takes over a new announcement of the instance; a new process or address closes what is idle.
+    pub fn update(&self, instance: Rc<Instance>) {
+        let previous = self.instance.replace(Rc::clone(&instance));
+        let same_process = previous.address == instance.address
+            && previous.started_at_ms == instance.started_at_ms
+            && previous.database == instance.database;
+        if !same_process {
+            self.close_idle();
+            self.position.set(None);
+        }
+    }
+
+    /// Changes the limits.
+    pub fn set_limits(&self, limits: Limits) {
+        self.limits.set(limits);
+    }
+
+    /// Closes the connections that are not in use.
+    pub fn close_idle(&self) {
+        let closed = std::mem::take(&mut *self.idle.borrow_mut()).len();
+        self.open.set(self.open.get() - closed);
+    }
+
+    /// Closes connections that have been idle for long; lets measurements grow older.
+    pub fn tidy(&self, elapsed: Duration) {
+        let mut latency = self.latency.get();
+        latency.grow_older(elapsed);
+        self.latency.set(latency);
+        let mut idle = self.idle.borrow_mut();
+        let before = idle.len();
+        idle.retain(|link| link.used_at.elapsed() < IDLE_LIMIT && link.is_usable());
+        self.open.set(self.open.get() - (before - idle.len()));
+    }
+
+    /// Returns whether an idle connection of the workspace is there.
+    pub fn has_idle(&self, workspace: &WorkspaceName) -> bool {
+        let idle = self.idle.borrow();
+        idle.iter().any(|link| link.workspace == *workspace)
+    }
+
+    /// Returns whether every connection that may be open is in use.
+    pub fn is_exhausted(&self) -> bool {
+        self.idle.borrow().is_empty() && !self.may_open()
+    }
+
+    /// Returns the expected time of a statement.
+    pub fn latency(&self) -> Duration {
+        self.latency.get().expected()
+    }
+
+    /// Returns the latest position seen of the instance.
+    pub fn position(&self) -> Option<Position> {
+        self.position.get()
+    }
+
+    /// Returns how many statements run.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.get()
+    }
+
+    /// Counts a statement that starts.
+    pub fn started(&self) {
+        self.in_flight.set(self.in_flight.get() + 1);
+    }
+
+    /// Counts a statement that ended, with what it told of the instance.
+    pub fn ended(&self, taken: Option<Duration>, position: Option<Position>) {
+        self.in_flight.set(self.in_flight.get().saturating_sub(1));
+        if let Some(taken) = taken {
+            let mut latency = self.latency.get();
+            latency.note(taken);
+            self.latency.set(latency);
+        }
+        if position.is_some() {
+            self.position.set(position);
+        }
+    }
+
+    /// Takes a connection that was opened for the workspace, or opens one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when none can be had before the deadline.
+    pub async fn take(
+        self: &Rc<Self>,
+        workspace: &WorkspaceName,
+        open_within: Duration,
+        deadline: Instant,
+    ) -> Result<Lease> {
+        loop {
+            if let Some(link) = self.take_idle(workspace) {
+                return Ok(self.lease(link));
+            }
+            if self.may_open() || self.evict_idle() {
+                let until = deadline.min(Instant::now() + open_within);
+                match self.open(workspace, until).await {
+                    Err(error) if rejection(&error) == Some(FailureKind::TooManyConnections) => {
+                        self.full_until.set(Some(Instant::now() + FULL_PAUSE));
+                    }
+                    opened => return opened,
+                }
+            }
+            self.wait_for_room(deadline).await?;
+        }
+    }
+
+    /// Opens a connection beyond the limits, for control.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the instance can't be reached before the deadline.
+    pub async fn open_extra(
+        self: &Rc<Self>,
+        workspace: &WorkspaceName,
+        deadline: Instant,
+    ) -> Result<Lease> {
+        self.open(workspace, deadline).await
+    }
+
+    async fn wait_for_room(&self, deadline: Instant) -> Result<()> {
+        let freed = self.freed.notified();
+        let pause = Instant::now() + FULL_PAUSE;
+        if timeout_at(deadline.min(pause), freed).await.is_err() && Instant::now() >= deadline {
+            return Err(LinkError::TimedOut);
+        }
+        Ok(())
+    }
+
+    async fn open(self: &Rc<Self>, workspace: &WorkspaceName, deadline: Instant) -> Result<Lease> {
+        self.open.set(self.open.get() + 1);
+        let mut lease = Lease {
+            pool: Rc::clone(self),
+            link: None,
+        };
+        let instance = Rc::clone(&self.instance.borrow());
+        let link = Link::open(instance, workspace.clone(), self.protocol, deadline).await?;
+        lease.link = Some(link);
+        Ok(lease)
+    }
+
+    fn lease(self: &Rc<Self>, link: Link) -> Lease {
+        Lease {
+            pool: Rc::clone(self),
+            link: Some(link),
+        }
+    }
+
+    fn take_idle(&self, workspace: &WorkspaceName) -> Option<Link> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(index) = idle.iter().rposition(|link| link.workspace == *workspace) {
+            let link = idle.remove(index);
+            if link.is_usable() {
+                return Some(link);
+            }
+            self.open.set(self.open.get() - 1);
+        }
+        None
+    }
+
+    fn may_open(&self) -> bool {
+        let full = self
+            .full_until
+            .get()
+            .is_some_and(|until| Instant::now() < until);
+        self.open.get() < self.limits.get().open && !full
+    }
+
+    /// Closes the connection that was idle longest; returns whether there was one.
+    fn evict_idle(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        if idle.is_empty() {
+            return false;
+        }
+        idle.remove(0);
+        self.open.set(self.open.get() - 1);
+        true
+    }
+
+    fn give_back(&self, link: Option<Link>) {
+        match link {
+            Some(link) if self.accepts(&link) => self.idle.borrow_mut().push(link),
+            _ => self.open.set(self.open.get() - 1),
+        }
+        while self.idle.borrow().len() > self.limits.get().kept {
+            self.evict_idle();
+        }
+        self.freed.notify_one();
+    }
+
+    fn accepts(&self, link: &Link) -> bool {
+        let instance = self.instance.borrow();
+        link.instance.address == instance.address
+            && link.instance.started_at_ms == instance.started_at_ms
+            && link.is_usable()
+    }
+}
+
+impl Lease {
+    /// Returns the connection.
+    ///
+    /// # Panics
+    ///
+    /// Never: the connection is there until the lease is dropped.
+    pub fn link(&mut self) -> &mut Link {
+        self.link.as_mut().expect("a lease holds its connection")
+    }
+
+    /// Returns the pool that the connection belongs to.
+    pub fn pool(&self) -> &Rc<Pool> {
+        &self.pool
+    }
+
+    /// Closes the connection: its state isn't known.
+    pub fn close(mut self) {
+        self.link = None;
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        let link = self.link.take();
+        self.pool.give_back(link);
+    }
+}
--- /dev/null
+++ b/src/entry/promotion/tests.rs
@@ -0,0 +1,88 @@
+use super::{Decision, Heard, decide};
+use crate::entry::position::Position;
+use crate::entry::statement::InstanceReport;
+use crate::name::InstanceName;
+
+fn heard(instance: &str, number: u64) -> Heard {
+    Heard {
+        instance: InstanceName::from(instance),
+        report: InstanceReport {
+            is_primary: instance == "p",
+            term: 3,
+            received: Position { term: 3, number },
+        },
+        may_lead: instance != "p",
+    }
+}
+
+struct Case {
+    name: &'static str,
+    heard: Vec<Heard>,
+    expected: Decision,
+}
+
+#[test]
+fn no_acknowledged_save_is_left_behind() {
+    let leaving = Heard {
+        may_lead: false,
+        ..heard("b", 30)
+    };
+    let mut leads = heard("b", 31);
+    leads.report.is_primary = true;
+    leads.report.term = 4;
+    let b = || InstanceName::from("b");
+    let a = || InstanceName::from("a");
+    let cases = [
+        Case {
+            name: "the furthest of all replicas",
+            heard: vec![heard("a", 20), heard("b", 30)],
+            expected: Decision::Promote(b()),
+        },
+        Case {
+            name: "a replica that wasn't heard may hold the last save",
+            heard: vec![heard("a", 20)],
+            expected: Decision::Unheard,
+        },
+        Case {
+            name: "the old primary knows every save",
+            heard: vec![heard("p", 30), heard("a", 20)],
+            expected: Decision::CatchUp(
+                a(),
+                Position {
+                    term: 3,
+                    number: 30,
+                },
+            ),
+        },
+        Case {
+            name: "a replica as far as the old primary",
+            heard: vec![heard("p", 30), heard("a", 30)],
+            expected: Decision::Promote(a()),
+        },
+        Case {
+            name: "the furthest is leaving",
+            heard: vec![heard("a", 20), leaving],
+            expected: Decision::CatchUp(
+                a(),
+                Position {
+                    term: 3,
+                    number: 30,
+                },
+            ),
+        },
+        Case {
+            name: "a former holder's call took effect",
+            heard: vec![heard("a", 20), leads],
+            expected: Decision::AlreadyLeads(b()),
+        },
+        Case {
+            name: "nobody was heard",
+            heard: vec![],
+            expected: Decision::Unheard,
+        },
+    ];
+    for case in cases {
+        let decision = decide(&InstanceName::from("p"), 3, &case.heard, 3);
+        assert_eq!(decision, case.expected, "{}", case.name);
+    }
+}
--- /dev/null
+++ b/src/entry/quota.rs
@@ -0,0 +1,172 @@
+//! This VM's part of each workspace's rate and burst.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::catalog::Workspace;
+use crate::control::bucket::{Bucket, Share};
+use crate::name::{VmName, WorkspaceName};
+use crate::time::Timestamp;
+
+/// Part of a workspace's rate that every VM is given whatever its demand, so that a caller that
+/// moves to another VM isn't refused before the VMs know.
+const BASE_DEMAND: f64 = 0.04;
+
+/// Time constant by which the demand is averaged.
+const DEMAND_WINDOW: Duration = Duration::from_millis(1_000);
+
+/// Smallest burst of one VM: below one, nothing could ever be admitted.
+const MIN_BURST: f64 = 2.0;
+
+/// Part of its share that a VM keeps which hears none of the others: they may have given its part
+/// away.
+const ISOLATED_FACTOR: f64 = 0.6;
+
+/// Time after which a VM that was heard counts as not heard.
+const HEARD_WITHIN: Duration = Duration::from_secs(3);
+
+/// Demand of the workspaces as one VM announces it, in operations per second.
+pub type Demand = HashMap<WorkspaceName, f64>;
+
+#[derive(Debug)]
+struct PeerDemand {
+    demand: Demand,
+    heard_at: Timestamp,
+}
+
+#[derive(Debug)]
+struct Meter {
+    bucket: Bucket,
+    asked: f64,
+    demand_per_s: f64,
+    announced_per_s: f64,
+}
+
+/// Limits of all workspaces at this VM.
+///
+/// Each VM announces its demand and takes the part of the rate that its demand has in the sum.
+/// Because all of them compute from the same announcements, the parts add up to the rate.
+#[derive(Debug, Default)]
+pub struct Quota {
+    meters: HashMap<WorkspaceName, Meter>,
+    peers: HashMap<VmName, PeerDemand>,
+    counted_at: Timestamp,
+}
+
+impl Quota {
+    /// Spends a token of the workspace; returns the time to come back at when there is none.
+    pub fn admit(&mut self, workspace: &Workspace, now: Timestamp) -> Result<(), Duration> {
+        let meter = self
+            .meters
+            .entry(workspace.name.clone())
+            .or_insert_with(|| Meter::new(now));
+        meter.asked += 1.0;
+        if meter.bucket.try_take(1.0, now) {
+            return Ok(());
+        }
+        let at = meter.bucket.available_at(1.0, now);
+        Err(at.map_or(DEMAND_WINDOW, |at| at.since(now)))
+    }
+
+    /// Takes back a token that was spent on an operation which never reached an instance.
+    pub fn give_back(&mut self, workspace: &WorkspaceName, now: Timestamp) {
+        if let Some(meter) = self.meters.get_mut(workspace) {
+            meter.bucket.deposit(1.0, now + DEMAND_WINDOW, now);
+        }
+    }
+
+    /// Records what another VM announced.
+    pub fn heard(&mut self, vm: VmName, demand: Demand, now: Timestamp) {
+        self.peers.insert(
+            vm,
+            PeerDemand {
+                demand,
+                heard_at: now,
+            },
+        );
+    }
+
+    /// Forgets VMs that are registered no longer and aren't heard either.
+    pub fn retain_peers(&mut self, registered: impl Fn(&VmName) -> bool, now: Timestamp) {
+        self.peers
+            .retain(|vm, peer| registered(vm) || now.since(peer.heard_at) < HEARD_WITHIN);
+    }
+
+    /// Updates the averages of the demand and returns what is to be announced.
+    pub fn measure(&mut self, now: Timestamp) -> Demand {
+        let elapsed_s = now.since(self.counted_at).as_secs_f64();
+        self.counted_at = now;
+        if elapsed_s <= 0.0 {
+            return Demand::new();
+        }
+        let gain = (elapsed_s / DEMAND_WINDOW.as_secs_f64()).min(1.0);
+        for meter in self.meters.values_mut() {
+            let rate = meter.asked / elapsed_s;
+            meter.asked = 0.0;
+            meter.demand_per_s += gain * (rate - meter.demand_per_s);
+            meter.announced_per_s = meter.demand_per_s;
+        }
+        let demand = self.meters.iter();
+        demand
+            .map(|(name, meter)| (name.clone(), meter.announced_per_s))
+            .collect()
+    }
+
+    /// Divides the limits anew among `vms` VMs, this one included.
+    pub fn divide<'a>(
+        &mut self,
+        workspaces: impl Iterator<Item = &'a Workspace>,
+        vms: usize,
+        now: Timestamp,
+    ) {
+        let heard = |peer: &PeerDemand| now.since(peer.heard_at) < HEARD_WITHIN;
+        let isolated = vms > 1 && !self.peers.values().any(heard);
+        for workspace in workspaces {
+            let base = BASE_DEMAND * workspace.rate_per_s;
+            let others: f64 = self
+                .peers
+                .values()
+                .filter_map(|peer| peer.demand.get(&workspace.name))
+                .sum();
+            let meter = self
+                .meters
+                .entry(workspace.name.clone())
+                .or_insert_with(|| Meter::new(now));
+            let own = meter.announced_per_s + base;
+            let sum = meter.announced_per_s + others + base * vms.max(1) as f64;
+            let mut part = if sum > 0.0 {
+                own / sum
+            } else {
+                1.0 / vms.max(1) as f64
+            };
+            if isolated {
+                part *= ISOLATED_FACTOR;
+            }
+            let share = Share {
+                rate_per_s: workspace.rate_per_s * part,
+                burst: (workspace.burst * part).max(MIN_BURST),
+                weight: 1,
+            };
+            meter.bucket.set_share(share, now);
+        }
+    }
+}
+
+impl Meter {
+    const fn new(now: Timestamp) -> Self {
+        let share = Share {
+            rate_per_s: 0.0,
+            burst: 0.0,
+            weight: 1,
+        };
+        Self {
+            bucket: Bucket::empty(share, now),
+            asked: 0.0,
+            demand_per_s: 0.0,
+            announced_per_s: 0.0,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/entry/service.rs
@@ -0,0 +1,87 @@
+//! Runs an entry until it is asked to stop.
+
+use std::io;
+use std::rc::Rc;
+
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use super::clock;
+use super::duty::Duty;
+use super::node::Node;
+use super::peers::{self, Peers};
+use super::{agreement, directory, listener, registration};
+
+/// Result of starting an entry.
+pub type Result<T, E = StartError> = std::result::Result<T, E>;
+
+/// Why an entry could not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address can't be listened on.
+    #[snafu(display("can't listen on {address}: {source}; check that no other process does"))]
+    Bind {
+        /// The address.
+        address: std::net::SocketAddr,
+        /// What happened.
+        source: io::Error,
+    },
+}
+
+/// Starts the tasks of an entry on the current thread.
+///
+/// # Errors
+///
+/// Fails when an address can't be listened on.
+pub async fn start(node: &Rc<Node>) -> Result<()> {
+    let address = node.settings.caller_address;
+    let callers = TcpListener::bind(address)
+        .await
+        .context(BindSnafu { address })?;
+    let address = node.settings.peer_address;
+    let bound = Peers::bind(Rc::clone(node)).await;
+    let (peers, configuration) = bound.context(BindSnafu { address })?;
+    spawn_local(registration::run(Rc::clone(node)));
+    spawn_local(agreement::run(Rc::clone(node)));
+    spawn_local(directory::run(Rc::clone(node)));
+    spawn_local(Rc::clone(&peers).announce());
+    spawn_local(Rc::clone(&peers).seek_proofs());
+    spawn_local(peers.listen());
+    spawn_local(peers::serve_configuration(Rc::clone(node), configuration));
+    spawn_local(tick(Rc::clone(node)));
+    spawn_local(listener::run(Rc::clone(node), callers));
+    log::info!(
+        "event=started vm={} availability_zone={} callers={} peers={}",
+        node.settings.vm,
+        node.settings.availability_zone,
+        node.settings.caller_address,
+        node.settings.peer_address
+    );
+    Ok(())
+}
+
+/// Looks at health, duties and limits at an interval.
+async fn tick(node: Rc<Node>) {
+    let duty = Rc::new(Duty::default());
+    loop {
+        sleep(node.settings.tick).await;
+        duty.tick(&node);
+        divide_limits(&node);
+        node.tidy_pools(node.settings.tick);
+    }
+}
+
+fn divide_limits(node: &Rc<Node>) {
+    let now = clock::now();
+    let mut state = node.state.borrow_mut();
+    let Some(catalog) = state.catalog.clone() else {
+        return;
+    };
+    let vms = state.vms.len();
+    let registered: Vec<_> = state.vms.keys().cloned().collect();
+    state.quota.retain_peers(|vm| registered.contains(vm), now);
+    let workspaces = catalog.workspaces.values();
+    state.quota.divide(workspaces.map(AsRef::as_ref), vms, now);
+}
