Learn from other VMs what a silent watch missed; judge every instance by its answers

Ruled out: the proofs of other VMs, which are asked for only while renewals go unanswered. Change: VMs tell each other the version and the latest changes they know; one that is behind reads again or fetches the configuration. Announcements are watched instead of read every second. Evidence of failure is kept for each instance, not only for primaries; reads leave an unreachable one.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -14,6 +14,7 @@
 pub mod directory;
 pub mod duty;
 pub mod execution;
+pub mod follow;
 pub mod freshness;
 pub mod gossip;
 pub mod guard;
--- a/src/entry/agreement.rs
+++ b/src/entry/agreement.rs
@@ -3,79 +3,53 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::mpsc;
-
 use super::catalog::Catalog;
 use super::clock;
+use super::follow::{self, Follower};
 use super::keys;
 use super::node::{Node, State};
 use super::record::{DutyRecord, Phase, PrimaryRecord, VersionedRecord, VmRecord};
 use crate::configuration::Revision;
 use crate::control::command::PlatformRequest;
-use crate::control::event::{KeyValue, PlatformAnswer};
+use crate::control::event::KeyValue;
 use crate::name::{DatabaseName, VmName};
 use crate::time::Timestamp;
 
-/// Pause before the store is asked again after a failure.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
-
-/// Batches of a watch that may wait to be applied.
-const WATCH_QUEUE_BATCHES: usize = 16;
-
 /// Longest time for which a confirmation waits for the proofs that were lent to other VMs.
 const MAX_LENT: Duration = Duration::from_millis(500);
 
 /// Reads and watches the shared keys until the process ends.
 pub async fn run(node: Rc<Node>) {
-    loop {
-        if !refresh(&node).await {
-            tokio::time::sleep(RETRY_PAUSE).await;
-            continue;
-        }
-        let from = Revision(node.state.borrow().shared_revision.0 + 1);
-        let (sender, mut batches) = mpsc::channel(WATCH_QUEUE_BATCHES);
-        let watching = (node.adapter.store.watch)(keys::SHARED.to_owned(), from, sender);
-        let applying = async {
-            while let Some(batch) = batches.recv().await {
-                for key in batch.keys {
-                    apply(&node, key);
-                }
-                let mut state = node.state.borrow_mut();
-                state.shared_revision = state.shared_revision.max(batch.revision);
-            }
-        };
-        tokio::join!(watching, applying);
-        log::info!("event=watch_ended action=read_again");
-    }
+    let follower = Follower {
+        prefix: keys::SHARED,
+        progress: &node.shared_progress,
+        replace: &|keys| replace(&node, keys),
+        apply: &|key| apply(&node, key),
+    };
+    follower.run(&node).await;
 }
 
 /// Reads the shared keys; returns whether the store answered.
 pub async fn refresh(node: &Rc<Node>) -> bool {
-    let prefix = keys::SHARED.to_owned();
-    let answer = node.call(PlatformRequest::List { prefix }).await;
-    let Ok(PlatformAnswer::Found { keys, revision }) = answer else {
-        log::warn!("event=shared_keys_unread answer={answer:?}");
-        return false;
-    };
-    forget_missing(node, &keys, revision);
-    for key in keys {
-        apply(node, key);
+    let found = follow::list(node, keys::SHARED).await;
+    let read = found.is_some();
+    if let Some((keys, _)) = found {
+        replace(node, keys);
     }
-    let mut state = node.state.borrow_mut();
-    state.shared_revision = state.shared_revision.max(revision);
-    true
+    read
 }
 
-fn forget_missing(node: &Rc<Node>, found: &[KeyValue], revision: Revision) {
+fn replace(node: &Rc<Node>, found: Vec<KeyValue>) {
     let mut state = node.state.borrow_mut();
-    if revision < state.shared_revision {
-        return;
-    }
     let present = |key: &str| found.iter().any(|found| found.key == key);
     state.vms.retain(|vm, _| present(&keys::vm(vm)));
     if !present(keys::DUTY) {
         state.duty_holder = None;
     }
+    drop(state);
+    for key in found {
+        apply(node, key);
+    }
 }
 
 /// Applies one key as the store, or another VM, holds it.
@@ -85,6 +59,7 @@
         value,
         revision,
     } = key;
+    node.shared_progress.note(revision);
     if key == keys::CONFIGURATION {
         apply_configuration(node, revision, value);
     } else if key == keys::DUTY {
@@ -168,6 +143,7 @@
     if !take_record(&mut node.state.borrow_mut(), &database, &record, revision) {
         return;
     }
+    clear_suspicion(node, &record);
     log::info!(
         "event=primary_recorded database={database} primary={} term={} phase={} revision={}",
         record.primary,
@@ -181,6 +157,14 @@
     }
 }
 
+/// Judges a primary that was just recorded by what it does from now on.
+fn clear_suspicion(node: &Node, record: &PrimaryRecord) {
+    let primary = node.state.borrow().directory.get(&record.primary).cloned();
+    if let Some(primary) = primary.filter(|_| record.phase == Phase::Steady) {
+        node.pool(&primary).clear_health();
+    }
+}
+
 fn take_record(
     state: &mut State,
     database: &DatabaseName,
@@ -192,10 +176,6 @@
     if previous.is_some_and(|previous| previous.revision >= revision) {
         return false;
     }
-    let primary_changed = previous.is_none_or(|previous| previous.record.primary != record.primary);
-    if primary_changed || record.phase == Phase::Steady {
-        known.health = super::health::Health::default();
-    }
     known.record = Some(VersionedRecord {
         record: record.clone(),
         revision,
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -1,119 +1,159 @@
-//! Reads the announcements of the instances.
+//! Keeps the instances known in line with their announcements.
 
+use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::sleep;
-
 use super::clock;
+use super::follow::Follower;
 use super::health::Verdict;
 use super::instance::Change;
 use super::keys;
 use super::node::Node;
 use crate::configuration::Revision;
-use crate::control::command::PlatformRequest;
-use crate::control::event::{KeyValue, PlatformAnswer};
+use crate::control::event::KeyValue;
 use crate::name::{DatabaseName, InstanceName};
 use crate::time::Timestamp;
 
-/// Pause before the announcements are read again after a failure.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Time for which an instance whose announcement vanished is still used: announcements that lapsed
+/// while the store was away come back within about two seconds.
+const GONE_AFTER: Duration = Duration::from_millis(2_500);
 
 /// Time for which a primary must have done well without an instance before the instance's log is
 /// no longer needed: all that it acknowledged has reached the others.
 const OUTLIVED_AFTER: Duration = Duration::from_secs(4);
 
-/// Reads the announcements at an interval until the process ends.
+/// Reads and watches the announcements until the process ends.
 pub async fn run(node: Rc<Node>) {
-    let mut unreadable = HashMap::new();
-    let mut smaller_since = HashMap::new();
-    loop {
-        let read = read(&node, &mut unreadable).await;
-        if read {
-            note_group_sizes(&node, &mut smaller_since);
-        }
-        let pause = if read {
-            node.settings.directory_refresh
-        } else {
-            RETRY_PAUSE
-        };
-        sleep(pause).await;
-    }
+    let unreadable = RefCell::default();
+    let follower = Follower {
+        prefix: keys::INSTANCES,
+        progress: &node.directory_progress,
+        replace: &|keys| replace(&node, keys, &unreadable),
+        apply: &|key| apply(&node, key, &unreadable),
+    };
+    follower.run(&node).await;
 }
 
-async fn read(node: &Rc<Node>, unreadable: &mut HashMap<String, Revision>) -> bool {
-    let prefix = keys::INSTANCES.to_owned();
-    let asked_at = clock::now();
-    let answer = node.call(PlatformRequest::List { prefix }).await;
-    let Ok(PlatformAnswer::Found { keys, .. }) = answer else {
-        log::warn!("event=announcements_unread answer={answer:?}");
-        return false;
+/// Revisions of the announcements that could not be read, each of which is logged once.
+type Unreadable = RefCell<HashMap<String, Revision>>;
+
+fn replace(node: &Rc<Node>, found: Vec<KeyValue>, unreadable: &Unreadable) {
+    let present: HashSet<InstanceName> = found
+        .iter()
+        .filter_map(|key| key.key.strip_prefix(keys::INSTANCES))
+        .map(InstanceName::from)
+        .collect();
+    let vanished: Vec<InstanceName> = {
+        let state = node.state.borrow();
+        let known = state.directory.all().map(|instance| &instance.name);
+        known
+            .filter(|name| !present.contains(*name))
+            .cloned()
+            .collect()
     };
-    let changes = apply(node, keys, unreadable);
-    for change in &changes {
-        node.apply_change(change);
+    for name in vanished {
+        note_missing(node, name);
     }
-    node.state.borrow_mut().directory_read_at = Some(asked_at);
-    if !changes.is_empty() {
-        node.changed.notify_waiters();
+    for key in found {
+        apply(node, key, unreadable);
     }
-    true
+    node.state.borrow_mut().directory_known = true;
 }
 
-fn apply(
-    node: &Rc<Node>,
-    keys: Vec<KeyValue>,
-    unreadable: &mut HashMap<String, Revision>,
-) -> Vec<Change> {
-    let mut state = node.state.borrow_mut();
-    let mut present = HashSet::new();
-    let mut changes = Vec::new();
-    for key in keys {
-        let (Some(name), Some(value)) = (key.key.strip_prefix(keys::INSTANCES), &key.value) else {
-            continue;
-        };
-        match (node.adapter.decode_instance)(name, value) {
-            Ok(instance) => {
-                present.insert(instance.name.clone());
-                changes.extend(state.directory.update(instance));
+fn apply(node: &Rc<Node>, key: KeyValue, unreadable: &Unreadable) {
+    let Some(name) = key.key.strip_prefix(keys::INSTANCES) else {
+        return;
+    };
+    node.directory_progress.note(key.revision);
+    let Some(value) = &key.value else {
+        note_missing(node, InstanceName::from(name));
+        return;
+    };
+    match (node.adapter.decode_instance)(name, value) {
+        Ok(instance) => {
+            let change = {
+                let mut state = node.state.borrow_mut();
+                state.missing.remove(&instance.name);
+                state.directory.update(instance)
+            };
+            if let Some(change) = change {
+                announce(node, &change);
             }
-            Err(error) => {
-                if unreadable.insert(name.to_owned(), key.revision) != Some(key.revision) {
-                    log::warn!("event=announcement_unreadable instance={name} error=\"{error}\"");
-                }
+        }
+        Err(error) => {
+            let known = unreadable
+                .borrow_mut()
+                .insert(name.to_owned(), key.revision);
+            if known != Some(key.revision) {
+                log::warn!("event=announcement_unreadable instance={name} error=\"{error}\"");
             }
+            note_missing(node, InstanceName::from(name));
         }
     }
-    let known = state.directory.all().map(|instance| instance.name.clone());
-    let gone: Vec<InstanceName> = known.filter(|name| !present.contains(name)).collect();
-    for name in gone {
-        changes.extend(state.directory.remove(&name));
+}
+
+fn note_missing(node: &Rc<Node>, name: InstanceName) {
+    let mut state = node.state.borrow_mut();
+    if state.directory.get(&name).is_none() || state.missing.contains_key(&name) {
+        return;
+    }
+    log::info!("event=instance_missing instance={name}");
+    state.missing.insert(name, clock::now());
+}
+
+fn announce(node: &Rc<Node>, change: &Change) {
+    node.apply_change(change);
+    node.changed.notify_waiters();
+}
+
+/// Forgets instances that have been missing for long; counts those that are left.
+pub fn tidy(node: &Rc<Node>, smaller_since: &mut HashMap<DatabaseName, Timestamp>) {
+    let now = clock::now();
+    let gone: Vec<Change> = {
+        let mut state = node.state.borrow_mut();
+        let missing = state.missing.iter();
+        let over = missing.filter(|(_, since)| now.since(**since) >= GONE_AFTER);
+        let names: Vec<InstanceName> = over.map(|(name, _)| name.clone()).collect();
+        names
+            .into_iter()
+            .filter_map(|name| {
+                state.missing.remove(&name);
+                state.directory.remove(&name)
+            })
+            .collect()
+    };
+    for change in gone {
+        announce(node, &change);
     }
-    changes
+    note_group_sizes(node, smaller_since, now);
 }
 
 /// Keeps count of the instances of each database that may hold acknowledged saves.
-fn note_group_sizes(node: &Rc<Node>, smaller_since: &mut HashMap<DatabaseName, Timestamp>) {
-    let now = clock::now();
+fn note_group_sizes(
+    node: &Rc<Node>,
+    smaller_since: &mut HashMap<DatabaseName, Timestamp>,
+    now: Timestamp,
+) {
     let mut state = node.state.borrow_mut();
     let databases: Vec<DatabaseName> = state.databases.keys().cloned().collect();
     for database in databases {
         let count = state.directory.of(&database).count();
-        let healthy = state.primary(&database).is_some();
+        let healthy = state
+            .primary(&database)
+            .is_some_and(|primary| node.pool_verdict(&primary.name) == Verdict::Healthy);
         let known = state.database(&database);
         if count >= known.group_size {
             known.group_size = count;
             smaller_since.remove(&database);
-            continue;
-        }
-        if !healthy || known.health.verdict(now) != Verdict::Healthy {
+        } else if !healthy {
             smaller_since.remove(&database);
-            continue;
-        }
-        let since = *smaller_since.entry(database).or_insert(now);
-        if now.since(since) >= OUTLIVED_AFTER {
-            known.group_size = count;
+        } else {
+            let since = *smaller_since.entry(database).or_insert(now);
+            if now.since(since) >= OUTLIVED_AFTER {
+                known.group_size = count;
+            }
         }
     }
 }
--- a/src/entry/duty.rs
+++ b/src/entry/duty.rs
@@ -14,6 +14,7 @@
 use super::instance::{Instance, InstanceState};
 use super::keys;
 use super::node::{DatabaseState, Node, State, StopPhase};
+use super::pool::Pool;
 use super::record::{DutyRecord, Phase, PrimaryRecord};
 use super::records;
 use super::statement::InstanceCommand;
@@ -21,30 +22,27 @@
 use crate::configuration::Revision;
 use crate::control::command::PlatformRequest;
 use crate::control::event::PlatformAnswer;
-use crate::name::{DatabaseName, VmName};
+use crate::name::{DatabaseName, InstanceName, VmName};
 use crate::time::Timestamp;
 
 /// Time by which VMs that notice the same thing act one after the other.
 const RANK_STEP: Duration = Duration::from_millis(80);
 
-/// Time for which a primary must be missing from the announcements before it counts as gone.
-const GONE_AFTER: Duration = Duration::from_millis(2_500);
-
 /// Time after which a replacement whose holder has gone is taken up again.
 const UNFINISHED_AFTER: Duration = Duration::from_millis(300);
 
 /// Longest time for a doubtful primary to report.
 const REPORT_WITHIN: Duration = Duration::from_millis(250);
 
-/// Age beyond which the announcements say nothing of who is missing.
-const DIRECTORY_AGE: Duration = Duration::from_secs(3);
+/// Interval at which an instance that doesn't answer is asked again.
+const PROBE_PAUSE: Duration = Duration::from_millis(150);
 
 /// What this VM has noticed and is doing.
 #[derive(Debug, Default)]
 pub struct Duty {
     noticed: RefCell<HashMap<DatabaseName, (Reason, Timestamp)>>,
     unrecorded: RefCell<HashMap<DatabaseName, Timestamp>>,
-    probing: RefCell<HashSet<DatabaseName>>,
+    probing: RefCell<HashSet<InstanceName>>,
     holding: Cell<bool>,
 }
 
@@ -52,6 +50,7 @@
     /// Looks at every database and starts what is due.
     pub fn tick(self: &Rc<Self>, node: &Rc<Node>) {
         let now = clock::now();
+        self.probe_doubtful(node);
         let state = node.state.borrow();
         if !state.guard.holds(now) || state.stop != StopPhase::Running {
             return;
@@ -62,8 +61,7 @@
                 self.record_first(node, &state, database, now);
                 continue;
             }
-            self.probe_if_doubtful(node, &state, database, known, now);
-            let reason = reason(&state, database, known, now);
+            let reason = reason(node, &state, database, known);
             if self.is_due(node, &state, database, reason, now) {
                 due.extend(reason.map(|reason| (database.clone(), reason)));
             }
@@ -99,34 +97,27 @@
             .and_modify(|(known, _)| *known = reason)
             .or_insert((reason, now));
         let settle = match reason {
-            Reason::Gone => GONE_AFTER,
             Reason::Unfinished => UNFINISHED_AFTER,
             _ => Duration::ZERO,
         };
         now.since(since) >= settle + RANK_STEP * rank(node, state, database)
     }
 
-    fn probe_if_doubtful(
-        self: &Rc<Self>,
-        node: &Rc<Node>,
-        state: &State,
-        database: &DatabaseName,
-        known: &DatabaseState,
-        now: Timestamp,
-    ) {
-        let doubtful = known.health.verdict(now) == Verdict::Doubtful;
-        let Some(primary) = state.primary(database).filter(|_| doubtful) else {
-            return;
-        };
-        if !self.probing.borrow_mut().insert(database.clone()) {
-            return;
+    /// Asks every instance for a report that may have failed.
+    fn probe_doubtful(self: &Rc<Self>, node: &Rc<Node>) {
+        for pool in node.pools() {
+            let suspected = matches!(pool.verdict(), Verdict::Doubtful | Verdict::Unreachable);
+            let instance = pool.instance();
+            if !suspected || !self.probing.borrow_mut().insert(instance.name.clone()) {
+                continue;
+            }
+            let (duty, node) = (Rc::clone(self), Rc::clone(node));
+            tokio::task::spawn_local(async move {
+                probe(&node, &pool).await;
+                sleep(PROBE_PAUSE).await;
+                duty.probing.borrow_mut().remove(&instance.name);
+            });
         }
-        let (duty, node) = (Rc::clone(self), Rc::clone(node));
-        let (database, primary) = (database.clone(), Rc::clone(primary));
-        tokio::task::spawn_local(async move {
-            probe(&node, &database, primary).await;
-            duty.probing.borrow_mut().remove(&database);
-        });
     }
 
     /// Records the first primary of a database that has never had one.
@@ -170,34 +161,37 @@
     records::write(node, &primary.database, Revision(0), record).await;
 }
 
-async fn probe(node: &Rc<Node>, database: &DatabaseName, primary: Rc<Instance>) {
-    let mut link = ControlLink::new(Rc::clone(node), primary);
+async fn probe(node: &Rc<Node>, pool: &Pool) {
+    let instance = pool.instance();
+    let mut link = ControlLink::new(Rc::clone(node), Rc::clone(&instance));
     let report = link.ask(&InstanceCommand::Report, REPORT_WITHIN).await;
-    let now = clock::now();
-    let mut state = node.state.borrow_mut();
-    let health = &mut state.database(database).health;
-    match report {
-        Some(report) if report.is_primary => health.heard(now),
-        Some(_) => health.deposed(),
+    let leads = report.as_ref().is_some_and(|report| report.is_primary);
+    let expected = {
+        let state = node.state.borrow();
+        let primary = state.primary(&instance.database);
+        primary.is_some_and(|primary| primary.name == instance.name)
+    };
+    pool.note_health(|health, now| match report {
+        Some(_) if expected && !leads => health.deposed(),
+        Some(_) => health.heard(now),
         None => health.failed(now),
-    }
+    });
 }
 
 fn reason(
+    node: &Node,
     state: &State,
     database: &DatabaseName,
     known: &DatabaseState,
-    now: Timestamp,
 ) -> Option<Reason> {
     let record = &known.record.as_ref()?.record;
     if record.phase != Phase::Steady {
         return Some(Reason::Unfinished);
     }
     let Some(primary) = state.directory.get(&record.primary) else {
-        let read_at = state.directory_read_at?;
-        return (now.since(read_at) < DIRECTORY_AGE).then_some(Reason::Gone);
+        return state.directory_known.then_some(Reason::Gone);
     };
-    match known.health.verdict(now) {
+    match node.pool_verdict(&primary.name) {
         Verdict::Unreachable => return Some(Reason::Unreachable),
         Verdict::Stalled => return Some(Reason::Stalled),
         Verdict::Deposed => return Some(Reason::Deposed),
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -8,6 +8,7 @@
 
 use super::catalog::Route;
 use super::clock;
+use super::health::{Health, Verdict};
 use super::instance::{Instance, InstanceState};
 use super::link::{LinkError, SessionValues};
 use super::node::{Node, State};
@@ -99,16 +100,21 @@
     loop {
         let (target, mut lease) = obtain(node, need, &mut tried, give_up).await?;
         let sent_at = clock::now();
-        note_sent(node, &target, sent_at);
-        lease.pool().started();
-        let ran = lease.link().run(command, target.after, need.deadline).await;
+        let pool = Rc::clone(lease.pool());
+        pool.started();
+        let running = lease.link().run(command, target.after, need.deadline);
+        let repeatable = need.access == Access::Read || need.starts_transaction;
+        let ran = tokio::select! {
+            ran = running => ran,
+            () = pool.lost(), if repeatable => Err(LinkError::TimedOut),
+        };
         let answer = match ran {
             Ok(answer) => answer,
             Err(error) => {
-                lease.pool().ended(None, None);
+                pool.unanswered();
                 lease.close();
                 note_unanswered(node, need, &target, &error);
-                if need.access == Access::Read && Instant::now() < give_up {
+                if repeatable && Instant::now() < give_up {
                     tried.push(target.instance.name.clone());
                     continue;
                 }
@@ -116,9 +122,7 @@
             }
         };
         note_answer(node, need, &target, &answer, sent_at);
-        lease
-            .pool()
-            .ended(Some(clock::now().since(sent_at)), answer.position);
+        pool.answered(clock::now().since(sent_at), answer.position);
         let Outcome::Failed(failure) = &answer.outcome else {
             return Ok(Ran { answer, lease });
         };
@@ -126,13 +130,12 @@
         if !again || Instant::now() >= give_up {
             return Ok(Ran { answer, lease });
         }
-        react(node, need, &target, failure.kind, &mut lease, &mut tried).await;
+        react(need, &target, failure.kind, &mut lease, &mut tried).await;
     }
 }
 
 /// Prepares for the next attempt after a failure that allows one.
 async fn react(
-    node: &Rc<Node>,
     need: &Need<'_>,
     target: &Target,
     kind: FailureKind,
@@ -147,9 +150,7 @@
     match kind {
         FailureKind::NoSuchStatement => lease.link().forget_prepared(),
         FailureKind::ReadOnly => {
-            let mut state = node.state.borrow_mut();
-            state.database(&need.route.database).health.deposed();
-            drop(state);
+            lease.pool().note_health(|health, _| health.deposed());
             sleep(MOVE_POLL).await;
         }
         FailureKind::Busy if target.is_primary => sleep(BUSY_PAUSE).await,
@@ -295,7 +296,8 @@
     let usable = |instance: &&Rc<Instance>| {
         let provable = position.is_some() || (is_primary(instance) && guarded);
         let serving = instance.state == InstanceState::Serving || is_primary(instance);
-        provable && serving && !tried.contains(&instance.name)
+        let reachable = node.pool_verdict(&instance.name) != Verdict::Unreachable;
+        provable && serving && reachable && !tried.contains(&instance.name)
     };
     let instances: Vec<_> = state
         .directory
@@ -349,26 +351,14 @@
     same && (guarded || target.after.is_some() || is_safe_alone(&state, need))
 }
 
-fn note_sent(node: &Node, target: &Target, now: Timestamp) {
-    if target.is_primary {
-        let mut state = node.state.borrow_mut();
-        state.database(&target.instance.database).health.sent(now);
-    }
-}
-
 fn note_unopened(node: &Node, need: &Need<'_>, target: &Target, error: &LinkError) {
     log::debug!(
         "event=connection_failed id={} instance={} error=\"{error}\"",
         need.id,
         target.instance.name
     );
-    let out_of_reach = matches!(error, LinkError::Refused | LinkError::Broken { .. });
-    if target.is_primary && out_of_reach {
-        let mut state = node.state.borrow_mut();
-        state
-            .database(&target.instance.database)
-            .health
-            .failed(clock::now());
+    if !matches!(error, LinkError::Rejected { .. } | LinkError::NoRoom) {
+        node.pool(&target.instance).note_health(Health::failed);
     }
 }
 
@@ -379,13 +369,10 @@
         target.instance.name,
         need.access
     );
-    if target.is_primary {
-        let mut state = node.state.borrow_mut();
-        let health = &mut state.database(&target.instance.database).health;
-        health.unanswered(clock::now());
-        if need.access == Access::Write && matches!(error, LinkError::TimedOut) {
-            health.saved(false);
-        }
+    let save = need.access == Access::Write && !need.starts_transaction;
+    if target.is_primary && save && matches!(error, LinkError::TimedOut) {
+        node.pool(&target.instance)
+            .note_health(|health, _| health.saved(false));
     }
 }
 
@@ -396,10 +383,10 @@
     let mut state = node.state.borrow_mut();
     let proved = state.guarded(sent_at);
     let known = state.database(&target.instance.database);
-    known.health.answered(clock::now());
     let done = matches!(answer.outcome, Outcome::Done(_));
-    if need.access == Access::Write && done {
-        known.health.saved(true);
+    if need.access == Access::Write && !need.starts_transaction && done {
+        node.pool(&target.instance)
+            .note_health(|health, _| health.saved(true));
     }
     if let Some(position) = answer.position.filter(|_| proved && done) {
         known.freshness.note(position, sent_at);
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -11,10 +11,16 @@
 /// Datagram between VMs.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
-    /// Tells a VM's demand.
-    Demand {
+    /// Tells a VM's demand and how far it has followed the store.
+    Status {
         /// Sender.
         vm: VmName,
+        /// Version of the sender's configuration.
+        version: u64,
+        /// Revision of the latest change of a shared key that the sender knows.
+        shared_change: u64,
+        /// Revision of the latest change of an announcement that the sender knows.
+        directory_change: u64,
         /// Operations per second by workspace.
         demand: Vec<(WorkspaceName, f32)>,
     },
--- a/src/entry/health.rs
+++ b/src/entry/health.rs
@@ -1,4 +1,4 @@
-//! Suspicion that a primary has failed, from the statements sent to it.
+//! Suspicion that an instance has failed, from the statements sent to it.
 
 use std::time::Duration;
 
@@ -6,19 +6,19 @@
 
 use crate::time::Timestamp;
 
-/// Time without an answer after which a primary is asked for a report.
+/// Time without an answer after which an instance is asked for a report.
 const SILENCE: Duration = Duration::from_millis(300);
 
-/// Time of failures without a success after which a primary counts as failed.
+/// Time of failures without a success after which an instance counts as failed.
 const FAILING: Duration = Duration::from_millis(250);
 
-/// Failures without a success between them that make a primary count as failed.
+/// Failures without a success between them that make an instance count as failed.
 const MIN_FAILURES: u32 = 2;
 
 /// Saves in a row that timed out while the primary answered reads: its replicas don't hear it.
 const STALLED_SAVES: u32 = 2;
 
-/// What the evidence says of a primary.
+/// What the evidence says of an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum Verdict {
@@ -34,7 +34,7 @@
     Deposed,
 }
 
-/// Evidence about a primary.
+/// Evidence about an instance.
 #[derive(Debug, Default)]
 pub struct Health {
     outstanding: u32,
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -43,6 +43,9 @@
     /// No answer came in time.
     #[snafu(display("no answer came in time; the connection is replaced"))]
     TimedOut,
+    /// No connection to the instance became free in time.
+    #[snafu(display("every connection to the instance is in use; retry later"))]
+    NoRoom,
     /// The instance didn't accept the session.
     #[snafu(display("the instance rejected the session: {} {}", failure.kind, failure.text))]
     Rejected {
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -10,9 +10,10 @@
 use super::adapter::Adapter;
 use super::catalog::Catalog;
 use super::clock;
+use super::follow::Progress;
 use super::freshness::Freshness;
 use super::guard::Guard;
-use super::health::Health;
+use super::health::Verdict;
 use super::instance::{Change, Directory, Instance};
 use super::pool::{Limits, Pool};
 use super::quota::Quota;
@@ -36,8 +37,10 @@
     pub state: RefCell<State>,
     /// Signals that a record, the guard or the configuration has changed.
     pub changed: Notify,
-    /// Signals that the VM must be registered anew.
-    pub registration_lost: Notify,
+    /// How far the shared keys have been followed.
+    pub shared_progress: Progress,
+    /// How far the announcements have been followed.
+    pub directory_progress: Progress,
     /// Signals sessions that the VM is stopping.
     pub stopping: Notify,
     /// Callers connected.
@@ -54,8 +57,10 @@
     pub catalog_value: Option<(Revision, Vec<u8>)>,
     /// Instances that announce themselves.
     pub directory: Directory,
-    /// When the announcements were last read.
-    pub directory_read_at: Option<Timestamp>,
+    /// Whether the announcements have been read.
+    pub directory_known: bool,
+    /// Instances whose announcements have vanished, since when.
+    pub missing: HashMap<InstanceName, Timestamp>,
     /// Proof from this VM's own lease.
     pub guard: Guard,
     /// Proof lent by another VM.
@@ -72,8 +77,6 @@
     pub vms: BTreeMap<VmName, VmRecord>,
     /// Holder of the duty to replace primaries.
     pub duty_holder: Option<VmName>,
-    /// Revision up to which the shared keys have been read.
-    pub shared_revision: Revision,
     /// Limits of the workspaces.
     pub quota: Quota,
     /// How far a planned stop has come.
@@ -99,8 +102,6 @@
     pub record: Option<VersionedRecord>,
     /// Positions of the primary.
     pub freshness: Freshness,
-    /// Evidence about the primary.
-    pub health: Health,
     /// Instances that the database had when most of them announced themselves.
     pub group_size: usize,
 }
@@ -141,7 +142,8 @@
             adapter,
             state: RefCell::default(),
             changed: Notify::new(),
-            registration_lost: Notify::new(),
+            shared_progress: Progress::default(),
+            directory_progress: Progress::default(),
             stopping: Notify::new(),
             sessions: Cell::new(0),
             pools: RefCell::default(),
@@ -154,7 +156,7 @@
         let now = clock::now();
         state.stop == StopPhase::Running
             && state.catalog.is_some()
-            && state.directory_read_at.is_some()
+            && state.directory_known
             && state.guarded(now)
             && !state.databases.is_empty()
     }
@@ -183,6 +185,19 @@
         Rc::clone(pool)
     }
 
+    /// Returns what the evidence about an instance says.
+    pub fn pool_verdict(&self, instance: &InstanceName) -> Verdict {
+        let pools = self.pools.borrow();
+        pools
+            .get(instance)
+            .map_or(Verdict::Healthy, |pool| pool.verdict())
+    }
+
+    /// Returns the pools that exist.
+    pub fn pools(&self) -> Vec<Rc<Pool>> {
+        self.pools.borrow().values().cloned().collect()
+    }
+
     /// Brings the pools in line with a change of the announcements.
     pub fn apply_change(&self, change: &Change) {
         match (&change.previous, &change.current) {
@@ -208,16 +223,9 @@
 
     /// Applies the current limits to every pool and closes what has been idle for long.
     pub fn tidy_pools(&self, elapsed: Duration) {
-        let directory: Vec<Rc<Instance>> = {
-            let state = self.state.borrow();
-            state.directory.all().cloned().collect()
-        };
-        for instance in directory {
-            let pool = self.pools.borrow().get(&instance.name).cloned();
-            if let Some(pool) = pool {
-                pool.set_limits(self.limits(&instance.database));
-                pool.tidy(elapsed);
-            }
+        for pool in self.pools() {
+            pool.set_limits(self.limits(&pool.instance().database));
+            pool.tidy(elapsed);
         }
     }
 
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -13,7 +13,7 @@
 use super::agreement;
 use super::clock;
 use super::gossip::{Datagram, MAX_DATAGRAM_BYTES, ProvenRecord};
-use super::node::Node;
+use super::node::{Node, State};
 use super::quota::Demand;
 use crate::configuration::Revision;
 use crate::name::VmName;
@@ -40,8 +40,11 @@
 /// Largest configuration: the largest value of the store.
 const MAX_CONFIGURATION_BYTES: u64 = 1_048_576;
 
-/// Smallest change of a demand that is announced before the next full announcement.
-const ANNOUNCE_ALWAYS_ABOVE: f64 = 0.05;
+/// Operations per second below which a VM counts as idle.
+const IDLE_DEMAND: f64 = 0.05;
+
+/// Intervals between the announcements of an idle VM.
+const IDLE_INTERVALS: u32 = 4;
 
 /// Sockets towards the other VMs.
 #[derive(Debug)]
@@ -73,23 +76,31 @@
 
     /// Announces this VM's demand until the process ends.
     pub async fn announce(self: Rc<Self>) {
+        let mut turn = 0;
         loop {
             sleep(DEMAND_INTERVAL).await;
             let now = clock::now();
             let demand = self.node.state.borrow_mut().quota.measure(now);
-            if demand.values().any(|rate| *rate > ANNOUNCE_ALWAYS_ABOVE) {
-                self.send_demand(&demand).await;
+            turn += 1;
+            let busy = demand.values().any(|rate| *rate > IDLE_DEMAND);
+            if busy || turn % IDLE_INTERVALS == 0 {
+                self.send_status(&demand).await;
             }
         }
     }
 
-    async fn send_demand(&self, demand: &Demand) {
+    async fn send_status(&self, demand: &Demand) {
         let demand = demand.iter();
-        let datagram = Datagram::Demand {
-            vm: self.node.settings.vm.clone(),
-            demand: demand
-                .map(|(workspace, rate)| (workspace.clone(), *rate as f32))
-                .collect(),
+        let demand = demand.map(|(workspace, rate)| (workspace.clone(), *rate as f32));
+        let datagram = {
+            let state = self.node.state.borrow();
+            Datagram::Status {
+                vm: self.node.settings.vm.clone(),
+                version: version(&state),
+                shared_change: self.node.shared_progress.own().0,
+                directory_change: self.node.directory_progress.own().0,
+                demand: demand.collect(),
+            }
         };
         for address in self.others() {
             self.send(&datagram, address).await;
@@ -147,12 +158,24 @@
 
     async fn handle(self: &Rc<Self>, datagram: Datagram, from: SocketAddr) {
         match datagram {
-            Datagram::Demand { vm, demand } => {
+            Datagram::Status {
+                vm,
+                version,
+                shared_change,
+                directory_change,
+                demand,
+            } => {
                 let demand = demand
                     .into_iter()
                     .map(|(name, rate)| (name, f64::from(rate)));
                 let mut state = self.node.state.borrow_mut();
                 state.quota.heard(vm, demand.collect(), clock::now());
+                drop(state);
+                self.node.shared_progress.heard(Revision(shared_change));
+                self.node
+                    .directory_progress
+                    .heard(Revision(directory_change));
+                self.fetch_newer(version, from);
             }
             Datagram::ProofWanted { nonce, .. } => {
                 if let Some(proof) = self.lend(nonce) {
@@ -194,7 +217,7 @@
         Some(Datagram::Proof {
             nonce,
             holds_ms: u32::try_from(holds.as_millis()).unwrap_or_default(),
-            version: state.catalog.as_ref().map_or(0, |catalog| catalog.version),
+            version: version(&state),
             records: records.collect(),
         })
     }
@@ -218,10 +241,15 @@
         }
         let mut state = self.node.state.borrow_mut();
         state.borrowed_guard.lend(asked_at, holds);
-        let own = state.catalog.as_ref().map_or(0, |catalog| catalog.version);
         drop(state);
         self.node.changed.notify_waiters();
-        if version > own && !self.fetching.replace(true) {
+        self.fetch_newer(version, from);
+    }
+
+    /// Fetches the configuration of another VM that has a newer one.
+    fn fetch_newer(self: &Rc<Self>, theirs: u64, from: SocketAddr) {
+        let own = version(&self.node.state.borrow());
+        if theirs > own && !self.fetching.replace(true) {
             let peers = Rc::clone(self);
             tokio::task::spawn_local(async move {
                 peers.fetch(from).await;
@@ -265,6 +293,10 @@
     }
 }
 
+fn version(state: &State) -> u64 {
+    state.catalog.as_ref().map_or(0, |catalog| catalog.version)
+}
+
 /// Sends the configuration to every VM that connects.
 pub async fn serve_configuration(node: Rc<Node>, listener: TcpListener) {
     loop {
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -7,12 +7,15 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
+use super::clock;
+use super::health::{Health, Verdict};
 use super::instance::Instance;
 use super::link::{Link, LinkError, rejection};
 use super::placement::Latency;
 use super::position::Position;
 use super::statement::{FailureKind, Protocol};
 use crate::name::WorkspaceName;
+use crate::time::Timestamp;
 
 /// Result of taking a connection.
 pub type Result<T, E = LinkError> = std::result::Result<T, E>;
@@ -57,6 +60,8 @@
     latency: Cell<Latency>,
     position: Cell<Option<Position>>,
     in_flight: Cell<u32>,
+    health: RefCell<Health>,
+    lost: Notify,
 }
 
 /// Connection that is taken from a pool; goes back or is closed when dropped.
@@ -80,6 +85,8 @@
             latency: Cell::default(),
             position: Cell::new(None),
             in_flight: Cell::new(0),
+            health: RefCell::default(),
+            lost: Notify::new(),
         })
     }
 
@@ -92,6 +99,7 @@
         if !same_process {
             self.close_idle();
             self.position.set(None);
+            self.health.replace(Health::default());
         }
     }
 
@@ -143,24 +151,60 @@
         self.in_flight.get()
     }
 
+    /// Returns the instance as it announces itself now.
+    pub fn instance(&self) -> Rc<Instance> {
+        Rc::clone(&self.instance.borrow())
+    }
+
+    /// Returns what the evidence about the instance says.
+    pub fn verdict(&self) -> Verdict {
+        self.health.borrow().verdict(clock::now())
+    }
+
+    /// Records evidence about the instance; ends the statements on it that may run elsewhere once
+    /// it counts as unreachable.
+    pub fn note_health(&self, note: impl FnOnce(&mut Health, Timestamp)) {
+        let now = clock::now();
+        note(&mut self.health.borrow_mut(), now);
+        if self.verdict() == Verdict::Unreachable {
+            self.lost.notify_waiters();
+        }
+    }
+
+    /// Forgets the evidence about the instance.
+    pub fn clear_health(&self) {
+        self.health.replace(Health::default());
+    }
+
+    /// Waits until the instance counts as unreachable.
+    pub async fn lost(&self) {
+        self.lost.notified().await;
+    }
+
     /// Counts a statement that starts.
     pub fn started(&self) {
         self.in_flight.set(self.in_flight.get() + 1);
+        self.note_health(Health::sent);
     }
 
-    /// Counts a statement that ended, with what it told of the instance.
-    pub fn ended(&self, taken: Option<Duration>, position: Option<Position>) {
+    /// Counts a statement that was answered, with what the answer told of the instance.
+    pub fn answered(&self, taken: Duration, position: Option<Position>) {
         self.in_flight.set(self.in_flight.get().saturating_sub(1));
-        if let Some(taken) = taken {
-            let mut latency = self.latency.get();
-            latency.note(taken);
-            self.latency.set(latency);
-        }
+        self.note_health(Health::answered);
+        let mut latency = self.latency.get();
+        latency.note(taken);
+        self.latency.set(latency);
         if position.is_some() {
             self.position.set(position);
         }
     }
 
+    /// Counts a statement that was given up.
+    pub fn unanswered(&self) {
+        self.in_flight.set(self.in_flight.get().saturating_sub(1));
+        self.note_health(Health::unanswered);
+    }
+
     /// Takes a connection that was opened for the workspace, or opens one.
     ///
     /// # Errors
@@ -206,7 +250,7 @@
         let freed = self.freed.notified();
         let pause = Instant::now() + FULL_PAUSE;
         if timeout_at(deadline.min(pause), freed).await.is_err() && Instant::now() >= deadline {
-            return Err(LinkError::TimedOut);
+            return Err(LinkError::NoRoom);
         }
         Ok(())
     }
--- a/src/entry/registration.rs
+++ b/src/entry/registration.rs
@@ -96,13 +96,7 @@
     let lease = registration.lease;
     let mut next = Instant::now() + node.settings.guard_renewal;
     loop {
-        tokio::select! {
-            () = tokio::time::sleep_until(next) => {}
-            () = node.registration_lost.notified() => {
-                end(node);
-                return;
-            }
-        }
+        tokio::time::sleep_until(next).await;
         let sent_at = clock::now();
         match node.call(PlatformRequest::KeepAlive { lease }).await {
             Ok(PlatformAnswer::Lease { .. }) => {
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -1,5 +1,6 @@
 //! Runs an entry until it is asked to stop.
 
+use std::collections::HashMap;
 use std::io;
 use std::rc::Rc;
 
@@ -65,8 +66,10 @@
 /// Looks at health, duties and limits at an interval.
 async fn tick(node: Rc<Node>) {
     let duty = Rc::new(Duty::default());
+    let mut smaller_since = HashMap::new();
     loop {
         sleep(node.settings.tick).await;
+        directory::tidy(&node, &mut smaller_since);
         duty.tick(&node);
         divide_limits(&node);
         node.tidy_pools(node.settings.tick);
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -29,8 +29,6 @@
     pub duty_ttl: Duration,
     /// Interval at which health, duties and limits are looked at.
     pub tick: Duration,
-    /// Interval at which the instances' announcements are read.
-    pub directory_refresh: Duration,
     /// Longest time to open a connection to an instance.
     pub connect_timeout: Duration,
     /// Longest time to wait for a caller's first message.
@@ -53,7 +51,6 @@
             guard_renewal: Duration::from_secs(1),
             duty_ttl: Duration::from_millis(1_500),
             tick: Duration::from_millis(100),
-            directory_refresh: Duration::from_secs(1),
             connect_timeout: Duration::from_millis(500),
             start_timeout: Duration::from_secs(3),
             move_patience: Duration::from_millis(1_500),
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -171,8 +171,7 @@
                 "event=suspicion_cleared database={} primary={name}",
                 self.database
             );
-            let mut state = self.node.state.borrow_mut();
-            state.database(&self.database).health = super::health::Health::default();
+            self.node.pool(link.instance()).clear_health();
         }
         !leads
     }
