Keep connections free for the return after a loss of power; start with half of the burst

Ruled out: start-up itself; all VMs were registered within 0.25 s of their return. Change: a VM keeps half of its part idle at most; a bucket starts with half of its share's burst.

--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -37,12 +37,13 @@
 
 impl Limits {
     /// Divides an instance's connections among VMs. A VM may open more than its part, because the
-    /// others seldom use all of theirs, but keeps only part of it idle.
+    /// others seldom use all of theirs, but keeps half of it idle at most: after a loss of power an
+    /// instance counts the lost connections for seconds, and the VMs need others meanwhile.
     pub fn divide(max_connections: usize, vms: usize) -> Self {
         let part = max_connections / vms.max(1);
         Self {
             open: (part * 2).clamp(1, max_connections.max(1)),
-            kept: part.max(1),
+            kept: (part / 2).max(1),
         }
     }
 }
--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -18,6 +18,13 @@
 /// Smallest burst of one VM: below one, nothing could ever be admitted.
 const MIN_BURST: f64 = 2.0;
 
+/// Part of its burst that a VM starts with: small enough that a restart of all VMs keeps within the
+/// tolerance that operators allow, large enough for the callers that come back.
+const STARTING_PART: f64 = 0.5;
+
+/// Time after which unused tokens of the start are dropped.
+const STARTING_TOKENS_KEPT: Duration = Duration::from_secs(2);
+
 /// Part of its share that a VM keeps which hears none of the others: they may have given its part
 /// away.
 const ISOLATED_FACTOR: f64 = 0.6;
@@ -40,6 +47,7 @@
     asked: f64,
     demand_per_s: f64,
     announced_per_s: f64,
+    started: bool,
 }
 
 /// Limits of all workspaces at this VM.
@@ -148,6 +156,10 @@
                 weight: 1,
             };
             meter.bucket.set_share(share, now);
+            if !std::mem::replace(&mut meter.started, true) {
+                let tokens = (share.burst * STARTING_PART).floor();
+                meter.bucket.deposit(tokens, now + STARTING_TOKENS_KEPT, now);
+            }
         }
     }
 }
@@ -164,6 +176,7 @@
             asked: 0.0,
             demand_per_s: 0.0,
             announced_per_s: 0.0,
+            started: false,
         }
     }
 }
