--- a/src/entry.rs
+++ b/src/entry.rs
@@ -18,6 +18,7 @@
 pub mod freshness;
 pub mod gossip;
 pub mod guard;
+pub mod handover;
 pub mod health;
 pub mod instance;
 pub mod keys;
--- a/src/entry/agreement.rs
+++ b/src/entry/agreement.rs
@@ -1,22 +1,16 @@
 //! Keeps the configuration and the records of this VM in line with the store.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use super::catalog::Catalog;
-use super::clock;
+use super::confirmation;
 use super::follow::{self, Follower};
 use super::keys;
 use super::node::{Node, State};
 use super::record::{DutyRecord, Phase, PrimaryRecord, VersionedRecord, VmRecord};
 use crate::configuration::Revision;
-use crate::control::command::PlatformRequest;
 use crate::control::event::KeyValue;
 use crate::name::{DatabaseName, VmName};
-use crate::time::Timestamp;
-
-/// Longest time for which a confirmation waits for the proofs that were lent to other VMs.
-const MAX_LENT: Duration = Duration::from_millis(500);
 
 /// Reads and watches the shared keys until the process ends.
 pub async fn run(node: Rc<Node>) {
@@ -139,7 +133,6 @@
             return;
         }
     };
-    let now = clock::now();
     if !take_record(&mut node.state.borrow_mut(), &database, &record, revision) {
         return;
     }
@@ -151,9 +144,10 @@
         record.phase,
         revision.0
     );
-    if let Phase::Moving { generation, .. } = record.phase {
-        let node = Rc::clone(node);
-        tokio::task::spawn_local(confirm(node, database, generation, now));
+    if let Phase::Moving { holder, generation } = record.phase {
+        let replacement = (database, generation);
+        let confirming = confirmation::send(Rc::clone(node), holder, replacement);
+        tokio::task::spawn_local(confirming);
     }
 }
 
@@ -182,26 +176,3 @@
     });
     true
 }
-
-/// Confirms that this VM sends nothing new to the former primary: its record says so already, and
-/// the proofs that it lent have ended.
-async fn confirm(node: Rc<Node>, database: DatabaseName, generation: u64, now: Timestamp) {
-    let (lent, lease) = {
-        let state = node.state.borrow();
-        (state.lent_until.since(now).min(MAX_LENT), state.lease)
-    };
-    if !lent.is_zero() {
-        tokio::time::sleep(lent).await;
-    }
-    let prefix = keys::confirmations(&database, generation);
-    let key = format!("{prefix}{}", node.settings.vm);
-    let request = PlatformRequest::CompareAndSwap {
-        key,
-        expected: Revision(0),
-        value: Some(Vec::new()),
-        lease,
-    };
-    if let Err(error) = node.call(request).await {
-        log::warn!("event=move_unconfirmed database={database} error=\"{error}\"");
-    }
-}
--- a/src/entry/confirmation.rs
+++ b/src/entry/confirmation.rs
@@ -1,6 +1,6 @@
-//! Waits until every VM has left the former primary of a database.
+//! Confirmations that every VM has left the former primary of a database.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,15 +8,32 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout};
 
+use super::clock;
+use super::follow;
+use super::gossip::{Datagram, ProvenRecord};
+use super::handover::Replacement;
 use super::keys;
 use super::node::Node;
 use super::record::VmRecord;
+use crate::configuration::Revision;
 use crate::control::command::PlatformRequest;
 use crate::control::event::PlatformAnswer;
 use crate::name::{DatabaseName, VmName};
 
-/// Interval at which confirmations are read.
-const POLL: Duration = Duration::from_millis(30);
+/// Interval at which VMs that haven't confirmed are told again.
+const TELL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Interval at which confirmations are read from the store, for VMs that can't be heard.
+const STORE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Attempts to confirm to the holder itself before the store is used.
+const DIRECT_ATTEMPTS: usize = 3;
+
+/// Attempts to confirm at all; the holder ends the guard of a VM that it doesn't hear.
+const ATTEMPTS: usize = 100;
+
+/// Longest time for which a confirmation waits for the proofs that were lent to other VMs.
+const MAX_LENT: Duration = Duration::from_millis(500);
 
 /// Time after which the registration of a VM that doesn't confirm is ended.
 const PATIENCE: Duration = Duration::from_millis(700);
@@ -31,30 +48,107 @@
     lease_ended_at: Option<Instant>,
 }
 
+/// Confirms that this VM sends nothing new to the former primary: its record says so already, and
+/// the proofs that it lent have ended.
+pub async fn send(node: Rc<Node>, holder: VmName, replacement: Replacement) {
+    let now = clock::now();
+    let lent = node.state.borrow().lent_until.since(now).min(MAX_LENT);
+    if !lent.is_zero() {
+        sleep(lent).await;
+    }
+    let (database, generation) = replacement.clone();
+    if holder == node.settings.vm {
+        node.handover.hear(&replacement, holder);
+        return;
+    }
+    for attempt in 0..ATTEMPTS {
+        let address = node.state.borrow().vms.get(&holder).map(|record| record.peer_address);
+        if let Some(address) = address {
+            let left = Datagram::Left {
+                vm: node.settings.vm.clone(),
+                database: database.clone(),
+                generation,
+            };
+            node.outbox.send(address, left);
+        }
+        if attempt >= DIRECT_ATTEMPTS && write(&node, &replacement).await {
+            return;
+        }
+        let noted = async {
+            while !node.handover.take_noted(&replacement) {
+                node.handover.changed().await;
+            }
+        };
+        if timeout(TELL_INTERVAL, noted).await.is_ok() {
+            return;
+        }
+    }
+}
+
+/// Confirms through the store; returns whether it took the confirmation.
+async fn write(node: &Rc<Node>, (database, generation): &Replacement) -> bool {
+    let prefix = keys::confirmations(database, *generation);
+    let lease = node.state.borrow().lease;
+    let request = PlatformRequest::CompareAndSwap {
+        key: format!("{prefix}{}", node.settings.vm),
+        expected: Revision(0),
+        value: Some(Vec::new()),
+        lease,
+    };
+    match node.call(request).await {
+        Ok(PlatformAnswer::Swapped { .. } | PlatformAnswer::Conflict { .. }) => true,
+        answer => {
+            log::warn!("event=move_unconfirmed database={database} answer={answer:?}");
+            false
+        }
+    }
+}
+
 /// Waits until every registered VM has confirmed, is known not to run, or has lost its guard.
-pub async fn all(node: &Rc<Node>, database: &DatabaseName, generation: u64) {
+pub async fn all(node: &Rc<Node>, record: &ProvenRecord, generation: u64) {
+    let replacement = (record.database.clone(), generation);
     let started = Instant::now();
+    let mut store_read_at = started;
     let mut pending = registered(node).await;
-    let prefix = keys::confirmations(database, generation);
     loop {
-        if let Some(confirmed) = confirmed(node, &prefix).await {
-            pending.retain(|vm, _| !confirmed.contains(vm));
+        if store_read_at.elapsed() >= STORE_INTERVAL {
+            store_read_at = Instant::now();
+            read(node, &replacement).await;
         }
+        pending.retain(|vm, _| !node.handover.has_heard(&replacement, vm));
         if started.elapsed() >= PATIENCE {
-            end_guards(node, database, &mut pending).await;
+            end_guards(node, &record.database, &mut pending).await;
         }
         if pending.is_empty() {
+            node.handover.end(&replacement);
             return;
         }
-        sleep(POLL).await;
+        for pending in pending.values() {
+            let told = Datagram::Record(record.clone());
+            node.outbox.send(pending.record.peer_address, told);
+        }
+        let pause = timeout(TELL_INTERVAL, node.handover.changed());
+        if pause.await.is_ok() {
+            log::debug!("event=move_confirmed database={}", record.database);
+        }
+    }
+}
+
+/// Takes over the confirmations that the store holds.
+async fn read(node: &Rc<Node>, replacement: &Replacement) {
+    let (database, generation) = replacement;
+    let prefix = keys::confirmations(database, *generation);
+    let Some((keys, _)) = follow::list(node, &prefix).await else {
+        return;
+    };
+    for vm in keys.iter().filter_map(|key| key.key.strip_prefix(&prefix)) {
+        node.handover.hear(replacement, VmName::from(vm));
     }
 }
 
 async fn registered(node: &Rc<Node>) -> HashMap<VmName, Pending> {
     loop {
-        let prefix = keys::VMS.to_owned();
-        let answer = node.call(PlatformRequest::List { prefix }).await;
-        if let Ok(PlatformAnswer::Found { keys, .. }) = answer {
+        if let Some((keys, _)) = follow::list(node, keys::VMS).await {
             let records = keys.into_iter().filter_map(|key| {
                 let vm = VmName::from(key.key.strip_prefix(keys::VMS)?);
                 let record = serde_json::from_slice(&key.value?).ok()?;
@@ -66,22 +160,10 @@
             });
             return records.collect();
         }
-        log::warn!("event=vms_unread answer={answer:?}");
-        sleep(POLL).await;
+        sleep(TELL_INTERVAL).await;
     }
 }
 
-async fn confirmed(node: &Rc<Node>, prefix: &str) -> Option<HashSet<VmName>> {
-    let request = PlatformRequest::List {
-        prefix: prefix.to_owned(),
-    };
-    let Ok(PlatformAnswer::Found { keys, .. }) = node.call(request).await else {
-        return None;
-    };
-    let vms = keys.iter().filter_map(|key| key.key.strip_prefix(prefix));
-    Some(vms.map(VmName::from).collect())
-}
-
 /// Ends the registrations of VMs that don't confirm. Their guards end with the time-to-live of
 /// their last renewal, which the store accepted before.
 async fn end_guards(
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -1,6 +1,11 @@
 //! Messages between VMs.
 
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
 
 use super::record::PrimaryRecord;
 use crate::name::{DatabaseName, VmName, WorkspaceName};
@@ -24,6 +29,24 @@
         /// Operations per second by workspace.
         demand: Vec<(WorkspaceName, f32)>,
     },
+    /// Tells a record as the store holds it.
+    Record(ProvenRecord),
+    /// Confirms to the holder of the duty that the sender has left a former primary.
+    Left {
+        /// Sender.
+        vm: VmName,
+        /// The database.
+        database: DatabaseName,
+        /// Generation of the holder's duty.
+        generation: u64,
+    },
+    /// Acknowledges `Left`.
+    LeftNoted {
+        /// The database.
+        database: DatabaseName,
+        /// Generation of the holder's duty.
+        generation: u64,
+    },
     /// Asks for a proof, because the sender can't renew its own.
     ProofWanted {
         /// Tells answers to different questions apart.
@@ -44,7 +67,7 @@
     },
 }
 
-/// Record of a primary in a proof.
+/// Record of a primary with its revision.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ProvenRecord {
     /// The database.
@@ -54,3 +77,37 @@
     /// Revision of the record.
     pub revision: u64,
 }
+
+/// Datagrams that may wait to be sent; older ones are dropped, as on any full link.
+const MAX_WAITING: usize = 1_024;
+
+/// Datagrams to be sent.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    waiting: RefCell<VecDeque<(SocketAddr, Datagram)>>,
+    added: Notify,
+}
+
+impl Outbox {
+    /// Adds a datagram.
+    pub fn send(&self, to: SocketAddr, datagram: Datagram) {
+        let mut waiting = self.waiting.borrow_mut();
+        if waiting.len() == MAX_WAITING {
+            waiting.pop_front();
+        }
+        waiting.push_back((to, datagram));
+        self.added.notify_one();
+    }
+
+    /// Takes the oldest datagram; waits for one.
+    pub async fn next(&self) -> (SocketAddr, Datagram) {
+        loop {
+            let added = self.added.notified();
+            let next = self.waiting.borrow_mut().pop_front();
+            if let Some(next) = next {
+                return next;
+            }
+            added.await;
+        }
+    }
+}
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -12,7 +12,9 @@
 use super::clock;
 use super::follow::Progress;
 use super::freshness::Freshness;
+use super::gossip::Outbox;
 use super::guard::Guard;
+use super::handover::Handover;
 use super::health::Verdict;
 use super::instance::{Change, Directory, Instance};
 use super::pool::{Limits, Pool};
@@ -41,6 +43,10 @@
     pub shared_progress: Progress,
     /// How far the announcements have been followed.
     pub directory_progress: Progress,
+    /// Confirmations that pass between VMs.
+    pub handover: Handover,
+    /// Datagrams to be sent to other VMs.
+    pub outbox: Outbox,
     /// Signals sessions that the VM is stopping.
     pub stopping: Notify,
     /// Callers connected.
@@ -144,6 +150,8 @@
             changed: Notify::new(),
             shared_progress: Progress::default(),
             directory_progress: Progress::default(),
+            handover: Handover::default(),
+            outbox: Outbox::default(),
             stopping: Notify::new(),
             sessions: Cell::new(0),
             pools: RefCell::default(),
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -84,12 +84,12 @@
             turn += 1;
             let busy = demand.values().any(|rate| *rate > IDLE_DEMAND);
             if busy || turn % IDLE_INTERVALS == 0 {
-                self.send_status(&demand).await;
+                self.send_status(&demand);
             }
         }
     }
 
-    async fn send_status(&self, demand: &Demand) {
+    fn send_status(&self, demand: &Demand) {
         let demand = demand.iter();
         let demand = demand.map(|(workspace, rate)| (workspace.clone(), *rate as f32));
         let datagram = {
@@ -103,7 +103,7 @@
             }
         };
         for address in self.others() {
-            self.send(&datagram, address).await;
+            self.node.outbox.send(address, datagram.clone());
         }
     }
 
@@ -134,8 +134,8 @@
             };
             let index = usize::try_from(turn).unwrap_or_default();
             for offset in 0..2.min(others.len()) {
-                self.send(&question, others[(index + offset) % others.len()])
-                    .await;
+                let other = others[(index + offset) % others.len()];
+                self.node.outbox.send(other, question.clone());
             }
         }
     }
@@ -146,7 +146,7 @@
         loop {
             match self.socket.recv_from(&mut buffer).await {
                 Ok((length, from)) => match postcard::from_bytes(&buffer[..length]) {
-                    Ok(datagram) => self.handle(datagram, from).await,
+                    Ok(datagram) => self.handle(datagram, from),
                     Err(error) => {
                         log::debug!("event=datagram_unreadable from={from} error=\"{error}\"");
                     }
@@ -156,7 +156,7 @@
         }
     }
 
-    async fn handle(self: &Rc<Self>, datagram: Datagram, from: SocketAddr) {
+    fn handle(self: &Rc<Self>, datagram: Datagram, from: SocketAddr) {
         match datagram {
             Datagram::Status {
                 vm,
@@ -179,9 +179,29 @@
             }
             Datagram::ProofWanted { nonce, .. } => {
                 if let Some(proof) = self.lend(nonce) {
-                    self.send(&proof, from).await;
+                    self.node.outbox.send(from, proof);
                 }
             }
+            Datagram::Record(proven) => self.apply(proven),
+            Datagram::Left {
+                vm,
+                database,
+                generation,
+            } => {
+                let replacement = (database, generation);
+                if self.node.handover.hear(&replacement, vm) {
+                    let (database, generation) = replacement;
+                    let noted = Datagram::LeftNoted {
+                        database,
+                        generation,
+                    };
+                    self.node.outbox.send(from, noted);
+                }
+            }
+            Datagram::LeftNoted {
+                database,
+                generation,
+            } => self.node.handover.note((database, generation)),
             Datagram::Proof {
                 nonce,
                 holds_ms,
@@ -197,6 +217,13 @@
         }
     }
 
+    fn apply(&self, proven: ProvenRecord) {
+        let value = serde_json::to_vec(&proven.record).ok();
+        let revision = Revision(proven.revision);
+        agreement::apply_record(&self.node, proven.database, revision, value);
+        self.node.changed.notify_waiters();
+    }
+
     /// Builds a proof from this VM's own guard; remembers that it is lent.
     fn lend(&self, nonce: u64) -> Option<Datagram> {
         let now = clock::now();
@@ -235,9 +262,7 @@
             return;
         };
         for proven in records {
-            let value = serde_json::to_vec(&proven.record).ok();
-            let revision = Revision(proven.revision);
-            agreement::apply_record(&self.node, proven.database, revision, value);
+            self.apply(proven);
         }
         let mut state = self.node.state.borrow_mut();
         state.borrowed_guard.lend(asked_at, holds);
@@ -281,14 +306,18 @@
         others.map(|(_, record)| record.peer_address).collect()
     }
 
-    async fn send(&self, datagram: &Datagram, to: SocketAddr) {
-        match postcard::to_stdvec(datagram) {
-            Ok(bytes) => {
-                if let Err(error) = self.socket.send_to(&bytes, to).await {
-                    log::debug!("event=datagram_unsent to={to} error=\"{error}\"");
+    /// Sends what is waiting until the process ends.
+    pub async fn deliver(self: Rc<Self>) {
+        loop {
+            let (to, datagram) = self.node.outbox.next().await;
+            match postcard::to_stdvec(&datagram) {
+                Ok(bytes) => {
+                    if let Err(error) = self.socket.send_to(&bytes, to).await {
+                        log::debug!("event=datagram_unsent to={to} error=\"{error}\"");
+                    }
                 }
+                Err(error) => log::warn!("event=datagram_unencoded error=\"{error}\""),
             }
-            Err(error) => log::warn!("event=datagram_unencoded error=\"{error}\""),
         }
     }
 }
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -49,6 +49,7 @@
     spawn_local(directory::run(Rc::clone(node)));
     spawn_local(Rc::clone(&peers).announce());
     spawn_local(Rc::clone(&peers).seek_proofs());
+    spawn_local(Rc::clone(&peers).deliver());
     spawn_local(peers.listen());
     spawn_local(peers::serve_configuration(Rc::clone(node), configuration));
     spawn_local(tick(Rc::clone(node)));
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -10,6 +10,7 @@
 use super::adapter::{PromotionCall, PromotionOutcome};
 use super::confirmation;
 use super::control::ControlLink;
+use super::gossip::{Datagram, ProvenRecord};
 use super::instance::{Instance, InstanceState};
 use super::node::Node;
 use super::promotion::{Decision, Heard, decide};
@@ -117,19 +118,14 @@
             holder: self.node.settings.vm.clone(),
             generation: self.generation,
         };
-        if !self
-            .write(
-                self.record.record.primary.clone(),
-                self.record.record.term,
-                moving,
-            )
-            .await
-        {
+        let replacement = (self.database.clone(), self.generation);
+        self.node.handover.begin(replacement);
+        if !self.write(self.record.record.primary.clone(), self.record.record.term, moving).await {
             return false;
         }
-        let (node, database) = (Rc::clone(&self.node), self.database.clone());
-        let generation = self.generation;
-        let confirming = async move { confirmation::all(&node, &database, generation).await };
+        let (node, record, generation) =
+            (Rc::clone(&self.node), self.proven(), self.generation);
+        let confirming = async move { confirmation::all(&node, &record, generation).await };
         if reason.is_planned() {
             confirming.await;
             sleep(SETTLE).await;
@@ -138,6 +134,23 @@
         self.finish(confirming).await
     }
 
+    /// Returns the record as it is told to other VMs.
+    fn proven(&self) -> ProvenRecord {
+        ProvenRecord {
+            database: self.database.clone(),
+            record: self.record.record.clone(),
+            revision: self.record.revision.0,
+        }
+    }
+
+    /// Tells every VM the record, whether or not it hears the store.
+    fn tell_all(&self) {
+        let state = self.node.state.borrow();
+        for vm in state.vms.values() {
+            self.node.outbox.send(vm.peer_address, Datagram::Record(self.proven()));
+        }
+    }
+
     /// Promotes and records the new primary once every VM has confirmed that it left the old one.
     async fn finish(&mut self, confirming: impl Future<Output = ()>) -> bool {
         let promoting = self.promote();
@@ -148,6 +161,7 @@
         let former = self.record.record.primary.clone();
         let recorded = self.write(instance.clone(), term, Phase::Steady).await;
         if recorded {
+            self.tell_all();
             self.dismiss(&former, &instance, term);
         }
         recorded
