--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -1,6 +1,7 @@
 //! This VM's connections to one instance.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -26,6 +27,12 @@
 /// Idle time after which a connection beyond [`Limits::kept`] is closed.
 const IDLE_LIMIT: Duration = Duration::from_secs(20);
 
+/// Time over which the uses counted for a workspace lose half of their weight.
+const USES_HALF_LIFE: Duration = Duration::from_secs(5);
+
+/// Uses below which a workspace is forgotten.
+const FORGOTTEN_USES: f64 = 0.01;
+
 /// How many connections a VM may have to one instance.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Limits {
@@ -55,6 +62,7 @@
     protocol: Protocol,
     limits: Cell<Limits>,
     idle: RefCell<Vec<Link>>,
+    uses: RefCell<HashMap<WorkspaceName, f64>>,
     open: Cell<usize>,
     full_until: Cell<Option<Instant>>,
     freed: Notify,
@@ -80,6 +88,7 @@
             protocol,
             limits: Cell::new(limits),
             idle: RefCell::default(),
+            uses: RefCell::default(),
             open: Cell::new(0),
             full_until: Cell::new(None),
             freed: Notify::new(),
@@ -120,6 +129,11 @@
         let mut latency = self.latency.get();
         latency.grow_older(elapsed);
         self.latency.set(latency);
+        let kept = 0.5_f64.powf(elapsed.as_secs_f64() / USES_HALF_LIFE.as_secs_f64());
+        self.uses.borrow_mut().retain(|_, uses| {
+            *uses *= kept;
+            *uses > FORGOTTEN_USES
+        });
         let mut idle = self.idle.borrow_mut();
         let before = idle.len();
         idle.retain(|link| link.used_at.elapsed() < IDLE_LIMIT && link.is_usable());
@@ -217,6 +231,7 @@
         open_within: Duration,
         deadline: Instant,
     ) -> Result<Lease> {
+        *self.uses.borrow_mut().entry(workspace.clone()).or_default() += 1.0;
         loop {
             if let Some(link) = self.take_idle(workspace) {
                 return Ok(self.lease(link));
@@ -295,13 +310,18 @@
         self.open.get() < self.limits.get().open && !full
     }
 
-    /// Closes the connection that was idle longest; returns whether there was one.
+    /// Closes the idle connection whose workspace uses the instance least; returns whether there
+    /// was one.
     fn evict_idle(&self) -> bool {
+        let uses = self.uses.borrow();
+        let uses = |link: &Link| uses.get(&link.workspace).copied().unwrap_or_default();
         let mut idle = self.idle.borrow_mut();
-        if idle.is_empty() {
+        let indexes = 0..idle.len();
+        let least = indexes.min_by(|a, b| uses(&idle[*a]).total_cmp(&uses(&idle[*b])));
+        let Some(least) = least else {
             return false;
-        }
-        idle.remove(0);
+        };
+        idle.remove(least);
         self.open.set(self.open.get() - 1);
         true
     }
