Send what a session needs along with its statement

Cause: a statement on an open connection waited a round trip (3 ms p50 between zones) for the answers to the values and the prepared statement that its session needs there. Ruled out: leaving them out when the connection has them; two sessions seldom agree. Change: they are sent ahead of the statement in the same write and their answers are checked first.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -67,7 +67,7 @@
             Some(lease) => lease,
             None => self.open(deadline).await?,
         };
-        match lease.link().run(command, None, deadline).await {
+        match lease.link().order(command, deadline).await {
             Ok(answer) => {
                 self.lease = Some(lease);
                 if let Outcome::Failed(failure) = &answer.outcome {
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -10,12 +10,12 @@
 use super::clock;
 use super::health::{Health, Verdict};
 use super::instance::{Instance, InstanceState};
-use super::link::{LinkError, SessionValues};
+use super::link::{LinkError, Setup};
 use super::node::{Node, State};
 use super::placement::{Candidate, choose};
 use super::pool::Lease;
 use super::position::Position;
-use super::statement::{Access, Answer, Failure, FailureKind, InstanceCommand, Outcome, Prepared};
+use super::statement::{Access, Answer, Failure, FailureKind, InstanceCommand, Outcome};
 use crate::name::{InstanceName, WorkspaceName};
 use crate::time::Timestamp;
 
@@ -47,10 +47,8 @@
     pub starts_transaction: bool,
     /// Position of the session's last save.
     pub mark: Option<Position>,
-    /// Values of the session.
-    pub values: &'a SessionValues,
-    /// Statement that must be prepared on the connection.
-    pub prepared: Option<(&'a Arc<str>, &'a Prepared)>,
+    /// What it needs on its connection.
+    pub setup: Setup<'a>,
     /// When its time-out ends.
     pub deadline: Instant,
 }
@@ -103,7 +101,9 @@
         let sent_at = clock::now();
         let pool = Rc::clone(lease.pool());
         pool.started();
-        let running = lease.link().run(command, target.after, need.deadline);
+        let running = lease
+            .link()
+            .run(&need.setup, command, target.after, need.deadline);
         let repeatable = need.access == Access::Read || need.starts_transaction;
         let ran = tokio::select! {
             ran = running => ran,
@@ -185,20 +185,7 @@
         let pool = node.pool(&target.instance);
         let open_within = node.settings.connect_timeout;
         let taken = pool.take(need.workspace, open_within, give_up).await;
-        let adopted = match taken {
-            Ok(mut lease) => {
-                let link = lease.link();
-                match link.adopt(need.values, need.prepared, false, give_up).await {
-                    Ok(()) => Ok(lease),
-                    Err(error) => {
-                        lease.close();
-                        Err(error)
-                    }
-                }
-            }
-            Err(error) => Err(error),
-        };
-        match adopted {
+        match taken {
             Ok(lease) if still_fits(node, need, &target) => return Ok((target, lease)),
             Ok(_) => {}
             Err(error) => {
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -15,7 +15,6 @@
 use super::position::Position;
 use super::statement::{
     Answer, Failure, FailureKind, InstanceCommand, InstanceMessage, Outcome, Prepared, Protocol,
-    SessionState,
 };
 use crate::name::WorkspaceName;
 
@@ -78,6 +77,17 @@
     }
 }
 
+/// What a statement needs on its connection.
+#[derive(Debug, Clone, Copy)]
+pub struct Setup<'a> {
+    /// Values of the session.
+    pub values: &'a SessionValues,
+    /// Statement that must be prepared, with its name on the connection.
+    pub prepared: Option<(&'a Arc<str>, &'a Prepared)>,
+    /// Whether a transaction is open on the connection.
+    pub in_transaction: bool,
+}
+
 /// Connection to an instance.
 #[derive(Debug)]
 pub struct Link {
@@ -157,55 +167,49 @@
         silent && self.input.is_empty()
     }
 
-    /// Gives the connection the session's values and a prepared statement, if it lacks them.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the connection breaks or the instance refuses.
-    pub async fn adopt(
-        &mut self,
-        values: &SessionValues,
-        statement: Option<(&Arc<str>, &Prepared)>,
-        in_transaction: bool,
-        deadline: Instant,
-    ) -> Result<()> {
+    /// Returns what must be sent before a statement, so that the connection has the session's values
+    /// and the statement prepared.
+    fn missing(&self, setup: &Setup<'_>) -> Vec<InstanceCommand> {
         let mut commands = Vec::new();
-        let surplus = self.applied.values.iter();
-        let has_surplus = surplus.clone().any(|(name, _)| values.get(name).is_none());
+        let mut applied = self.applied.values.iter();
+        let surplus = applied.any(|(name, _)| setup.values.get(name).is_none());
         let full = self.prepared.len() >= MAX_PREPARED;
-        if !in_transaction && (has_surplus || full) {
+        let reset = !setup.in_transaction && (surplus || full);
+        if reset {
             commands.push(InstanceCommand::Reset);
-            self.applied.values.clear();
-            self.prepared.clear();
         }
-        for (name, value) in &values.values {
-            if self.applied.get(name) != Some(value) {
+        for (name, value) in &setup.values.values {
+            if reset || self.applied.get(name) != Some(value) {
                 commands.push(InstanceCommand::Set {
                     name: Arc::clone(name),
                     value: Arc::clone(value),
                 });
             }
         }
-        if let Some((name, prepared)) = statement.filter(|(name, _)| !self.prepared.contains(*name))
+        let statement = setup.prepared;
+        if let Some((name, prepared)) =
+            statement.filter(|(name, _)| reset || !self.prepared.contains(*name))
         {
             commands.push(InstanceCommand::Prepare {
                 name: Arc::clone(name),
                 prepared: prepared.clone(),
             });
         }
-        if commands.is_empty() {
-            return Ok(());
-        }
-        for command in &commands {
-            (self.protocol.encode_command)(&mut self.output, command, None);
-        }
-        self.flush(deadline).await?;
+        commands
+    }
+
+    /// Takes the answers to what was sent before a statement.
+    async fn set_up(&mut self, commands: Vec<InstanceCommand>, deadline: Instant) -> Result<()> {
         for command in commands {
             let answer = self.answer(deadline).await?;
             if let Outcome::Failed(failure) = answer.outcome {
                 return Err(LinkError::Rejected { failure });
             }
             match command {
+                InstanceCommand::Reset => {
+                    self.applied.values.clear();
+                    self.prepared.clear();
+                }
                 InstanceCommand::Set { name, value } => self.applied.set(name, value),
                 InstanceCommand::Prepare { name, .. } => {
                     self.prepared.insert(name);
@@ -221,24 +225,42 @@
         self.prepared.clear();
     }
 
-    /// Sends a command and waits for its whole answer.
+    /// Sends a command and waits for its whole answer. What the session needs on the connection
+    /// is sent along, ahead of the command.
     ///
     /// # Errors
     ///
     /// Fails when the connection breaks or the deadline passes; the command may have run then.
     pub async fn run(
         &mut self,
+        setup: &Setup<'_>,
         command: &InstanceCommand,
         after: Option<Position>,
         deadline: Instant,
     ) -> Result<Answer> {
+        let missing = self.missing(setup);
+        for command in &missing {
+            (self.protocol.encode_command)(&mut self.output, command, None);
+        }
         (self.protocol.encode_command)(&mut self.output, command, after);
         self.flush(deadline).await?;
+        self.set_up(missing, deadline).await?;
         let answer = self.answer(deadline).await?;
         self.used_at = Instant::now();
         Ok(answer)
     }
 
+    /// Sends a command that needs nothing of a session.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Link::run`] does.
+    pub async fn order(&mut self, command: &InstanceCommand, deadline: Instant) -> Result<Answer> {
+        (self.protocol.encode_command)(&mut self.output, command, None);
+        self.flush(deadline).await?;
+        self.answer(deadline).await
+    }
+
     async fn answer(&mut self, deadline: Instant) -> Result<Answer> {
         let mut rows = BytesMut::new();
         let mut outcome = None;
@@ -290,11 +312,6 @@
     }
 }
 
-/// Returns whether an answer leaves the connection between transactions.
-pub fn is_idle(answer: &Answer) -> bool {
-    answer.state == SessionState::Idle
-}
-
 /// Returns the failure kind with which the instance rejected a session.
 pub const fn rejection(error: &LinkError) -> Option<FailureKind> {
     match error {
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -9,7 +9,7 @@
 use super::catalog::{Catalog, Route};
 use super::clock;
 use super::execution::{self, Need};
-use super::link::{SessionValues, shared_name};
+use super::link::{SessionValues, Setup, shared_name};
 use super::node::Node;
 use super::position::Position;
 use super::statement::{
@@ -260,8 +260,11 @@
             access,
             starts_transaction: false,
             mark: self.mark,
-            values: &self.values,
-            prepared: name.as_ref().zip(prepared.as_ref()),
+            setup: Setup {
+                values: &self.values,
+                prepared: name.as_ref().zip(prepared.as_ref()),
+                in_transaction: false,
+            },
             deadline: Instant::now() + route.statement_timeout,
         };
         match execution::run(&self.node, &need, &command).await {
@@ -332,8 +335,11 @@
             access: begun.access,
             starts_transaction: true,
             mark: self.mark,
-            values: &self.values,
-            prepared: None,
+            setup: Setup {
+                values: &self.values,
+                prepared: None,
+                in_transaction: false,
+            },
             deadline: Instant::now() + route.statement_timeout,
         };
         begun.open(&self.node, &need).await
--- a/src/entry/transaction.rs
+++ b/src/entry/transaction.rs
@@ -8,7 +8,7 @@
 
 use super::catalog::Route;
 use super::execution::{self, Need};
-use super::link::{SessionValues, shared_name};
+use super::link::{SessionValues, Setup, shared_name};
 use super::node::Node;
 use super::pool::Lease;
 use super::position::Position;
@@ -121,12 +121,14 @@
     /// Fails when the connection is lost; nothing of the transaction is kept.
     pub async fn run(&mut self, step: &Step<'_>, deadline: Instant) -> Result<Answer, Failure> {
         let name = step.prepared.map(shared_name);
-        let prepared = name.as_ref().zip(step.prepared);
+        let setup = Setup {
+            values: step.values,
+            prepared: name.as_ref().zip(step.prepared),
+            in_transaction: true,
+        };
         loop {
             let link = self.lease.link();
-            let adopted = link.adopt(step.values, prepared, true, deadline).await;
-            adopted.map_err(|error| aborted(&error))?;
-            let answer = link.run(&step.command, None, deadline).await;
+            let answer = link.run(&setup, &step.command, None, deadline).await;
             let answer = answer.map_err(|error| aborted(&error))?;
             self.wrote |= step.access == Access::Write;
             let Outcome::Failed(failure) = &answer.outcome else {
@@ -148,13 +150,14 @@
         values: &SessionValues,
         deadline: Instant,
     ) -> (Answer, Option<Position>) {
-        let link = self.lease.link();
-        if let Err(error) = link.adopt(values, None, true, deadline).await {
-            self.lease.close();
-            return (ended(aborted(&error)), None);
-        }
+        let setup = Setup {
+            values,
+            prepared: None,
+            in_transaction: true,
+        };
         loop {
-            let answer = match self.lease.link().run(command, None, deadline).await {
+            let link = self.lease.link();
+            let answer = match link.run(&setup, command, None, deadline).await {
                 Ok(answer) => answer,
                 Err(error) => {
                     log::warn!("event=commit_unanswered error=\"{error}\"");
@@ -199,11 +202,7 @@
     /// Rolls back and gives the connection back; closes it when that can't be confirmed.
     pub async fn rollback(mut self) {
         let deadline = Instant::now() + ROLLBACK_TIMEOUT;
-        let answer = self
-            .lease
-            .link()
-            .run(&InstanceCommand::Rollback, None, deadline)
-            .await;
+        let answer = self.lease.link().order(&InstanceCommand::Rollback, deadline).await;
         match answer {
             Ok(answer) if answer.state == SessionState::Idle => {}
             _ => self.lease.close(),
