Borrow tokens of other VMs before a request is refused

Cause: each VM holds a small part of a workspace's tokens; callers come unevenly, so that requests within the workspace's rate were refused where the part was used up while others had tokens left. Change: a VM without a token asks three others, which deduct before they send; tokens count from when they were asked for, as in transfers between homes.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -7,6 +7,7 @@
 
 pub mod adapter;
 pub mod agreement;
+pub mod borrowing;
 pub mod catalog;
 pub mod clock;
 pub mod confirmation;
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -29,6 +29,20 @@
         /// Operations per second by workspace.
         demand: Vec<(WorkspaceName, f32)>,
     },
+    /// Asks for tokens that the receiver can spare.
+    TokensWanted {
+        /// Workspace that they are for.
+        workspace: WorkspaceName,
+        /// Tells answers to different questions apart.
+        nonce: u64,
+    },
+    /// Gives tokens, which the sender has deducted.
+    Tokens {
+        /// Nonce of the question.
+        nonce: u64,
+        /// Tokens given; zero when none can be spared.
+        tokens: f64,
+    },
     /// Tells a record as the store holds it.
     Record(ProvenRecord),
     /// Confirms to the holder of the duty that the sender has left a former primary.
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -8,6 +8,7 @@
 use tokio::sync::Notify;
 
 use super::adapter::Adapter;
+use super::borrowing::Borrowing;
 use super::catalog::Catalog;
 use super::clock;
 use super::follow::Progress;
@@ -45,6 +46,8 @@
     pub directory_progress: Progress,
     /// Confirmations that pass between VMs.
     pub handover: Handover,
+    /// Questions for tokens.
+    pub borrowing: Borrowing,
     /// Datagrams to be sent to other VMs.
     pub outbox: Outbox,
     /// Signals sessions that the VM is stopping.
@@ -151,6 +154,7 @@
             shared_progress: Progress::default(),
             directory_progress: Progress::default(),
             handover: Handover::default(),
+            borrowing: Borrowing::default(),
             outbox: Outbox::default(),
             stopping: Notify::new(),
             sessions: Cell::new(0),
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -11,6 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::agreement;
+use super::borrowing;
 use super::clock;
 use super::gossip::{Datagram, MAX_DATAGRAM_BYTES, ProvenRecord};
 use super::node::{Node, State};
@@ -182,6 +183,13 @@
                     self.node.outbox.send(from, proof);
                 }
             }
+            Datagram::TokensWanted { workspace, nonce } => {
+                let mut state = self.node.state.borrow_mut();
+                let tokens = state.quota.lend(&workspace, clock::now());
+                drop(state);
+                self.node.outbox.send(from, Datagram::Tokens { nonce, tokens });
+            }
+            Datagram::Tokens { nonce, tokens } => borrowing::take(&self.node, nonce, tokens),
             Datagram::Record(proven) => self.apply(proven),
             Datagram::Left {
                 vm,
--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::catalog::Workspace;
-use crate::control::bucket::{Bucket, Share};
+use crate::control::bucket::{Bucket, Share, TRANSFER_HOLD};
 use crate::name::{VmName, WorkspaceName};
 use crate::time::Timestamp;
 
@@ -22,6 +22,12 @@
 /// tolerance that operators allow, large enough for the callers that come back.
 const STARTING_PART: f64 = 0.5;
 
+/// Tokens that a VM keeps for its own callers when it is asked for some.
+const KEPT_TOKENS: f64 = 1.0;
+
+/// Most tokens given at once.
+const MAX_LENT: f64 = 3.0;
+
 /// Time after which unused tokens of the start are dropped.
 const STARTING_TOKENS_KEPT: Duration = Duration::from_secs(2);
 
@@ -76,10 +82,28 @@
         Err(at.map_or(DEMAND_WINDOW, |at| at.since(now)))
     }
 
-    /// Takes back a token that was spent on an operation which never reached an instance.
-    pub fn give_back(&mut self, workspace: &WorkspaceName, now: Timestamp) {
+    /// Deducts tokens that this VM can spare, for another VM.
+    pub fn lend(&mut self, workspace: &WorkspaceName, now: Timestamp) -> f64 {
+        let Some(meter) = self.meters.get_mut(workspace) else {
+            return 0.0;
+        };
+        let spare = meter.bucket.tokens(now) - KEPT_TOKENS;
+        if spare < 1.0 {
+            return 0.0;
+        }
+        meter.bucket.withdraw(spare.min(MAX_LENT), now)
+    }
+
+    /// Adds tokens that another VM gave when it was asked at `asked_at`.
+    pub fn deposit(
+        &mut self,
+        workspace: &WorkspaceName,
+        tokens: f64,
+        asked_at: Timestamp,
+        now: Timestamp,
+    ) {
         if let Some(meter) = self.meters.get_mut(workspace) {
-            meter.bucket.deposit(1.0, now + DEMAND_WINDOW, now);
+            meter.bucket.deposit(tokens, asked_at + TRANSFER_HOLD, now);
         }
     }
 
--- a/src/entry/quota/tests.rs
+++ b/src/entry/quota/tests.rs
@@ -93,3 +93,39 @@
     let after_start: u32 = admitted[300..].iter().sum();
     assert!(f64::from(after_start) >= 0.99 * 57.0 * 7.0, "{after_start}");
 }
+
+#[test]
+fn tokens_lent_are_gone_for_the_lender() {
+    let workspace = workspace();
+    let mut lender = Quota::default();
+    let start = Timestamp::from_millis(1_000);
+    lender.divide([&workspace].into_iter(), 2, start);
+    let now = start + Duration::from_secs(1);
+    let mut spendable = 0;
+    let mut given = 0.0;
+    loop {
+        let lent = lender.lend(&workspace.name, now);
+        if lent <= 0.0 {
+            break;
+        }
+        given += lent;
+    }
+    while lender.admit(&workspace, now).is_ok() {
+        spendable += 1;
+    }
+    assert!(given > 40.0, "{given}");
+    assert!(given + f64::from(spendable) <= 0.5 * RATE_PER_S + 1.0, "{given} and {spendable}");
+}
+
+#[test]
+fn borrowed_tokens_admit_until_the_hold_ends() {
+    let workspace = Workspace { rate_per_s: 0.0, burst: 0.0, ..workspace() };
+    let mut quota = Quota::default();
+    let asked_at = Timestamp::from_millis(1_000);
+    quota.divide([&workspace].into_iter(), 1, asked_at);
+    while quota.admit(&workspace, asked_at).is_ok() {}
+    quota.deposit(&workspace.name, 2.0, asked_at, asked_at);
+    assert!(quota.admit(&workspace, asked_at).is_ok());
+    let later = asked_at + Duration::from_secs(1);
+    assert!(quota.admit(&workspace, later).is_err());
+}
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -3,10 +3,12 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::time::Instant;
 
-use super::catalog::{Catalog, Route};
+use super::borrowing;
+use super::catalog::{Catalog, Route, Workspace};
 use super::clock;
 use super::execution::{self, Need};
 use super::link::{SessionValues, Setup, shared_name};
@@ -90,7 +92,7 @@
                 self.prepared.remove(&name);
                 self.done()
             }
-            Statement::Begin { access } => self.begin(&catalog, &request, access),
+            Statement::Begin { access } => self.begin(&catalog, &request, access).await,
             Statement::Commit => self.commit(request).await,
             Statement::Rollback => self.roll_back().await,
             Statement::Query { access } => {
@@ -163,14 +165,19 @@
         self.done()
     }
 
-    fn begin(&mut self, catalog: &Catalog, request: &Request, access: Access) -> Answer {
+    async fn begin(
+        &mut self,
+        catalog: &Catalog,
+        request: &Request,
+        access: Access,
+    ) -> Answer {
         if self.state() != SessionState::Idle {
             return self.fail(invalid());
         }
         let Some(route) = catalog.routes.get(&self.route) else {
             return self.fail(no_such_route());
         };
-        if let Err(failure) = self.admit(catalog, &request.id) {
+        if let Err(failure) = self.admit(catalog, &request.id).await {
             return self.fail(failure);
         }
         self.transaction = Transaction::Begun(Begun {
@@ -249,7 +256,7 @@
         let Some(route) = catalog.routes.get(&self.route).map(Arc::clone) else {
             return self.fail(no_such_route());
         };
-        if let Err(failure) = self.admit(catalog, id) {
+        if let Err(failure) = self.admit(catalog, id).await {
             return self.fail(failure);
         }
         let name = prepared.as_ref().map(shared_name);
@@ -345,14 +352,19 @@
         begun.open(&self.node, &need).await
     }
 
-    fn admit(&self, catalog: &Catalog, id: &Arc<str>) -> Result<(), Failure> {
+    /// Spends a token of the workspace, of other VMs where this one has none left.
+    async fn admit(&self, catalog: &Catalog, id: &Arc<str>) -> Result<(), Failure> {
         let Some(workspace) = catalog.workspaces.get(&self.workspace) else {
             return Ok(());
         };
-        let mut state = self.node.state.borrow_mut();
-        let Err(wait) = state.quota.admit(workspace, clock::now()) else {
-            return Ok(());
-        };
+        let first = self.try_admit(workspace);
+        let Err(mut wait) = first else { return Ok(()) };
+        if borrowing::borrow(&self.node, &self.workspace).await {
+            match self.try_admit(workspace) {
+                Ok(()) => return Ok(()),
+                Err(again) => wait = again,
+            }
+        }
         let retry_ms = wait.as_millis().max(1);
         log::info!(
             "event=request_refused id={id} workspace={} reason=over_rate rate_per_s={} \
@@ -366,6 +378,11 @@
         ))
     }
 
+    fn try_admit(&self, workspace: &Workspace) -> Result<(), Duration> {
+        let mut state = self.node.state.borrow_mut();
+        state.quota.admit(workspace, clock::now())
+    }
+
     async fn fail_step(&mut self, failure: Failure) -> Answer {
         if self.state() == SessionState::Open {
             self.abandon().await;
