Wait for a token that comes within a fifth of the route's objective

Cause: a VM's part of a bucket is a few tokens; a request that came a little before its token was refused though its workspace was within its rate. Change: such a request waits, behind those that wait already, for a fifth of the objective at most.

--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -54,6 +54,7 @@
     demand_per_s: f64,
     announced_per_s: f64,
     started: bool,
+    waiting: u32,
 }
 
 /// Limits of all workspaces at this VM.
@@ -82,6 +83,31 @@
         Err(at.map_or(DEMAND_WINDOW, |at| at.since(now)))
     }
 
+    /// Returns how long a request must wait for a token, behind those that wait already, and counts
+    /// it among them; `None` when that takes longer than `patience`.
+    pub fn queue(
+        &mut self,
+        workspace: &WorkspaceName,
+        patience: Duration,
+        now: Timestamp,
+    ) -> Option<Duration> {
+        let meter = self.meters.get_mut(workspace)?;
+        let tokens = f64::from(meter.waiting + 1);
+        let wait = meter.bucket.available_at(tokens, now)?.since(now);
+        if wait > patience {
+            return None;
+        }
+        meter.waiting += 1;
+        Some(wait)
+    }
+
+    /// Counts a request out that was counted by [`Quota::queue`].
+    pub fn leave_queue(&mut self, workspace: &WorkspaceName) {
+        if let Some(meter) = self.meters.get_mut(workspace) {
+            meter.waiting = meter.waiting.saturating_sub(1);
+        }
+    }
+
     /// Deducts tokens that this VM can spare, for another VM.
     pub fn lend(&mut self, workspace: &WorkspaceName, now: Timestamp) -> f64 {
         let Some(meter) = self.meters.get_mut(workspace) else {
@@ -201,6 +227,7 @@
             demand_per_s: 0.0,
             announced_per_s: 0.0,
             started: false,
+            waiting: 0,
         }
     }
 }
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -27,6 +27,10 @@
 /// Values of one session; more are refused.
 const MAX_VALUES: usize = 64;
 
+/// Part of a route's objective for which a request waits for a token rather than being refused:
+/// short enough that a refusal still comes early.
+const PACING_PART: f64 = 0.2;
+
 /// Name under which callers without a key of their own reach open routes.
 const ANYONE: &str = "-";
 
@@ -352,19 +356,24 @@
         begun.open(&self.node, &need).await
     }
 
-    /// Spends a token of the workspace, of other VMs where this one has none left.
+    /// Spends a token of the workspace: of other VMs where this one has none left, or one that
+    /// comes in a moment.
     async fn admit(&self, catalog: &Catalog, id: &Arc<str>) -> Result<(), Failure> {
         let Some(workspace) = catalog.workspaces.get(&self.workspace) else {
             return Ok(());
         };
-        let first = self.try_admit(workspace);
-        let Err(mut wait) = first else { return Ok(()) };
-        if borrowing::borrow(&self.node, &self.workspace).await {
-            match self.try_admit(workspace) {
-                Ok(()) => return Ok(()),
-                Err(again) => wait = again,
-            }
+        if self.try_admit(workspace).is_ok() {
+            return Ok(());
         }
+        if borrowing::borrow(&self.node, &self.workspace).await
+            && self.try_admit(workspace).is_ok()
+        {
+            return Ok(());
+        }
+        self.await_token(catalog).await;
+        let Err(wait) = self.try_admit(workspace) else {
+            return Ok(());
+        };
         let retry_ms = wait.as_millis().max(1);
         log::info!(
             "event=request_refused id={id} workspace={} reason=over_rate rate_per_s={} \
@@ -378,6 +387,22 @@
         ))
     }
 
+    /// Waits for a token that comes within a small part of the route's objective.
+    async fn await_token(&self, catalog: &Catalog) {
+        let Some(route) = catalog.routes.get(&self.route) else {
+            return;
+        };
+        let patience = route.objective.mul_f64(PACING_PART);
+        let wait = {
+            let mut state = self.node.state.borrow_mut();
+            state.quota.queue(&self.workspace, patience, clock::now())
+        };
+        if let Some(wait) = wait {
+            tokio::time::sleep(wait).await;
+            self.node.state.borrow_mut().quota.leave_queue(&self.workspace);
+        }
+    }
+
     fn try_admit(&self, workspace: &Workspace) -> Result<(), Duration> {
         let mut state = self.node.state.borrow_mut();
         state.quota.admit(workspace, clock::now())
