Serve reads of a promoted primary before every VM has left the former one

Change: the record passes through a settling phase: reads go to the new primary, saves wait. A holder that takes up an unfinished replacement keeps a primary that leads. A VM that is refused the duty learns its holder from the answer.

--- a/src/entry/agreement.rs
+++ b/src/entry/agreement.rs
@@ -144,9 +144,9 @@
         record.phase,
         revision.0
     );
-    if let Phase::Moving { holder, generation } = record.phase {
+    if let Some((holder, generation)) = record.phase.replacement() {
         let replacement = (database, generation);
-        let confirming = confirmation::send(Rc::clone(node), holder, replacement);
+        let confirming = confirmation::send(Rc::clone(node), holder.clone(), replacement);
         tokio::task::spawn_local(confirming);
     }
 }
--- a/src/entry/duty.rs
+++ b/src/entry/duty.rs
@@ -8,6 +8,7 @@
 use futures::future::join_all;
 use tokio::time::sleep;
 
+use super::agreement;
 use super::clock;
 use super::control::ControlLink;
 use super::health::Verdict;
@@ -34,6 +35,9 @@
 /// Longest time for a doubtful primary to report.
 const REPORT_WITHIN: Duration = Duration::from_millis(250);
 
+/// Pause after an attempt to hold the duty.
+const HOLD_PAUSE: Duration = Duration::from_millis(150);
+
 /// Interval at which an instance that doesn't answer is asked again.
 const PROBE_PAUSE: Duration = Duration::from_millis(150);
 
@@ -73,6 +77,7 @@
             let (duty, node) = (Rc::clone(self), Rc::clone(node));
             tokio::task::spawn_local(async move {
                 hold(&node, due).await;
+                sleep(HOLD_PAUSE).await;
                 duty.holding.set(false);
             });
         }
@@ -250,6 +255,15 @@
     };
     match node.call(request).await {
         Ok(PlatformAnswer::Swapped { revision }) => Some(revision),
+        Ok(PlatformAnswer::Conflict {
+            current: Some(current),
+        }) => {
+            // The watch may be slower than this answer.
+            agreement::apply(node, current);
+            let holder = node.state.borrow().duty_holder.clone();
+            log::info!("event=duty_not_taken holder={holder:?}");
+            None
+        }
         answer => {
             log::info!("event=duty_not_taken answer={answer:?}");
             None
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -241,8 +241,7 @@
     if need.access == Access::Read && staleness.is_some() {
         return read_target(state, node, need, position, guarded, tried);
     }
-    let primary = state.primary(&need.route.database);
-    let instance = primary.ok_or(Missing::Primary)?;
+    let instance = primary(state, need).ok_or(Missing::Primary)?;
     let after = if guarded || is_safe_alone(state, need) {
         None
     } else {
@@ -258,6 +257,14 @@
     })
 }
 
+/// Returns the primary, as far as it takes statements of this kind.
+fn primary<'a>(state: &'a State, need: &Need<'_>) -> Option<&'a Rc<Instance>> {
+    match need.access {
+        Access::Read => state.readable_primary(&need.route.database),
+        Access::Write => state.primary(&need.route.database),
+    }
+}
+
 /// Returns whether a statement can do no harm on an instance that was replaced as the primary: it
 /// reads nothing, and its save is acknowledged only if a replica still follows.
 fn is_safe_alone(state: &State, need: &Need<'_>) -> bool {
@@ -335,8 +342,7 @@
     if !target.is_primary {
         return true;
     }
-    let primary = state.primary(&need.route.database);
-    let same = primary.is_some_and(|primary| primary.name == target.instance.name);
+    let same = primary(&state, need).is_some_and(|primary| primary.name == target.instance.name);
     same && (guarded || target.after.is_some() || is_safe_alone(&state, need))
 }
 
--- a/src/entry/listener.rs
+++ b/src/entry/listener.rs
@@ -10,9 +10,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, timeout};
 
+use super::clock;
 use super::node::{Node, StopPhase};
 use super::session::Session;
 use super::statement::{Answer, CallerMessage, SessionState};
+use crate::time::Timestamp;
 
 /// Result of serving a caller.
 pub type Result<T, E = CallerError> = std::result::Result<T, E>;
@@ -70,6 +72,7 @@
     let mut connection = Connection {
         node: Rc::clone(&node),
         stream,
+        opened_at: clock::now(),
         input: BytesMut::with_capacity(INPUT_BYTES),
         output: BytesMut::new(),
     };
@@ -90,6 +93,7 @@
 struct Connection {
     node: Rc<Node>,
     stream: TcpStream,
+    opened_at: Timestamp,
     input: BytesMut,
     output: BytesMut,
 }
@@ -158,8 +162,7 @@
         let idle_until = idle_limit.map(|limit| Instant::now() + limit);
         loop {
             let stopping = node.stopping.notified();
-            let draining = node.state.borrow().stop == StopPhase::Draining;
-            if draining && session.state() == SessionState::Idle && self.input.is_empty() {
+            if self.must_leave() && session.state() == SessionState::Idle && self.input.is_empty() {
                 return Ok(Received::Stopping);
             }
             let expired = async {
@@ -179,6 +182,13 @@
         }
     }
 
+    /// Returns whether the caller is better served by another VM.
+    fn must_leave(&self) -> bool {
+        let state = self.node.state.borrow();
+        let shed = state.shed_at.is_some_and(|at| self.opened_at < at);
+        state.stop == StopPhase::Draining || shed
+    }
+
     /// Reads one message; `None` when the caller has gone.
     async fn read_message(&mut self) -> Result<Option<CallerMessage>> {
         loop {
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -20,7 +20,7 @@
 use super::instance::{Change, Directory, Instance};
 use super::pool::{Limits, Pool};
 use super::quota::Quota;
-use super::record::{Phase, VersionedRecord, VmRecord};
+use super::record::{Phase, PrimaryRecord, VersionedRecord, VmRecord};
 use super::settings::EntrySettings;
 use crate::configuration::Revision;
 use crate::control::command::PlatformRequest;
@@ -29,6 +29,10 @@
 use crate::store;
 use crate::time::Timestamp;
 
+/// Silence of the store after which a VM without proofs of others stops taking callers: its guard
+/// will run out soon.
+const STORE_SILENCE: Duration = Duration::from_millis(2_500);
+
 /// Shared state of one VM: read and written by its tasks, all on one thread.
 #[derive(Debug)]
 pub struct Node {
@@ -90,6 +94,10 @@
     pub quota: Quota,
     /// How far a planned stop has come.
     pub stop: StopPhase,
+    /// Since when this VM hasn't been ready, after it was.
+    pub unready_since: Option<Timestamp>,
+    /// When sessions opened earlier were asked to move to other VMs.
+    pub shed_at: Option<Timestamp>,
 }
 
 /// How far a planned stop has come.
@@ -121,20 +129,29 @@
         self.guard.holds(now) || self.borrowed_guard.holds(now)
     }
 
-    /// Returns the primary of a database that takes statements; `None` while it is being replaced.
+    /// Returns whether the records can be relied on and this can be expected to last.
+    pub fn in_touch(&self, now: Timestamp) -> bool {
+        let heard = now.since(self.store_heard_at) < STORE_SILENCE;
+        (self.guard.holds(now) && heard) || self.borrowed_guard.holds(now)
+    }
+
+    /// Returns the primary of a database that takes saves; `None` while it is being replaced.
     pub fn primary(&self, database: &DatabaseName) -> Option<&Rc<Instance>> {
-        let record = &self.databases.get(database)?.record.as_ref()?.record;
-        if record.phase != Phase::Steady {
-            return None;
-        }
-        self.directory.get(&record.primary)
+        let record = self.record(database)?;
+        let takes = record.phase == Phase::Steady;
+        self.directory.get(&record.primary).filter(|_| takes)
+    }
+
+    /// Returns the primary of a database that takes reads; `None` until it has been promoted.
+    pub fn readable_primary(&self, database: &DatabaseName) -> Option<&Rc<Instance>> {
+        let record = self.record(database)?;
+        let takes = !matches!(record.phase, Phase::Moving { .. });
+        self.directory.get(&record.primary).filter(|_| takes)
     }
 
-    /// Returns whether the primary of a database is being replaced.
-    pub fn is_moving(&self, database: &DatabaseName) -> bool {
-        let known = self.databases.get(database);
-        let record = known.and_then(|known| known.record.as_ref());
-        record.is_some_and(|record| record.record.phase != Phase::Steady)
+    fn record(&self, database: &DatabaseName) -> Option<&PrimaryRecord> {
+        let record = self.databases.get(database)?.record.as_ref()?;
+        Some(&record.record)
     }
 
     /// Returns what is known of a database, to be changed.
@@ -169,10 +186,31 @@
         state.stop == StopPhase::Running
             && state.catalog.is_some()
             && state.directory_known
-            && state.guarded(now)
+            && state.in_touch(now)
             && !state.databases.is_empty()
     }
 
+    /// Asks the sessions that are open to move to other VMs once the balancer has noticed that this
+    /// one can't serve them.
+    pub fn shed_if_isolated(&self) {
+        let now = clock::now();
+        let ready = self.is_ready();
+        let mut state = self.state.borrow_mut();
+        if ready || state.stop != StopPhase::Running {
+            state.unready_since = None;
+            return;
+        }
+        let since = *state.unready_since.get_or_insert(now);
+        let asked = state.shed_at.is_some_and(|at| at >= since);
+        if now.since(since) < self.settings.balancer_notice || asked {
+            return;
+        }
+        state.shed_at = Some(now);
+        drop(state);
+        log::warn!("event=sessions_shed sessions={}", self.sessions.get());
+        self.stopping.notify_waiters();
+    }
+
     /// Returns the configuration in force.
     pub fn catalog(&self) -> Option<Rc<Catalog>> {
         self.state.borrow().catalog.clone()
--- a/src/entry/promotion.rs
+++ b/src/entry/promotion.rs
@@ -20,7 +20,7 @@
 pub enum Decision {
     /// Promote the instance: no acknowledged save can lie beyond what it has received.
     Promote(InstanceName),
-    /// An instance leads a newer term already: a former holder's call took effect.
+    /// An instance leads already: a former holder's call took effect, or none was needed.
     AlreadyLeads(InstanceName),
     /// The instance is chosen, but has yet to receive this position.
     CatchUp(InstanceName, Position),
@@ -32,15 +32,19 @@
 ///
 /// `term` is the term that is being replaced, `instances` counts every instance of the database
 /// that may hold an acknowledged save. A save is acknowledged once the primary and one replica
-/// have it, so hearing all replicas, or the primary itself, is enough.
+/// have it, so hearing all replicas, or the primary itself, is enough. With `keep`, a primary that
+/// still leads is left in its place.
 pub fn decide(
     old_primary: &InstanceName,
     term: u64,
     heard: &[Heard],
     instances: usize,
+    keep: bool,
 ) -> Decision {
     let leader = heard.iter().find(|heard| {
-        heard.report.is_primary && heard.report.term > term && heard.instance != *old_primary
+        let newer = heard.report.term > term && heard.instance != *old_primary;
+        let kept = keep && heard.report.term >= term && heard.instance == *old_primary;
+        heard.report.is_primary && (newer || kept)
     });
     if let Some(leader) = leader {
         return Decision::AlreadyLeads(leader.instance.clone());
--- a/src/entry/promotion/tests.rs
+++ b/src/entry/promotion/tests.rs
@@ -82,7 +82,17 @@
         },
     ];
     for case in cases {
-        let decision = decide(&InstanceName::from("p"), 3, &case.heard, 3);
+        let decision = decide(&InstanceName::from("p"), 3, &case.heard, 3, false);
         assert_eq!(decision, case.expected, "{}", case.name);
     }
 }
+
+#[test]
+fn an_unfinished_replacement_keeps_a_primary_that_leads() {
+    let reports = [heard("p", 30), heard("a", 30)];
+    let primary = InstanceName::from("p");
+    let kept = decide(&primary, 3, &reports, 3, true);
+    assert_eq!(kept, Decision::AlreadyLeads(primary.clone()));
+    let replaced = decide(&primary, 4, &reports, 3, true);
+    assert_eq!(replaced, Decision::Promote(InstanceName::from("a")));
+}
--- a/src/entry/record.rs
+++ b/src/entry/record.rs
@@ -19,6 +19,26 @@
         /// Generation of that VM's duty.
         generation: u64,
     },
+    /// The primary was promoted, but not every VM has left the former one: reads are served, for
+    /// nothing was saved since; saves wait.
+    Settling {
+        /// VM that replaced the former primary.
+        holder: VmName,
+        /// Generation of that VM's duty.
+        generation: u64,
+    },
+}
+
+impl Phase {
+    /// Returns the holder and the generation of the replacement that is under way.
+    pub fn replacement(&self) -> Option<(&VmName, u64)> {
+        match self {
+            Self::Steady => None,
+            Self::Moving { holder, generation } | Self::Settling { holder, generation } => {
+                Some((holder, *generation))
+            }
+        }
+    }
 }
 
 /// Primary of a database as all VMs agree on it.
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -74,6 +74,7 @@
         duty.tick(&node);
         divide_limits(&node);
         node.tidy_pools(node.settings.tick);
+        node.shed_if_isolated();
     }
 }
 
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -5,6 +5,7 @@
 
 use futures::future::join_all;
 use strum::Display;
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
 use super::adapter::{PromotionCall, PromotionOutcome};
@@ -123,15 +124,39 @@
         if !self.write(self.record.record.primary.clone(), self.record.record.term, moving).await {
             return false;
         }
-        let (node, record, generation) =
-            (Rc::clone(&self.node), self.proven(), self.generation);
-        let confirming = async move { confirmation::all(&node, &record, generation).await };
+        let (node, record) = (Rc::clone(&self.node), self.proven());
+        let generation = self.generation;
+        // Aborted with the takeover, should the duty be lost.
+        let mut confirming = JoinSet::new();
+        confirming.spawn_local(async move {
+            confirmation::all(&node, &record, generation).await;
+        });
         if reason.is_planned() {
-            confirming.await;
+            confirming.join_next().await;
             sleep(SETTLE).await;
-            return self.finish(async {}).await;
         }
-        self.finish(confirming).await
+        let keep = reason == Reason::Unfinished;
+        let Some((instance, term)) = self.promote(keep).await else {
+            return false;
+        };
+        let former = self.record.record.primary.clone();
+        if confirming.try_join_next().is_none() && !confirming.is_empty() {
+            let settling = Phase::Settling {
+                holder: self.node.settings.vm.clone(),
+                generation,
+            };
+            if !self.write(instance.clone(), term, settling).await {
+                return false;
+            }
+            self.tell_all();
+            confirming.join_next().await;
+        }
+        let recorded = self.write(instance.clone(), term, Phase::Steady).await;
+        if recorded {
+            self.tell_all();
+            self.dismiss(&former, &instance, term);
+        }
+        recorded
     }
 
     /// Returns the record as it is told to other VMs.
@@ -151,22 +176,6 @@
         }
     }
 
-    /// Promotes and records the new primary once every VM has confirmed that it left the old one.
-    async fn finish(&mut self, confirming: impl Future<Output = ()>) -> bool {
-        let promoting = self.promote();
-        let (promoted, ()) = tokio::join!(promoting, confirming);
-        let Some((instance, term)) = promoted else {
-            return false;
-        };
-        let former = self.record.record.primary.clone();
-        let recorded = self.write(instance.clone(), term, Phase::Steady).await;
-        if recorded {
-            self.tell_all();
-            self.dismiss(&former, &instance, term);
-        }
-        recorded
-    }
-
     /// Asks a suspected primary once more, so that a passing doubt doesn't replace it.
     async fn suspicion_stands(&self, reason: Reason) -> bool {
         if !matches!(reason, Reason::Unreachable | Reason::Deposed) {
@@ -191,7 +200,7 @@
     }
 
     /// Promotes the instance that holds every acknowledged save; returns it with its term.
-    async fn promote(&self) -> Option<(InstanceName, u64)> {
+    async fn promote(&self, keep: bool) -> Option<(InstanceName, u64)> {
         let end = Instant::now() + ATTEMPT;
         let mut attempt = 0;
         while Instant::now() < end {
@@ -199,7 +208,7 @@
             let heard = self.hear().await;
             let instances = self.members().len().max(self.group_size());
             let primary = &self.record.record.primary;
-            let decision = decide(primary, self.record.record.term, &heard, instances);
+            let decision = decide(primary, self.record.record.term, &heard, instances, keep);
             log::info!(
                 "event=takeover_decided database={} attempt={attempt} heard={} of={instances} \
                  decision=\"{decision:?}\"",
