--- a/src/entry/borrowing.rs
+++ b/src/entry/borrowing.rs
@@ -58,7 +58,8 @@
             workspace: workspace.clone(),
             nonce,
         };
-        node.outbox.send(others[(first + offset) % others.len()], wanted);
+        node.outbox
+            .send(others[(first + offset) % others.len()], wanted);
     }
     let settled = async {
         while !borrowing.is_settled(nonce) {
@@ -89,7 +90,9 @@
         question.given += tokens;
         let mut state = node.state.borrow_mut();
         let (workspace, asked_at) = (&question.workspace, question.asked_at);
-        state.quota.deposit(workspace, tokens, asked_at, clock::now());
+        state
+            .quota
+            .deposit(workspace, tokens, asked_at, clock::now());
     }
     node.borrowing.answered.notify_waiters();
 }
--- a/src/entry/confirmation.rs
+++ b/src/entry/confirmation.rs
@@ -62,7 +62,12 @@
         return;
     }
     for attempt in 0..ATTEMPTS {
-        let address = node.state.borrow().vms.get(&holder).map(|record| record.peer_address);
+        let address = node
+            .state
+            .borrow()
+            .vms
+            .get(&holder)
+            .map(|record| record.peer_address);
         if let Some(address) = address {
             let left = Datagram::Left {
                 vm: node.settings.vm.clone(),
--- a/src/entry/duty.rs
+++ b/src/entry/duty.rs
@@ -29,6 +29,11 @@
 /// Time by which VMs that notice the same thing act one after the other.
 const RANK_STEP: Duration = Duration::from_millis(80);
 
+/// Time for which a primary must be missing before it counts as gone. Announcements that lapsed
+/// while the store was away come back within about two seconds, and a VM that has just started
+/// can't tell them from those of instances that have left.
+const GONE_AFTER: Duration = Duration::from_millis(2_500);
+
 /// Time after which a replacement whose holder has gone is taken up again.
 const UNFINISHED_AFTER: Duration = Duration::from_millis(300);
 
@@ -102,6 +107,7 @@
             .and_modify(|(known, _)| *known = reason)
             .or_insert((reason, now));
         let settle = match reason {
+            Reason::Gone => GONE_AFTER,
             Reason::Unfinished => UNFINISHED_AFTER,
             _ => Duration::ZERO,
         };
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -187,7 +187,9 @@
                 let mut state = self.node.state.borrow_mut();
                 let tokens = state.quota.lend(&workspace, clock::now());
                 drop(state);
-                self.node.outbox.send(from, Datagram::Tokens { nonce, tokens });
+                self.node
+                    .outbox
+                    .send(from, Datagram::Tokens { nonce, tokens });
             }
             Datagram::Tokens { nonce, tokens } => borrowing::take(&self.node, nonce, tokens),
             Datagram::Record(proven) => self.apply(proven),
--- a/src/entry/placement/tests.rs
+++ b/src/entry/placement/tests.rs
@@ -69,7 +69,13 @@
         },
         Case {
             name: "an instance in the same availability zone before one elsewhere",
-            candidates: [Candidate { is_near: false, ..IDLE }, IDLE],
+            candidates: [
+                Candidate {
+                    is_near: false,
+                    ..IDLE
+                },
+                IDLE,
+            ],
             expected: 1,
         },
         Case {
--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -208,7 +208,9 @@
             meter.bucket.set_share(share, now);
             if !std::mem::replace(&mut meter.started, true) {
                 let tokens = (share.burst * STARTING_PART).floor();
-                meter.bucket.deposit(tokens, now + STARTING_TOKENS_KEPT, now);
+                meter
+                    .bucket
+                    .deposit(tokens, now + STARTING_TOKENS_KEPT, now);
             }
         }
     }
--- a/src/entry/quota/tests.rs
+++ b/src/entry/quota/tests.rs
@@ -114,12 +114,19 @@
         spendable += 1;
     }
     assert!(given > 40.0, "{given}");
-    assert!(given + f64::from(spendable) <= 0.5 * RATE_PER_S + 1.0, "{given} and {spendable}");
+    assert!(
+        given + f64::from(spendable) <= 0.5 * RATE_PER_S + 1.0,
+        "{given} and {spendable}"
+    );
 }
 
 #[test]
 fn borrowed_tokens_admit_until_the_hold_ends() {
-    let workspace = Workspace { rate_per_s: 0.0, burst: 0.0, ..workspace() };
+    let workspace = Workspace {
+        rate_per_s: 0.0,
+        burst: 0.0,
+        ..workspace()
+    };
     let mut quota = Quota::default();
     let asked_at = Timestamp::from_millis(1_000);
     quota.divide([&workspace].into_iter(), 1, asked_at);
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -169,12 +169,7 @@
         self.done()
     }
 
-    async fn begin(
-        &mut self,
-        catalog: &Catalog,
-        request: &Request,
-        access: Access,
-    ) -> Answer {
+    async fn begin(&mut self, catalog: &Catalog, request: &Request, access: Access) -> Answer {
         if self.state() != SessionState::Idle {
             return self.fail(invalid());
         }
@@ -365,8 +360,7 @@
         if self.try_admit(workspace).is_ok() {
             return Ok(());
         }
-        if borrowing::borrow(&self.node, &self.workspace).await
-            && self.try_admit(workspace).is_ok()
+        if borrowing::borrow(&self.node, &self.workspace).await && self.try_admit(workspace).is_ok()
         {
             return Ok(());
         }
@@ -399,7 +393,11 @@
         };
         if let Some(wait) = wait {
             tokio::time::sleep(wait).await;
-            self.node.state.borrow_mut().quota.leave_queue(&self.workspace);
+            self.node
+                .state
+                .borrow_mut()
+                .quota
+                .leave_queue(&self.workspace);
         }
     }
 
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -121,7 +121,14 @@
         };
         let replacement = (self.database.clone(), self.generation);
         self.node.handover.begin(replacement);
-        if !self.write(self.record.record.primary.clone(), self.record.record.term, moving).await {
+        if !self
+            .write(
+                self.record.record.primary.clone(),
+                self.record.record.term,
+                moving,
+            )
+            .await
+        {
             return false;
         }
         let (node, record) = (Rc::clone(&self.node), self.proven());
@@ -172,7 +179,9 @@
     fn tell_all(&self) {
         let state = self.node.state.borrow();
         for vm in state.vms.values() {
-            self.node.outbox.send(vm.peer_address, Datagram::Record(self.proven()));
+            self.node
+                .outbox
+                .send(vm.peer_address, Datagram::Record(self.proven()));
         }
     }
 
--- a/src/entry/transaction.rs
+++ b/src/entry/transaction.rs
@@ -202,7 +202,11 @@
     /// Rolls back and gives the connection back; closes it when that can't be confirmed.
     pub async fn rollback(mut self) {
         let deadline = Instant::now() + ROLLBACK_TIMEOUT;
-        let answer = self.lease.link().order(&InstanceCommand::Rollback, deadline).await;
+        let answer = self
+            .lease
+            .link()
+            .order(&InstanceCommand::Rollback, deadline)
+            .await;
         match answer {
             Ok(answer) if answer.state == SessionState::Idle => {}
             _ => self.lease.close(),
