Serve metrics; write log lines without blocking

Cause: an engineer on call had lines without bounds and no counters; a reader of standard output that stands still would have stopped the one thread that serves callers. Change: lines pass through a bounded queue to a thread of their own, at most 50 of an event a second, with a line that tells what was left out. Counters and histograms of the entry join the others and are served on the metrics address of the settings. Lines of broken transactions and commits carry the id.

--- a/src/entry/confirmation.rs
+++ b/src/entry/confirmation.rs
@@ -69,12 +69,12 @@
             .get(&holder)
             .map(|record| record.peer_address);
         if let Some(address) = address {
-            let left = Datagram::Left {
+            let confirmation = Datagram::Left {
                 vm: node.settings.vm.clone(),
                 database: database.clone(),
                 generation,
             };
-            node.outbox.send(address, left);
+            node.outbox.send(address, confirmation);
         }
         if attempt >= DIRECT_ATTEMPTS && write(&node, &replacement).await {
             return;
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -30,16 +30,19 @@
     let follower = Follower {
         prefix: keys::INSTANCES,
         progress: &node.directory_progress,
-        replace: &|keys| replace(&node, keys, &unreadable),
-        apply: &|key| apply(&node, key, &unreadable),
+        replace: &|keys| replace(&node, &keys, &unreadable),
+        apply: &|key| apply(&node, &key, &unreadable),
     };
     follower.run(&node).await;
 }
 
+/// Since when databases have had fewer instances than before.
+pub type SmallerSince = HashMap<DatabaseName, Timestamp>;
+
 /// Revisions of the announcements that could not be read, each of which is logged once.
 type Unreadable = RefCell<HashMap<String, Revision>>;
 
-fn replace(node: &Rc<Node>, found: Vec<KeyValue>, unreadable: &Unreadable) {
+fn replace(node: &Rc<Node>, found: &[KeyValue], unreadable: &Unreadable) {
     let present: HashSet<InstanceName> = found
         .iter()
         .filter_map(|key| key.key.strip_prefix(keys::INSTANCES))
@@ -62,7 +65,7 @@
     node.state.borrow_mut().directory_known = true;
 }
 
-fn apply(node: &Rc<Node>, key: KeyValue, unreadable: &Unreadable) {
+fn apply(node: &Rc<Node>, key: &KeyValue, unreadable: &Unreadable) {
     let Some(name) = key.key.strip_prefix(keys::INSTANCES) else {
         return;
     };
@@ -109,7 +112,7 @@
 }
 
 /// Forgets instances that have been missing for long; counts those that are left.
-pub fn tidy(node: &Rc<Node>, smaller_since: &mut HashMap<DatabaseName, Timestamp>) {
+pub fn tidy(node: &Rc<Node>, smaller_since: &mut SmallerSince) {
     let now = clock::now();
     let gone: Vec<Change> = {
         let mut state = node.state.borrow_mut();
@@ -131,11 +134,7 @@
 }
 
 /// Keeps count of the instances of each database that may hold acknowledged saves.
-fn note_group_sizes(
-    node: &Rc<Node>,
-    smaller_since: &mut HashMap<DatabaseName, Timestamp>,
-    now: Timestamp,
-) {
+fn note_group_sizes(node: &Rc<Node>, smaller_since: &mut SmallerSince, now: Timestamp) {
     let mut state = node.state.borrow_mut();
     let databases: Vec<DatabaseName> = state.databases.keys().cloned().collect();
     for database in databases {
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -17,6 +17,7 @@
 use super::position::Position;
 use super::statement::{Access, Answer, Failure, FailureKind, InstanceCommand, Outcome};
 use crate::name::{InstanceName, WorkspaceName};
+use crate::telemetry::metrics::{Step, metrics};
 use crate::time::Timestamp;
 
 /// Pause before a statement is offered again to an instance that had no capacity.
@@ -96,9 +97,12 @@
     let give_up = need
         .deadline
         .min(Instant::now() + patience.min(node.settings.move_patience));
+    let started_at = clock::now();
     loop {
         let (target, mut lease) = obtain(node, need, &mut tried, give_up).await?;
         let sent_at = clock::now();
+        let route = &need.route.name;
+        metrics().record_step(route, Step::Connect, sent_at.since(started_at));
         let pool = Rc::clone(lease.pool());
         pool.started();
         let running = lease
@@ -123,7 +127,9 @@
             }
         };
         note_answer(node, need, &target, &answer, sent_at);
-        pool.answered(clock::now().since(sent_at), answer.position);
+        let taken = clock::now().since(sent_at);
+        pool.answered(taken, answer.position);
+        metrics().record_step(route, Step::Run, taken);
         let Outcome::Failed(failure) = &answer.outcome else {
             return Ok(Ran { answer, lease });
         };
@@ -143,7 +149,8 @@
     lease: &mut Lease,
     tried: &mut Vec<InstanceName>,
 ) {
-    log::debug!(
+    metrics().count_move(kind.into());
+    log::info!(
         "event=statement_moved id={} from={} reason={kind}",
         need.id,
         target.instance.name
@@ -328,8 +335,7 @@
         is_primary,
         is_near: instance.availability_zone == node.settings.availability_zone,
         in_flight: pool.in_flight(),
-        connected: pool.has_idle(need.workspace),
-        exhausted: pool.is_exhausted(),
+        connection: pool.availability(need.workspace),
         latency: pool.latency(),
         position: pool.position(),
     }
@@ -390,6 +396,7 @@
 
 /// Builds a refusal of a statement that has not run.
 pub fn refusal(node: &Node, need: &Need<'_>, reason: &str) -> Failure {
+    metrics().count_entry_refusal(&need.route.name, reason);
     log::info!(
         "event=request_refused id={} route={} workspace={} reason=\"{reason}\" vm={}",
         need.id,
--- a/src/entry/freshness.rs
+++ b/src/entry/freshness.rs
@@ -33,10 +33,9 @@
 impl Freshness {
     /// Records a position that the primary reported to a question sent at `asked_at`.
     pub fn note(&mut self, position: Position, asked_at: Timestamp) {
-        if let Some(last) = self.samples.back() {
-            if asked_at < last.asked_at + SPACING {
-                return;
-            }
+        let last = self.samples.back();
+        if last.is_some_and(|last| asked_at < last.asked_at + SPACING) {
+            return;
         }
         if self.samples.len() == MAX_SAMPLES {
             self.samples.pop_front();
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -27,6 +27,7 @@
 use crate::control::event::PlatformAnswer;
 use crate::name::{DatabaseName, InstanceName, VmName};
 use crate::store;
+use crate::telemetry::metrics::metrics;
 use crate::time::Timestamp;
 
 /// Silence of the store after which a VM without proofs of others stops taking callers: its guard
@@ -222,7 +223,10 @@
     ///
     /// Fails as the store's client does.
     pub async fn call(&self, request: PlatformRequest) -> store::Result<PlatformAnswer> {
-        (self.adapter.store.call)(request).await
+        let kind = kind(&request);
+        let answer = (self.adapter.store.call)(request).await;
+        metrics().count_store_call(kind, answer.is_ok());
+        answer
     }
 
     /// Returns the pool of an instance.
@@ -253,7 +257,7 @@
         match (&change.previous, &change.current) {
             (_, Some(current)) => {
                 if let Some(pool) = self.pools.borrow().get(&current.name) {
-                    pool.update(Rc::clone(current));
+                    pool.update(current);
                 }
                 log_instance(current);
             }
@@ -273,10 +277,13 @@
 
     /// Applies the current limits to every pool and closes what has been idle for long.
     pub fn tidy_pools(&self, elapsed: Duration) {
+        let mut connections = 0;
         for pool in self.pools() {
             pool.set_limits(self.limits(&pool.instance().database));
             pool.tidy(elapsed);
+            connections += pool.open();
         }
+        metrics().set_open(self.sessions.get(), connections);
     }
 
     fn limits(&self, database: &DatabaseName) -> Limits {
@@ -288,6 +295,18 @@
     }
 }
 
+fn kind(request: &PlatformRequest) -> &'static str {
+    match request {
+        PlatformRequest::Get { .. } => "get",
+        PlatformRequest::List { .. } => "list",
+        PlatformRequest::CompareAndSwap { .. } => "compare_and_swap",
+        PlatformRequest::GrantLease { .. } => "grant_lease",
+        PlatformRequest::KeepAlive { .. } => "keep_alive",
+        PlatformRequest::Revoke { .. } => "revoke",
+        PlatformRequest::Watch { .. } | PlatformRequest::EndWatch { .. } => "watch",
+    }
+}
+
 fn log_instance(instance: &Instance) {
     log::info!(
         "event=instance_announced database={} instance={} address={} state={} primary={} \
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -14,6 +14,7 @@
 use super::borrowing;
 use super::clock;
 use super::gossip::{Datagram, MAX_DATAGRAM_BYTES, ProvenRecord};
+use super::handover::Replacement;
 use super::node::{Node, State};
 use super::quota::Demand;
 use crate::configuration::Revision;
@@ -197,17 +198,7 @@
                 vm,
                 database,
                 generation,
-            } => {
-                let replacement = (database, generation);
-                if self.node.handover.hear(&replacement, vm) {
-                    let (database, generation) = replacement;
-                    let noted = Datagram::LeftNoted {
-                        database,
-                        generation,
-                    };
-                    self.node.outbox.send(from, noted);
-                }
-            }
+            } => self.hear_left(vm, (database, generation), from),
             Datagram::LeftNoted {
                 database,
                 generation,
@@ -227,6 +218,18 @@
         }
     }
 
+    /// Acknowledges that a VM has left a former primary, if that is collected here.
+    fn hear_left(&self, vm: VmName, replacement: Replacement, from: SocketAddr) {
+        if self.node.handover.hear(&replacement, vm) {
+            let (database, generation) = replacement;
+            let noted = Datagram::LeftNoted {
+                database,
+                generation,
+            };
+            self.node.outbox.send(from, noted);
+        }
+    }
+
     fn apply(&self, proven: ProvenRecord) {
         let value = serde_json::to_vec(&proven.record).ok();
         let revision = Revision(proven.revision);
--- a/src/entry/placement.rs
+++ b/src/entry/placement.rs
@@ -25,6 +25,17 @@
 /// Weight of one new measurement.
 const LATENCY_GAIN: f64 = 0.2;
 
+/// How a connection to an instance would be had.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Availability {
+    /// One that was opened for the workspace is free.
+    Open,
+    /// One must be opened.
+    Closed,
+    /// One must become free first.
+    Exhausted,
+}
+
 /// Instance that may serve a read, as this VM sees it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Candidate {
@@ -34,10 +45,8 @@
     pub is_near: bool,
     /// Statements of this VM that run on it.
     pub in_flight: u32,
-    /// Whether an open connection for the workspace is free.
-    pub connected: bool,
-    /// Whether all of this VM's connections are taken.
-    pub exhausted: bool,
+    /// How a connection would be had.
+    pub connection: Availability,
     /// Expected time of one statement.
     pub latency: Duration,
     /// Latest position seen of it.
@@ -62,12 +71,11 @@
     if !candidate.is_near {
         cost += ZONE_COST.as_secs_f64();
     }
-    if candidate.exhausted {
-        cost += latency;
-    } else if !candidate.connected {
-        cost += CONNECT_COST.as_secs_f64();
+    cost + match candidate.connection {
+        Availability::Open => 0.0,
+        Availability::Closed => CONNECT_COST.as_secs_f64(),
+        Availability::Exhausted => latency,
     }
-    cost
 }
 
 /// Measured time of statements on one instance.
--- a/src/entry/placement/tests.rs
+++ b/src/entry/placement/tests.rs
@@ -1,14 +1,13 @@
 use std::time::Duration;
 
-use super::{Candidate, Latency, choose};
+use super::{Availability, Candidate, Latency, choose};
 use crate::entry::position::Position;
 
 const IDLE: Candidate = Candidate {
     is_primary: false,
     is_near: true,
     in_flight: 0,
-    connected: true,
-    exhausted: false,
+    connection: Availability::Open,
     latency: Duration::from_millis(20),
     position: Some(Position {
         term: 1,
@@ -22,79 +21,81 @@
     expected: usize,
 }
 
+const PRIMARY: Candidate = Candidate {
+    is_primary: true,
+    ..IDLE
+};
+
+const CASES: [Case; 6] = [
+    Case {
+        name: "a replica before the primary",
+        candidates: [PRIMARY, IDLE],
+        expected: 1,
+    },
+    Case {
+        name: "the primary before a busy replica",
+        candidates: [
+            PRIMARY,
+            Candidate {
+                in_flight: 2,
+                ..IDLE
+            },
+        ],
+        expected: 0,
+    },
+    Case {
+        name: "an open connection before a new one",
+        candidates: [
+            Candidate {
+                connection: Availability::Closed,
+                ..IDLE
+            },
+            IDLE,
+        ],
+        expected: 1,
+    },
+    Case {
+        name: "a replica known to be fresh before one that isn't",
+        candidates: [
+            Candidate {
+                position: None,
+                ..IDLE
+            },
+            IDLE,
+        ],
+        expected: 1,
+    },
+    Case {
+        name: "an instance in the same availability zone before one elsewhere",
+        candidates: [
+            Candidate {
+                is_near: false,
+                ..IDLE
+            },
+            IDLE,
+        ],
+        expected: 1,
+    },
+    Case {
+        name: "a fast instance before a slow one",
+        candidates: [
+            Candidate {
+                latency: Duration::from_millis(90),
+                ..IDLE
+            },
+            IDLE,
+        ],
+        expected: 1,
+    },
+];
+
 #[test]
 fn the_cheapest_candidate_is_chosen() {
-    let primary = Candidate {
-        is_primary: true,
-        ..IDLE
-    };
-    let cases = [
-        Case {
-            name: "a replica before the primary",
-            candidates: [primary, IDLE],
-            expected: 1,
-        },
-        Case {
-            name: "the primary before a busy replica",
-            candidates: [
-                primary,
-                Candidate {
-                    in_flight: 2,
-                    ..IDLE
-                },
-            ],
-            expected: 0,
-        },
-        Case {
-            name: "an open connection before a new one",
-            candidates: [
-                Candidate {
-                    connected: false,
-                    ..IDLE
-                },
-                IDLE,
-            ],
-            expected: 1,
-        },
-        Case {
-            name: "a replica known to be fresh before one that isn't",
-            candidates: [
-                Candidate {
-                    position: None,
-                    ..IDLE
-                },
-                IDLE,
-            ],
-            expected: 1,
-        },
-        Case {
-            name: "an instance in the same availability zone before one elsewhere",
-            candidates: [
-                Candidate {
-                    is_near: false,
-                    ..IDLE
-                },
-                IDLE,
-            ],
-            expected: 1,
-        },
-        Case {
-            name: "a fast instance before a slow one",
-            candidates: [
-                Candidate {
-                    latency: Duration::from_millis(90),
-                    ..IDLE
-                },
-                IDLE,
-            ],
-            expected: 1,
-        },
-    ];
     let need = Some(Position {
         term: 1,
         number: 90,
     });
-    for case in cases {
+    for case in CASES {
         assert_eq!(
             choose(need, &case.candidates),
             Some(case.expected),
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -12,7 +12,7 @@
 use super::health::{Health, Verdict};
 use super::instance::Instance;
 use super::link::{Link, LinkError, rejection};
-use super::placement::Latency;
+use super::placement::{Availability, Latency};
 use super::position::Position;
 use super::statement::{FailureKind, Protocol};
 use crate::name::WorkspaceName;
@@ -101,8 +101,8 @@
     }
 
     /// Takes over a new announcement of the instance; a new process or address closes what is idle.
-    pub fn update(&self, instance: Rc<Instance>) {
-        let previous = self.instance.replace(Rc::clone(&instance));
+    pub fn update(&self, instance: &Rc<Instance>) {
+        let previous = self.instance.replace(Rc::clone(instance));
         let same_process = previous.address == instance.address
             && previous.started_at_ms == instance.started_at_ms
             && previous.database == instance.database;
@@ -140,15 +140,21 @@
         self.open.set(self.open.get() - (before - idle.len()));
     }
 
-    /// Returns whether an idle connection of the workspace is there.
-    pub fn has_idle(&self, workspace: &WorkspaceName) -> bool {
+    /// Returns how a connection of the workspace would be had.
+    pub fn availability(&self, workspace: &WorkspaceName) -> Availability {
         let idle = self.idle.borrow();
-        idle.iter().any(|link| link.workspace == *workspace)
+        if idle.iter().any(|link| link.workspace == *workspace) {
+            Availability::Open
+        } else if idle.is_empty() && !self.may_open() {
+            Availability::Exhausted
+        } else {
+            Availability::Closed
+        }
     }
 
-    /// Returns whether every connection that may be open is in use.
-    pub fn is_exhausted(&self) -> bool {
-        self.idle.borrow().is_empty() && !self.may_open()
+    /// Returns how many connections are open.
+    pub fn open(&self) -> usize {
+        self.open.get()
     }
 
     /// Returns the expected time of a statement.
@@ -238,7 +244,7 @@
             }
             if self.may_open() || self.evict_idle() {
                 let until = deadline.min(Instant::now() + open_within);
-                match self.open(workspace, until).await {
+                match self.connect(workspace, until).await {
                     Err(error) if rejection(&error) == Some(FailureKind::TooManyConnections) => {
                         self.full_until.set(Some(Instant::now() + FULL_PAUSE));
                     }
@@ -259,7 +265,7 @@
         workspace: &WorkspaceName,
         deadline: Instant,
     ) -> Result<Lease> {
-        self.open(workspace, deadline).await
+        self.connect(workspace, deadline).await
     }
 
     async fn wait_for_room(&self, deadline: Instant) -> Result<()> {
@@ -271,7 +277,11 @@
         Ok(())
     }
 
-    async fn open(self: &Rc<Self>, workspace: &WorkspaceName, deadline: Instant) -> Result<Lease> {
+    async fn connect(
+        self: &Rc<Self>,
+        workspace: &WorkspaceName,
+        deadline: Instant,
+    ) -> Result<Lease> {
         self.open.set(self.open.get() + 1);
         let mut lease = Lease {
             pool: Rc::clone(self),
--- a/src/entry/promotion/tests.rs
+++ b/src/entry/promotion/tests.rs
@@ -21,8 +21,7 @@
     expected: Decision,
 }
 
-#[test]
-fn no_acknowledged_save_is_left_behind() {
+fn cases() -> [Case; 7] {
     let leaving = Heard {
         may_lead: false,
         ..heard("b", 30)
@@ -32,7 +31,7 @@
     leads.report.term = 4;
     let b = || InstanceName::from("b");
     let a = || InstanceName::from("a");
-    let cases = [
+    [
         Case {
             name: "the furthest of all replicas",
             heard: vec![heard("a", 20), heard("b", 30)],
@@ -80,8 +79,12 @@
             heard: vec![],
             expected: Decision::Unheard,
         },
-    ];
-    for case in cases {
+    ]
+}
+
+#[test]
+fn no_acknowledged_save_is_left_behind() {
+    for case in cases() {
         let decision = decide(&InstanceName::from("p"), 3, &case.heard, 3, false);
         assert_eq!(decision, case.expected, "{}", case.name);
     }
--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -13,7 +13,7 @@
 const BASE_DEMAND: f64 = 0.04;
 
 /// Time constant by which the demand is averaged.
-const DEMAND_WINDOW: Duration = Duration::from_millis(1_000);
+const DEMAND_WINDOW: Duration = Duration::from_secs(1);
 
 /// Smallest burst of one VM: below one, nothing could ever be admitted.
 const MIN_BURST: f64 = 2.0;
@@ -69,7 +69,11 @@
 }
 
 impl Quota {
-    /// Spends a token of the workspace; returns the time to come back at when there is none.
+    /// Spends a token of the workspace.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the time to come back after when there is none.
     pub fn admit(&mut self, workspace: &Workspace, now: Timestamp) -> Result<(), Duration> {
         let meter = self
             .meters
--- a/src/entry/quota/tests.rs
+++ b/src/entry/quota/tests.rs
@@ -131,8 +131,13 @@
     let asked_at = Timestamp::from_millis(1_000);
     quota.divide([&workspace].into_iter(), 1, asked_at);
     while quota.admit(&workspace, asked_at).is_ok() {}
-    quota.deposit(&workspace.name, 2.0, asked_at, asked_at);
+    quota.deposit(&workspace.name, 9.0, asked_at, asked_at);
     assert!(quota.admit(&workspace, asked_at).is_ok());
-    let later = asked_at + Duration::from_secs(1);
-    assert!(quota.admit(&workspace, later).is_err());
+    let later = asked_at + Duration::from_secs(3);
+    let kept = (0..9).filter(|_| quota.admit(&workspace, later).is_ok());
+    assert_eq!(
+        kept.count(),
+        2,
+        "only what fits into the VM's own burst is kept"
+    );
 }
--- a/src/entry/registration.rs
+++ b/src/entry/registration.rs
@@ -150,9 +150,8 @@
         state.borrowed_guard.end();
         state.lease.take()
     };
-    if let Some(lease) = lease {
-        if let Err(error) = node.call(PlatformRequest::Revoke { lease }).await {
-            log::warn!("event=lease_not_ended lease={lease} error=\"{error}\"");
-        }
+    let Some(lease) = lease else { return };
+    if let Err(error) = node.call(PlatformRequest::Revoke { lease }).await {
+        log::warn!("event=lease_not_ended lease={lease} error=\"{error}\"");
     }
 }
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -1,6 +1,5 @@
 //! Runs an entry until it is asked to stop.
 
-use std::collections::HashMap;
 use std::io;
 use std::rc::Rc;
 
@@ -67,7 +66,7 @@
 /// Looks at health, duties and limits at an interval.
 async fn tick(node: Rc<Node>) {
     let duty = Rc::new(Duty::default());
-    let mut smaller_since = HashMap::new();
+    let mut smaller_since = directory::SmallerSince::new();
     loop {
         sleep(node.settings.tick).await;
         directory::tidy(&node, &mut smaller_since);
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -20,6 +20,7 @@
 };
 use super::transaction::{Begun, Step, Transaction};
 use crate::name::WorkspaceName;
+use crate::telemetry::metrics::metrics;
 
 /// Prepared statements of one session; more are refused.
 const MAX_PREPARED: usize = 256;
@@ -84,7 +85,23 @@
     /// Answers one request.
     pub async fn answer(&mut self, request: Request) -> Answer {
         let catalog = self.node.catalog().unwrap_or_default();
-        if let Err(failure) = self.authorize(&catalog) {
+        let route = catalog
+            .routes
+            .get(&self.route)
+            .map(|route| route.name.clone());
+        let answer = self.handle(&catalog, request).await;
+        let outcome = match &answer.outcome {
+            Outcome::Done(_) => "done",
+            Outcome::Failed(failure) => failure.kind.into(),
+        };
+        if let Some(route) = route {
+            metrics().count_statement(&route, outcome);
+        }
+        answer
+    }
+
+    async fn handle(&mut self, catalog: &Catalog, request: Request) -> Answer {
+        if let Err(failure) = self.authorize(catalog) {
             self.abandon().await;
             self.ended = true;
             return self.fail(failure);
@@ -96,12 +113,12 @@
                 self.prepared.remove(&name);
                 self.done()
             }
-            Statement::Begin { access } => self.begin(&catalog, &request, access).await,
+            Statement::Begin { access } => self.begin(catalog, &request, access).await,
             Statement::Commit => self.commit(request).await,
             Statement::Rollback => self.roll_back().await,
             Statement::Query { access } => {
                 let command = InstanceCommand::Run(request.clone());
-                self.execute(&catalog, &request.id, command, access, None)
+                self.execute(catalog, &request.id, command, access, None)
                     .await
             }
             Statement::Execute { name, arguments } => {
@@ -114,7 +131,7 @@
                     arguments,
                 };
                 let access = prepared.access;
-                self.execute(&catalog, &request.id, command, access, Some(prepared))
+                self.execute(catalog, &request.id, command, access, Some(prepared))
                     .await
             }
             Statement::Invalid => self.fail(invalid()),
@@ -190,7 +207,7 @@
         let open = match std::mem::take(&mut self.transaction) {
             Transaction::Open(open) => open,
             Transaction::Begun(begun) => match self.start(begun, &request.id).await {
-                Ok(open) => open,
+                Ok(open) => Box::new(open),
                 Err(failure) => return self.fail(failure),
             },
             Transaction::Failed => return self.fail(rolled_back()),
@@ -229,7 +246,7 @@
             }
             Transaction::Begun(begun) => match self.start(begun, id).await {
                 Ok(open) => {
-                    self.transaction = Transaction::Open(open);
+                    self.transaction = Transaction::Open(Box::new(open));
                     self.run_inside(command, access, prepared).await
                 }
                 Err(failure) => {
@@ -369,6 +386,9 @@
             return Ok(());
         };
         let retry_ms = wait.as_millis().max(1);
+        if let Some(route) = catalog.routes.get(&self.route) {
+            metrics().count_entry_refusal(&route.name, "over_rate");
+        }
         log::info!(
             "event=request_refused id={id} workspace={} reason=over_rate rate_per_s={} \
              retry_ms={retry_ms}",
--- a/src/entry/statement.rs
+++ b/src/entry/statement.rs
@@ -279,6 +279,17 @@
     },
 }
 
+impl InstanceCommand {
+    /// Returns the identifier of the caller's request; `-` for a VM's own commands.
+    pub fn id(&self) -> &str {
+        match self {
+            Self::Run(request) => &request.id,
+            Self::Execute { id, .. } => id,
+            _ => "-",
+        }
+    }
+}
+
 /// Report of an instance about itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct InstanceReport {
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -19,6 +19,7 @@
 use super::records;
 use super::statement::{InstanceCommand, InstanceReport};
 use crate::name::{DatabaseName, InstanceName};
+use crate::telemetry::metrics::metrics;
 
 /// Longest time to hear one instance.
 const HEAR_WITHIN: Duration = Duration::from_millis(400);
@@ -93,6 +94,7 @@
         };
         let started = Instant::now();
         let done = takeover.replace(reason).await;
+        metrics().count_takeover(reason.to_string(), done);
         log::info!(
             "event=takeover_ended database={} generation={generation} done={done} taken_ms={} \
              primary={} term={}",
--- a/src/entry/transaction.rs
+++ b/src/entry/transaction.rs
@@ -31,7 +31,7 @@
     /// Acknowledged to the caller; no instance knows of it yet.
     Begun(Begun),
     /// Open on an instance.
-    Open(OpenTransaction),
+    Open(Box<OpenTransaction>),
     /// Failed; the caller has yet to end it.
     Failed,
 }
@@ -129,7 +129,7 @@
         loop {
             let link = self.lease.link();
             let answer = link.run(&setup, &step.command, None, deadline).await;
-            let answer = answer.map_err(|error| aborted(&error))?;
+            let answer = answer.map_err(|error| aborted(step.command.id(), &error))?;
             self.wrote |= step.access == Access::Write;
             let Outcome::Failed(failure) = &answer.outcome else {
                 return Ok(answer);
@@ -160,7 +160,10 @@
             let answer = match link.run(&setup, command, None, deadline).await {
                 Ok(answer) => answer,
                 Err(error) => {
-                    log::warn!("event=commit_unanswered error=\"{error}\"");
+                    log::warn!(
+                        "event=commit_unanswered id={} error=\"{error}\"",
+                        command.id()
+                    );
                     self.lease.close();
                     let text = "the instance did not answer; the transaction may have been kept";
                     return (ended(Failure::own(FailureKind::Unknown, text)), None);
@@ -219,8 +222,8 @@
     }
 }
 
-fn aborted(error: &super::link::LinkError) -> Failure {
-    log::warn!("event=transaction_aborted error=\"{error}\"");
+fn aborted(id: &str, error: &super::link::LinkError) -> Failure {
+    log::warn!("event=transaction_aborted id={id} error=\"{error}\"");
     Failure::own(
         FailureKind::Aborted,
         "not kept: the connection to the instance was lost",
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,6 +1,7 @@
 //! Metrics, spans and the log line format.
 
 pub mod metrics;
+pub mod sink;
 pub mod span;
 
 use std::fmt::Write;
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use strum::Display;
 
 use crate::configuration::RouteClass;
-use crate::name::{DatabaseName, WorkspaceName};
+use crate::name::{DatabaseName, RouteName, WorkspaceName};
 use crate::traffic::RefusalReason;
 
 /// Upper bounds of the latency histograms, in seconds.
@@ -40,6 +40,30 @@
     request_seconds: Histogram<f64>,
     failover_gap_seconds: Histogram<f64>,
     gate_seconds: Histogram<f64>,
+    entry: EntryMetrics,
+}
+
+/// Instruments of an entry.
+#[derive(Debug)]
+struct EntryMetrics {
+    statements: Counter<u64>,
+    statement_seconds: Histogram<f64>,
+    refusals: Counter<u64>,
+    moves: Counter<u64>,
+    store_calls: Counter<u64>,
+    takeovers: Counter<u64>,
+    sessions: Gauge<u64>,
+    connections: Gauge<u64>,
+}
+
+/// Step of a statement at an entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Step {
+    /// Choosing an instance and taking a connection.
+    Connect,
+    /// Running on the instance.
+    Run,
 }
 
 /// Returns the instruments of this process.
@@ -96,6 +120,7 @@
                 "currantlb.gate_duration",
                 "Time that answers of saves waited for a second instance",
             ),
+            entry: EntryMetrics::new(&meter),
             _provider: provider,
         }
     }
@@ -142,6 +167,61 @@
         self.failover_gap_seconds.record(gap.as_secs_f64(), &labels);
     }
 
+    /// Counts a statement of an entry by how it ended.
+    pub fn count_statement(&self, route: &RouteName, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("route", route.to_string()),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.entry.statements.add(1, &labels);
+    }
+
+    /// Records the time that a step of an entry's statement took.
+    pub fn record_step(&self, route: &RouteName, step: Step, taken: Duration) {
+        let labels = [
+            KeyValue::new("route", route.to_string()),
+            KeyValue::new("step", step.to_string()),
+        ];
+        self.entry
+            .statement_seconds
+            .record(taken.as_secs_f64(), &labels);
+    }
+
+    /// Counts a statement that an entry refused.
+    pub fn count_entry_refusal(&self, route: &RouteName, reason: &str) {
+        let labels = [
+            KeyValue::new("route", route.to_string()),
+            KeyValue::new("reason", reason.to_owned()),
+        ];
+        self.entry.refusals.add(1, &labels);
+    }
+
+    /// Counts a statement that an entry offered to another instance.
+    pub fn count_move(&self, reason: &'static str) {
+        self.entry.moves.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts a call to the store.
+    pub fn count_store_call(&self, kind: &'static str, answered: bool) {
+        let labels = [
+            KeyValue::new("kind", kind),
+            KeyValue::new("answered", answered),
+        ];
+        self.entry.store_calls.add(1, &labels);
+    }
+
+    /// Counts a replacement of a primary.
+    pub fn count_takeover(&self, reason: String, done: bool) {
+        let labels = [KeyValue::new("reason", reason), KeyValue::new("done", done)];
+        self.entry.takeovers.add(1, &labels);
+    }
+
+    /// Records how many callers and connections to instances an entry has.
+    pub fn set_open(&self, sessions: usize, connections: usize) {
+        self.entry.sessions.record(sessions as u64, &[]);
+        self.entry.connections.record(connections as u64, &[]);
+    }
+
     /// Records the time that the answer of a save waited.
     pub fn record_gate(&self, database: &DatabaseName, waited: Duration) {
         let labels = [KeyValue::new("database", database.to_string())];
@@ -149,6 +229,51 @@
     }
 }
 
+impl EntryMetrics {
+    fn new(meter: &Meter) -> Self {
+        Self {
+            statements: counter(
+                meter,
+                "currantlb.entry.statements",
+                "Statements answered by an entry, by route and outcome",
+            ),
+            statement_seconds: histogram(
+                meter,
+                "currantlb.entry.statement_duration",
+                "Time that a step of a statement took, by route",
+            ),
+            refusals: counter(
+                meter,
+                "currantlb.entry.refusals",
+                "Statements refused by an entry, by route and reason",
+            ),
+            moves: counter(
+                meter,
+                "currantlb.entry.moves",
+                "Statements offered to another instance, by reason",
+            ),
+            store_calls: counter(
+                meter,
+                "currantlb.entry.store_calls",
+                "Calls to the store, by kind",
+            ),
+            takeovers: counter(
+                meter,
+                "currantlb.entry.takeovers",
+                "Replacements of primaries by this VM, by reason",
+            ),
+            sessions: meter
+                .u64_gauge("currantlb.entry.sessions")
+                .with_description("Callers connected")
+                .build(),
+            connections: meter
+                .u64_gauge("currantlb.entry.connections")
+                .with_description("Connections to instances")
+                .build(),
+        }
+    }
+}
+
 fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
     meter
         .u64_counter(name)
