Depose the former primary before another is promoted; remember how many instances a database has

A commit of the old primary was acknowledged 0.5 s after the call that promoted another: the third instance, crashed before and not announced, came back meanwhile, was never paused, and acknowledged for the old primary. VMs that all restarted after the crash took the two instances they saw for the whole group (takeover_decided heard=2 of=2). Ruled out: the paused replicas; a commit that reached the promoted instance late. Change: a former primary that answers is deposed before the call, and the chosen instance must have its last position; one that only has every save itself leads again. The record keeps the number of instances, so that a VM that starts knows of those that are away. A statement waits for a fifth of its time-out: a caller's retry had less than half of its time left. Left: a primary that is cut off from the holder but not from a replica that comes back between the hearing and the promotion.

--- a/src/entry/agreement.rs
+++ b/src/entry/agreement.rs
@@ -170,6 +170,8 @@
     if previous.is_some_and(|previous| previous.revision >= revision) {
         return false;
     }
+    // A VM that has just started may see fewer instances than hold acknowledged saves.
+    known.group_size = known.group_size.max(record.instances);
     known.record = Some(VersionedRecord {
         record: record.clone(),
         revision,
--- a/src/entry/duty.rs
+++ b/src/entry/duty.rs
@@ -168,6 +168,7 @@
         primary: primary.name.clone(),
         term: report.term,
         phase: Phase::Steady,
+        instances: node.state.borrow().directory.of(&primary.database).count(),
     };
     records::write(node, &primary.database, Revision(0), record).await;
 }
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -31,7 +31,7 @@
 
 /// Part of a statement's time-out for which it waits for an instance that takes it: less than half,
 /// so that a caller who is refused has time to try another VM.
-const PATIENCE_PART: f64 = 0.45;
+const PATIENCE_PART: f64 = 0.2;
 
 /// What a statement needs, apart from its text.
 #[derive(Debug)]
--- a/src/entry/promotion.rs
+++ b/src/entry/promotion.rs
@@ -55,8 +55,11 @@
         return Decision::Unheard;
     }
     let furthest = heard.iter().map(|heard| heard.report.received).max();
-    let candidates = replicas().filter(|heard| heard.may_lead);
-    let best = candidates.max_by_key(|heard| heard.report.received);
+    // A former primary that leads no longer may lead again, where only it has every save.
+    let leads = |heard: &&Heard| heard.instance == *old_primary && heard.report.is_primary;
+    let candidates = heard.iter().filter(|heard| heard.may_lead && !leads(heard));
+    let best =
+        candidates.max_by_key(|heard| (heard.report.received, heard.instance != *old_primary));
     let (Some(best), Some(furthest)) = (best, furthest) else {
         return Decision::Unheard;
     };
--- a/src/entry/promotion/tests.rs
+++ b/src/entry/promotion/tests.rs
@@ -21,11 +21,14 @@
     expected: Decision,
 }
 
-fn cases() -> [Case; 7] {
+fn cases() -> [Case; 8] {
     let leaving = Heard {
         may_lead: false,
         ..heard("b", 30)
     };
+    let mut deposed = heard("p", 30);
+    deposed.report.is_primary = false;
+    deposed.may_lead = true;
     let mut leads = heard("b", 31);
     leads.report.is_primary = true;
     leads.report.term = 4;
@@ -74,6 +77,11 @@
             heard: vec![heard("a", 20), leads],
             expected: Decision::AlreadyLeads(b()),
         },
+        Case {
+            name: "only the former primary, deposed, has the last save",
+            heard: vec![deposed, heard("a", 20)],
+            expected: Decision::Promote(InstanceName::from("p")),
+        },
         Case {
             name: "nobody was heard",
             heard: vec![],
--- a/src/entry/record.rs
+++ b/src/entry/record.rs
@@ -50,6 +50,8 @@
     pub term: u64,
     /// Whether it is being replaced.
     pub phase: Phase,
+    /// Instances that the database had when the record was written.
+    pub instances: usize,
 }
 
 /// Record with the revision at which it was written.
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -14,6 +14,7 @@
 use super::gossip::{Datagram, ProvenRecord};
 use super::instance::{Instance, InstanceState};
 use super::node::Node;
+use super::position::Position;
 use super::promotion::{Decision, Heard, decide};
 use super::record::{Phase, PrimaryRecord, VersionedRecord};
 use super::records;
@@ -30,6 +31,9 @@
 /// Longest time for a replica to receive what the primary or another replica has.
 const CATCH_UP_WITHIN: Duration = Duration::from_millis(1_500);
 
+/// Longest time for what a deposed primary has sent to arrive at a replica.
+const DELIVERY_WITHIN: Duration = Duration::from_millis(100);
+
 /// Interval at which an instance is asked whether it has caught up or leads.
 const POLL: Duration = Duration::from_millis(20);
 
@@ -228,10 +232,10 @@
             );
             let chosen = match decision {
                 Decision::AlreadyLeads(instance) => self.await_lead(&instance).await,
-                Decision::Promote(instance) => self.call(&instance).await,
+                Decision::Promote(instance) => self.install(&instance, &heard).await,
                 Decision::CatchUp(instance, position) => {
                     if self.catch_up(&instance, position).await {
-                        self.call(&instance).await
+                        self.install(&instance, &heard).await
                     } else {
                         None
                     }
@@ -246,6 +250,33 @@
         None
     }
 
+    /// Promotes an instance, after the former primary was deposed where it still leads: a replica
+    /// that nobody knew of could otherwise acknowledge saves for it meanwhile.
+    async fn install(&self, name: &InstanceName, heard: &[Heard]) -> Option<(InstanceName, u64)> {
+        let former = &self.record.record.primary;
+        let leads = |heard: &&Heard| heard.instance == *former && heard.report.is_primary;
+        let Some(former) = heard.iter().find(leads) else {
+            return self.call(name).await;
+        };
+        let mut link = ControlLink::new(Rc::clone(&self.node), self.instance(&former.instance)?);
+        let demote = InstanceCommand::Demote {
+            term: former.report.term + 1,
+        };
+        let last = link.ask(&demote, HEAR_WITHIN).await?;
+        log::info!(
+            "event=primary_deposed database={} instance={} received={}",
+            self.database,
+            former.instance,
+            last.received
+        );
+        // What it took up since it was heard is still on its way; otherwise the next attempt
+        // decides anew.
+        if self.reaches(name, last.received, DELIVERY_WITHIN).await {
+            return self.call(name).await;
+        }
+        None
+    }
+
     /// Pauses the replicas and hears every instance.
     async fn hear(&self) -> Vec<Heard> {
         let term = self.record.record.term;
@@ -270,21 +301,33 @@
         join_all(asking).await.into_iter().flatten().collect()
     }
 
-    async fn catch_up(&self, name: &InstanceName, to: super::position::Position) -> bool {
+    async fn catch_up(&self, name: &InstanceName, to: Position) -> bool {
         let Some(instance) = self.instance(name) else {
             return false;
         };
         let mut link = ControlLink::new(Rc::clone(&self.node), instance);
-        let end = Instant::now() + CATCH_UP_WITHIN;
         link.ask(&InstanceCommand::Resume, HEAR_WITHIN).await;
-        while Instant::now() < end {
+        drop(link);
+        self.reaches(name, to, CATCH_UP_WITHIN).await
+    }
+
+    /// Waits until an instance has received a position.
+    async fn reaches(&self, name: &InstanceName, to: Position, within: Duration) -> bool {
+        let Some(instance) = self.instance(name) else {
+            return false;
+        };
+        let mut link = ControlLink::new(Rc::clone(&self.node), instance);
+        let end = Instant::now() + within;
+        loop {
             let report = link.ask(&InstanceCommand::Report, HEAR_WITHIN).await;
             if report.is_some_and(|report| report.received >= to) {
                 return true;
             }
+            if Instant::now() >= end {
+                return false;
+            }
             sleep(POLL).await;
         }
-        false
     }
 
     async fn call(&self, name: &InstanceName) -> Option<(InstanceName, u64)> {
@@ -324,6 +367,7 @@
             primary,
             term,
             phase,
+            instances: self.members().len().max(self.group_size()),
         };
         let expected = self.record.revision;
         let written = records::write(&self.node, &self.database, expected, record).await;
