Take an instance without capacity for alive

Cause: found on reading the probe again: an instance that refuses a question for want of capacity counted like one that gives no answer, so that an overloaded primary could be replaced. Change: any answer, a refusal included, is a sign of life, also before a replacement begins. Test: three stalled statements and a primary that refuses questions; fails before (replaced), passes now.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -24,6 +24,7 @@
     node: Rc<Node>,
     instance: Rc<Instance>,
     lease: Option<Lease>,
+    answered: bool,
 }
 
 impl ControlLink {
@@ -33,9 +34,15 @@
             node,
             instance,
             lease: None,
+            answered: false,
         }
     }
 
+    /// Returns whether the instance has answered anything, a refusal included.
+    pub const fn has_answered(&self) -> bool {
+        self.answered
+    }
+
     /// Returns the instance.
     pub const fn instance(&self) -> &Rc<Instance> {
         &self.instance
@@ -69,6 +76,7 @@
         };
         match lease.link().order(command, deadline).await {
             Ok(answer) => {
+                self.answered = true;
                 self.lease = Some(lease);
                 if let Outcome::Failed(failure) = &answer.outcome {
                     log::debug!(
@@ -91,12 +99,13 @@
         }
     }
 
-    async fn open(&self, deadline: Instant) -> Option<Lease> {
+    async fn open(&mut self, deadline: Instant) -> Option<Lease> {
         let pool = self.node.pool(&self.instance);
         let workspace = WorkspaceName::from(CONTROL);
         match pool.open_extra(&workspace, deadline).await {
             Ok(lease) => Some(lease),
             Err(error) => {
+                self.answered |= rejection(&error).is_some();
                 if rejection(&error) == Some(FailureKind::TooManyConnections) {
                     pool.close_idle();
                 }
--- a/src/entry/duty.rs
+++ b/src/entry/duty.rs
@@ -186,6 +186,8 @@
     pool.note_health(|health, now| match report {
         Some(_) if expected && !leads => health.deposed(),
         Some(_) => health.heard(now),
+        // An instance without capacity is alive.
+        None if link.has_answered() => health.heard(now),
         None => health.failed(now),
     });
 }
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -202,16 +202,18 @@
         };
         let mut link = ControlLink::new(Rc::clone(&self.node), primary);
         let report = link.ask(&InstanceCommand::Report, HEAR_WITHIN / 2).await;
+        // An instance without capacity is alive.
+        let busy = report.is_none() && link.has_answered() && reason == Reason::Unreachable;
         let leads = report
             .is_some_and(|report| report.is_primary && report.term <= self.record.record.term);
-        if leads {
+        if leads || busy {
             log::info!(
                 "event=suspicion_cleared database={} primary={name}",
                 self.database
             );
             self.node.pool(link.instance()).clear_health();
         }
-        !leads
+        !leads && !busy
     }
 
     /// Promotes the instance that holds every acknowledged save; returns it with its term.
