--- a/src/entry/guard.rs
+++ b/src/entry/guard.rs
@@ -26,7 +26,7 @@
     }
 
     /// Extends the guard by a proof of another VM that was asked for at `asked_at`.
-    pub fn lend(&mut self, asked_at: Timestamp, holds: Duration) {
+    pub fn borrow(&mut self, asked_at: Timestamp, holds: Duration) {
         self.valid_until = self.valid_until.max(asked_at + holds);
     }
 
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -278,7 +278,7 @@
             self.apply(proven);
         }
         let mut state = self.node.state.borrow_mut();
-        state.borrowed_guard.lend(asked_at, holds);
+        state.borrowed_guard.borrow(asked_at, holds);
         drop(state);
         self.node.changed.notify_waiters();
         self.fetch_newer(version, from);
