--- a/src/entry.rs
+++ b/src/entry.rs
@@ -6,6 +6,7 @@
 //! independent of the protocols spoken outside: an [`Adapter`] provides them.
 
 pub mod adapter;
+pub mod admission;
 pub mod agreement;
 pub mod borrowing;
 pub mod catalog;
--- a/src/entry/promotion/tests.rs
+++ b/src/entry/promotion/tests.rs
@@ -15,6 +15,13 @@
     }
 }
 
+fn deposed(instance: &str, number: u64) -> Heard {
+    let mut deposed = heard(instance, number);
+    deposed.report.is_primary = false;
+    deposed.may_lead = true;
+    deposed
+}
+
 struct Case {
     name: &'static str,
     heard: Vec<Heard>,
@@ -26,14 +33,10 @@
         may_lead: false,
         ..heard("b", 30)
     };
-    let mut deposed = heard("p", 30);
-    deposed.report.is_primary = false;
-    deposed.may_lead = true;
     let mut leads = heard("b", 31);
     leads.report.is_primary = true;
     leads.report.term = 4;
-    let b = || InstanceName::from("b");
-    let a = || InstanceName::from("a");
+    let [a, b] = ["a", "b"].map(|name| move || InstanceName::from(name));
     [
         Case {
             name: "the furthest of all replicas",
@@ -79,7 +82,7 @@
         },
         Case {
             name: "only the former primary, deposed, has the last save",
-            heard: vec![deposed, heard("a", 20)],
+            heard: vec![deposed("p", 30), heard("a", 20)],
             expected: Decision::Promote(InstanceName::from("p")),
         },
         Case {
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -3,13 +3,11 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use tokio::time::Instant;
 
-use super::borrowing;
-use super::catalog::{Catalog, Route, Workspace};
-use super::clock;
+use super::admission;
+use super::catalog::{Catalog, Route};
 use super::execution::{self, Need};
 use super::link::{SessionValues, Setup, shared_name};
 use super::node::Node;
@@ -28,10 +26,6 @@
 /// Values of one session; more are refused.
 const MAX_VALUES: usize = 64;
 
-/// Part of a route's objective for which a request waits for a token rather than being refused:
-/// short enough that a refusal still comes early.
-const PACING_PART: f64 = 0.2;
-
 /// Name under which callers without a key of their own reach open routes.
 const ANYONE: &str = "-";
 
@@ -368,62 +362,14 @@
         begun.open(&self.node, &need).await
     }
 
-    /// Spends a token of the workspace: of other VMs where this one has none left, or one that
-    /// comes in a moment.
     async fn admit(&self, catalog: &Catalog, id: &Arc<str>) -> Result<(), Failure> {
-        let Some(workspace) = catalog.workspaces.get(&self.workspace) else {
-            return Ok(());
-        };
-        if self.try_admit(workspace).is_ok() {
-            return Ok(());
-        }
-        if borrowing::borrow(&self.node, &self.workspace).await && self.try_admit(workspace).is_ok()
-        {
-            return Ok(());
-        }
-        self.await_token(catalog).await;
-        let Err(wait) = self.try_admit(workspace) else {
+        let route = catalog.routes.get(&self.route);
+        let workspace = catalog.workspaces.get(&self.workspace);
+        // Callers without a key of their own have no limit of their own.
+        let (Some(route), Some(workspace)) = (route, workspace) else {
             return Ok(());
         };
-        let retry_ms = wait.as_millis().max(1);
-        if let Some(route) = catalog.routes.get(&self.route) {
-            metrics().count_entry_refusal(&route.name, "over_rate");
-        }
-        log::info!(
-            "event=request_refused id={id} workspace={} reason=over_rate rate_per_s={} \
-             retry_ms={retry_ms}",
-            self.workspace,
-            workspace.rate_per_s
-        );
-        Err(Failure::own(
-            FailureKind::Busy,
-            format!("not run: the workspace is over its rate; retry in {retry_ms} ms"),
-        ))
-    }
-
-    /// Waits for a token that comes within a small part of the route's objective.
-    async fn await_token(&self, catalog: &Catalog) {
-        let Some(route) = catalog.routes.get(&self.route) else {
-            return;
-        };
-        let patience = route.objective.mul_f64(PACING_PART);
-        let wait = {
-            let mut state = self.node.state.borrow_mut();
-            state.quota.queue(&self.workspace, patience, clock::now())
-        };
-        if let Some(wait) = wait {
-            tokio::time::sleep(wait).await;
-            self.node
-                .state
-                .borrow_mut()
-                .quota
-                .leave_queue(&self.workspace);
-        }
-    }
-
-    fn try_admit(&self, workspace: &Workspace) -> Result<(), Duration> {
-        let mut state = self.node.state.borrow_mut();
-        state.quota.admit(workspace, clock::now())
+        admission::admit(&self.node, route, workspace, id).await
     }
 
     async fn fail_step(&mut self, failure: Failure) -> Answer {
