--- a/src/entry/promotion/tests.rs
+++ b/src/entry/promotion/tests.rs
@@ -22,6 +22,20 @@
     deposed
 }
 
+fn leaving(instance: &str, number: u64) -> Heard {
+    Heard {
+        may_lead: false,
+        ..heard(instance, number)
+    }
+}
+
+fn leading(instance: &str, number: u64) -> Heard {
+    let mut leading = heard(instance, number);
+    leading.report.is_primary = true;
+    leading.report.term = 4;
+    leading
+}
+
 struct Case {
     name: &'static str,
     heard: Vec<Heard>,
@@ -29,13 +43,6 @@
 }
 
 fn cases() -> [Case; 8] {
-    let leaving = Heard {
-        may_lead: false,
-        ..heard("b", 30)
-    };
-    let mut leads = heard("b", 31);
-    leads.report.is_primary = true;
-    leads.report.term = 4;
     let [a, b] = ["a", "b"].map(|name| move || InstanceName::from(name));
     [
         Case {
@@ -66,7 +73,7 @@
         },
         Case {
             name: "the furthest is leaving",
-            heard: vec![heard("a", 20), leaving],
+            heard: vec![heard("a", 20), leaving("b", 30)],
             expected: Decision::CatchUp(
                 a(),
                 Position {
@@ -77,7 +84,7 @@
         },
         Case {
             name: "a former holder's call took effect",
-            heard: vec![heard("a", 20), leads],
+            heard: vec![heard("a", 20), leading("b", 31)],
             expected: Decision::AlreadyLeads(b()),
         },
         Case {
