--- a/src/entry/listener.rs
+++ b/src/entry/listener.rs
@@ -118,6 +118,9 @@
         let CallerMessage::Start { route, key } = message else {
             return Ok(None);
         };
+        self.node
+            .await_start(self.node.settings.start_patience)
+            .await;
         let encode = self.node.adapter.protocol;
         match Session::open(Rc::clone(&self.node), route, key) {
             Ok(session) => {
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -130,6 +130,11 @@
         self.guard.holds(now) || self.borrowed_guard.holds(now)
     }
 
+    /// Returns whether routes, keys and primaries are known.
+    pub fn is_informed(&self, now: Timestamp) -> bool {
+        self.catalog.is_some() && self.directory_known && self.guarded(now)
+    }
+
     /// Returns whether the records can be relied on and this can be expected to last.
     pub fn in_touch(&self, now: Timestamp) -> bool {
         let heard = now.since(self.store_heard_at) < STORE_SILENCE;
@@ -212,6 +217,43 @@
         self.stopping.notify_waiters();
     }
 
+    /// Waits until this VM can tell routes, keys and primaries, for a while: one that has just
+    /// started would refuse what it doesn't know yet.
+    pub async fn await_start(&self, patience: Duration) {
+        let known = async {
+            loop {
+                let changed = self.changed.notified();
+                if self.state.borrow().is_informed(clock::now()) {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        if tokio::time::timeout(patience, known).await.is_err() {
+            log::debug!(
+                "event=start_unfinished patience_ms={}",
+                patience.as_millis()
+            );
+        }
+        if !self.state.borrow().quota.is_divided() {
+            self.divide_limits();
+        }
+    }
+
+    /// Divides the limits of the workspaces anew.
+    pub fn divide_limits(&self) {
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        let Some(catalog) = state.catalog.clone() else {
+            return;
+        };
+        let vms = state.vms.len();
+        let registered: Vec<_> = state.vms.keys().cloned().collect();
+        state.quota.retain_peers(|vm| registered.contains(vm), now);
+        let workspaces = catalog.workspaces.values();
+        state.quota.divide(workspaces.map(AsRef::as_ref), vms, now);
+    }
+
     /// Returns the configuration in force.
     pub fn catalog(&self) -> Option<Rc<Catalog>> {
         self.state.borrow().catalog.clone()
--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -174,6 +174,11 @@
             .collect()
     }
 
+    /// Returns whether the limits have been divided.
+    pub fn is_divided(&self) -> bool {
+        self.meters.values().any(|meter| meter.started)
+    }
+
     /// Divides the limits anew among `vms` VMs, this one included.
     pub fn divide<'a>(
         &mut self,
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -8,7 +8,6 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use super::clock;
 use super::duty::Duty;
 use super::node::Node;
 use super::peers::{self, Peers};
@@ -71,21 +70,8 @@
         sleep(node.settings.tick).await;
         directory::tidy(&node, &mut smaller_since);
         duty.tick(&node);
-        divide_limits(&node);
+        node.divide_limits();
         node.tidy_pools(node.settings.tick);
         node.shed_if_isolated();
     }
 }
-
-fn divide_limits(node: &Rc<Node>) {
-    let now = clock::now();
-    let mut state = node.state.borrow_mut();
-    let Some(catalog) = state.catalog.clone() else {
-        return;
-    };
-    let vms = state.vms.len();
-    let registered: Vec<_> = state.vms.keys().cloned().collect();
-    state.quota.retain_peers(|vm| registered.contains(vm), now);
-    let workspaces = catalog.workspaces.values();
-    state.quota.divide(workspaces.map(AsRef::as_ref), vms, now);
-}
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -33,6 +33,9 @@
     pub connect_timeout: Duration,
     /// Longest time to wait for a caller's first message.
     pub start_timeout: Duration,
+    /// Longest time for which a session waits for a VM that has just started; callers wait for two
+    /// seconds.
+    pub start_patience: Duration,
     /// Longest time for which a statement waits while a primary is replaced.
     pub move_patience: Duration,
 }
@@ -53,6 +56,7 @@
             tick: Duration::from_millis(100),
             connect_timeout: Duration::from_millis(500),
             start_timeout: Duration::from_secs(3),
+            start_patience: Duration::from_millis(1_200),
             move_patience: Duration::from_millis(1_500),
         }
     }
