Write the sink's test lines in one piece, as the logger does

Cause: writeln! writes a line in pieces; each passed as a line of its own, the limit for each event cut them, and the queue was never full. Change: the test writes whole lines; its assertions are unchanged. The logger writes whole lines too.

--- a/src/telemetry/sink/tests.rs
+++ b/src/telemetry/sink/tests.rs
@@ -22,6 +22,11 @@
     }
 }
 
+/// Writes a line in one piece, as the logger does.
+fn write_line(sink: &mut LineSink, line: &str) {
+    sink.write_all(line.as_bytes()).unwrap();
+}
+
 #[test]
 fn an_output_that_stands_still_costs_lines_and_no_time() {
     let (go_on, stalled) = channel();
@@ -32,13 +37,13 @@
     })
     .unwrap();
     for count in 0..10 * QUEUE_LINES {
-        writeln!(sink, "event=e{count} x=1").unwrap();
+        write_line(&mut sink, &format!("event=e{count} x=1\n"));
     }
     assert!(sink.dropped > 0);
     for _ in 0..4 {
         go_on.send(()).unwrap();
         output.recv_timeout(Duration::from_secs(10)).unwrap();
-        writeln!(sink, "event=after x=1").unwrap();
+        write_line(&mut sink, "event=after x=1\n");
         if sink.dropped == 0 {
             return;
         }
