--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -65,8 +65,6 @@
     ProofWanted {
         /// Tells answers to different questions apart.
         nonce: u64,
-        /// Version of the configuration that the sender has.
-        version: u64,
     },
     /// Lends a proof.
     Proof {
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -115,25 +115,15 @@
         loop {
             sleep(PROOF_INTERVAL).await;
             let now = clock::now();
-            let (silent, version) = {
-                let state = self.node.state.borrow();
-                let version = state.catalog.as_ref().map_or(0, |catalog| catalog.version);
-                let heard = state.store_heard_at;
-                (
-                    heard > Timestamp::ZERO && now.since(heard) > STORE_SILENCE,
-                    version,
-                )
-            };
+            let heard = self.node.state.borrow().store_heard_at;
+            let silent = heard > Timestamp::ZERO && now.since(heard) > STORE_SILENCE;
             let others = self.others();
             if !silent || others.is_empty() {
                 continue;
             }
             turn += 1;
             self.asked.set(Some((turn, now)));
-            let question = Datagram::ProofWanted {
-                nonce: turn,
-                version,
-            };
+            let question = Datagram::ProofWanted { nonce: turn };
             let index = usize::try_from(turn).unwrap_or_default();
             for offset in 0..2.min(others.len()) {
                 let other = others[(index + offset) % others.len()];
@@ -179,7 +169,7 @@
                     .heard(Revision(directory_change));
                 self.fetch_newer(version, from);
             }
-            Datagram::ProofWanted { nonce, .. } => {
+            Datagram::ProofWanted { nonce } => {
                 if let Some(proof) = self.lend(nonce) {
                     self.node.outbox.send(from, proof);
                 }
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -109,7 +109,7 @@
         if !same_process {
             self.close_idle();
             self.position.set(None);
-            self.health.replace(Health::default());
+            self.clear_health();
         }
     }
 
--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -52,7 +52,6 @@
     bucket: Bucket,
     asked: f64,
     demand_per_s: f64,
-    announced_per_s: f64,
     started: bool,
     waiting: u32,
 }
@@ -166,11 +165,10 @@
             let rate = meter.asked / elapsed_s;
             meter.asked = 0.0;
             meter.demand_per_s += gain * (rate - meter.demand_per_s);
-            meter.announced_per_s = meter.demand_per_s;
         }
         let demand = self.meters.iter();
         demand
-            .map(|(name, meter)| (name.clone(), meter.announced_per_s))
+            .map(|(name, meter)| (name.clone(), meter.demand_per_s))
             .collect()
     }
 
@@ -199,8 +197,8 @@
                 .meters
                 .entry(workspace.name.clone())
                 .or_insert_with(|| Meter::new(now));
-            let own = meter.announced_per_s + base;
-            let sum = meter.announced_per_s + others + base * vms.max(1) as f64;
+            let own = meter.demand_per_s + base;
+            let sum = meter.demand_per_s + others + base * vms.max(1) as f64;
             let mut part = if sum > 0.0 {
                 own / sum
             } else {
@@ -236,7 +234,6 @@
             bucket: Bucket::empty(share, now),
             asked: 0.0,
             demand_per_s: 0.0,
-            announced_per_s: 0.0,
             started: false,
             waiting: 0,
         }
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -269,7 +269,6 @@
         if let Err(failure) = self.admit(catalog, id).await {
             return self.fail(failure);
         }
-        let name = prepared.as_ref().map(shared_name);
         let need = Need {
             id,
             route: &route,
@@ -279,7 +278,7 @@
             mark: self.mark,
             setup: Setup {
                 values: &self.values,
-                prepared: name.as_ref().zip(prepared.as_ref()),
+                prepared: command.prepared_name().zip(prepared.as_ref()),
                 in_transaction: false,
             },
             deadline: Instant::now() + route.statement_timeout,
--- a/src/entry/statement.rs
+++ b/src/entry/statement.rs
@@ -288,6 +288,14 @@
             _ => "-",
         }
     }
+
+    /// Returns the name, on connections, of the prepared statement that the command runs.
+    pub const fn prepared_name(&self) -> Option<&Arc<str>> {
+        match self {
+            Self::Execute { name, .. } => Some(name),
+            _ => None,
+        }
+    }
 }
 
 /// Report of an instance about itself.
--- a/src/entry/transaction.rs
+++ b/src/entry/transaction.rs
@@ -8,7 +8,7 @@
 
 use super::catalog::Route;
 use super::execution::{self, Need};
-use super::link::{SessionValues, Setup, shared_name};
+use super::link::{SessionValues, Setup};
 use super::node::Node;
 use super::pool::Lease;
 use super::position::Position;
@@ -120,10 +120,9 @@
     ///
     /// Fails when the connection is lost; nothing of the transaction is kept.
     pub async fn run(&mut self, step: &Step<'_>, deadline: Instant) -> Result<Answer, Failure> {
-        let name = step.prepared.map(shared_name);
         let setup = Setup {
             values: step.values,
-            prepared: name.as_ref().zip(step.prepared),
+            prepared: step.command.prepared_name().zip(step.prepared),
             in_transaction: true,
         };
         loop {
