--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,6 +1,7 @@
-//! Serves callers straight from the VM that they are connected to.
+//! Serves callers at the VM that they are connected to.
 //!
-//! Each VM holds its own share of the connections to the instances. The store holds one record a
+//! [`gateways`] hold the connections to the instances: every VM where they are few, some of them
+//! where they are many. The store holds one record a
 //! database that names its primary; a VM runs statements that need the primary only while its
 //! [`guard`] proves that the record can't have changed without its knowledge. Everything here is
 //! independent of the protocols spoken outside: an [`Adapter`] provides them.
@@ -10,6 +11,7 @@
 pub mod agreement;
 pub mod borrowing;
 pub mod catalog;
+pub mod channel;
 pub mod clock;
 pub mod confirmation;
 pub mod control;
@@ -17,7 +19,9 @@
 pub mod duty;
 pub mod execution;
 pub mod follow;
+pub mod forwarding;
 pub mod freshness;
+pub mod gateways;
 pub mod gossip;
 pub mod guard;
 pub mod handover;
@@ -36,13 +40,16 @@
 pub mod record;
 pub mod records;
 pub mod registration;
+pub mod relay;
 pub mod service;
 pub mod session;
 pub mod settings;
 pub mod shutdown;
 pub mod statement;
 pub mod takeover;
+pub mod task;
 pub mod transaction;
+pub mod worker;
 
 pub use adapter::Adapter;
 pub use node::Node;
--- a/src/entry/agreement.rs
+++ b/src/entry/agreement.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use super::catalog::Catalog;
+use super::clock;
 use super::confirmation;
 use super::follow::{self, Follower};
 use super::keys;
@@ -144,7 +145,8 @@
         record.phase,
         revision.0
     );
-    if let Some((holder, generation)) = record.phase.replacement() {
+    let confirms = node.state.borrow().confirms(clock::now());
+    if let Some((holder, generation)) = record.phase.replacement().filter(|_| confirms) {
         let replacement = (database, generation);
         let confirming = confirmation::send(Rc::clone(node), holder.clone(), replacement);
         tokio::task::spawn_local(confirming);
--- a/src/entry/borrowing.rs
+++ b/src/entry/borrowing.rs
@@ -10,6 +10,7 @@
 use tokio::time::timeout;
 
 use super::clock;
+use super::gateways;
 use super::gossip::Datagram;
 use super::node::Node;
 use crate::name::WorkspaceName;
@@ -120,6 +121,6 @@
 
 fn others(node: &Node) -> Vec<SocketAddr> {
     let state = node.state.borrow();
-    let others = state.vms.iter().filter(|(vm, _)| **vm != node.settings.vm);
+    let others = gateways::others(&state, &node.settings.vm);
     others.map(|(_, record)| record.peer_address).collect()
 }
--- a/src/entry/catalog.rs
+++ b/src/entry/catalog.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::name::{DatabaseName, RouteName, WorkspaceName};
 
 /// Configuration in force: one version, whole.
@@ -31,7 +33,7 @@
 }
 
 /// How fresh the reads of a route must be.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Consistency {
     /// Sees every acknowledged save.
     Primary,
@@ -58,7 +60,7 @@
 }
 
 /// Way to a database.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Name of the route.
     pub name: RouteName,
--- a/src/entry/confirmation.rs
+++ b/src/entry/confirmation.rs
@@ -156,7 +156,11 @@
         if let Some((keys, _)) = follow::list(node, keys::VMS).await {
             let records = keys.into_iter().filter_map(|key| {
                 let vm = VmName::from(key.key.strip_prefix(keys::VMS)?);
-                let record = serde_json::from_slice(&key.value?).ok()?;
+                let record: VmRecord = serde_json::from_slice(&key.value?).ok()?;
+                // The others rely on no record.
+                if !record.gateway {
+                    return None;
+                }
                 let pending = Pending {
                     record,
                     lease_ended_at: None,
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -24,16 +24,28 @@
 /// no longer needed: all that it acknowledged has reached the others.
 const OUTLIVED_AFTER: Duration = Duration::from_secs(4);
 
-/// Reads and watches the announcements until the process ends.
+/// Reads and watches the announcements while this VM is a gateway, until the process ends.
 pub async fn run(node: Rc<Node>) {
+    loop {
+        node.until(|state| state.gateway).await;
+        tokio::select! {
+            () = follow(&node) => {}
+            () = node.until(|state| !state.gateway) => {}
+        }
+        node.state.borrow_mut().directory_known = false;
+        node.pools().iter().for_each(|pool| pool.close_idle());
+    }
+}
+
+async fn follow(node: &Rc<Node>) {
     let unreadable = RefCell::default();
     let follower = Follower {
         prefix: keys::INSTANCES,
         progress: &node.directory_progress,
-        replace: &|keys| replace(&node, &keys, &unreadable),
-        apply: &|key| apply(&node, &key, &unreadable),
+        replace: &|keys| replace(node, &keys, &unreadable),
+        apply: &|key| apply(node, &key, &unreadable),
     };
-    follower.run(&node).await;
+    follower.run(node).await;
 }
 
 /// Since when databases have had fewer instances than before.
--- a/src/entry/duty.rs
+++ b/src/entry/duty.rs
@@ -61,7 +61,7 @@
         let now = clock::now();
         self.probe_doubtful(node);
         let state = node.state.borrow();
-        if !state.guard.holds(now) || state.stop != StopPhase::Running {
+        if !state.gateway || !state.guard.holds(now) || state.stop != StopPhase::Running {
             return;
         }
         let mut due = Vec::new();
@@ -222,7 +222,8 @@
 fn rank(node: &Node, state: &State, database: &DatabaseName) -> u32 {
     let weight = |vm: &VmName| xxhash_rust::xxh3::xxh3_64(format!("{vm}/{database}").as_bytes());
     let own = weight(&node.settings.vm);
-    let before = state.vms.keys().filter(|vm| weight(vm) < own).count();
+    let before = state.gateways().filter(|(vm, _)| weight(vm) < own);
+    let before = before.count();
     u32::try_from(before).unwrap_or(u32::MAX)
 }
 
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -15,8 +15,12 @@
 /// Pause before the store is asked again after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
-/// Batches of a watch that may wait to be applied.
-const WATCH_QUEUE_BATCHES: usize = 16;
+/// Batches of a watch that may wait to be applied; while none may wait, the store isn't asked.
+const WATCH_QUEUE_BATCHES: usize = 1;
+
+/// Pause between two batches at a VM that isn't a gateway: it needs no change at once, and each
+/// batch is a call.
+const BATCH_PAUSE: Duration = Duration::from_millis(150);
 
 /// Time for a watch to deliver what other VMs have seen before the keys are read again.
 const BEHIND_PATIENCE: Duration = Duration::from_millis(400);
@@ -104,7 +108,17 @@
         let watching = (node.adapter.store.watch)(self.prefix.to_owned(), from, sender);
         let applying = async {
             while let Some(batch) = batches.recv().await {
+                log::debug!(
+                    "event=watch_answered prefix={:?} keys={} revision={}",
+                    self.prefix,
+                    batch.keys.len(),
+                    batch.revision.0
+                );
                 batch.keys.into_iter().for_each(self.apply);
+                let paused = !node.state.borrow().gateway;
+                if paused {
+                    sleep(BATCH_PAUSE).await;
+                }
             }
         };
         tokio::join!(watching, applying);
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -28,6 +28,8 @@
         directory_change: u64,
         /// Operations per second by workspace.
         demand: Vec<(WorkspaceName, f32)>,
+        /// Whether the demand adds to that of the datagram before.
+        continued: bool,
     },
     /// Asks for tokens that the receiver can spare.
     TokensWanted {
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
+use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -54,7 +55,7 @@
 }
 
 /// Values and prepared statements that a session expects on its connection.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SessionValues {
     /// Values in the order in which they were first set.
     pub values: Vec<(Arc<str>, Arc<str>)>,
@@ -103,6 +104,8 @@
     protocol: Protocol,
     applied: SessionValues,
     prepared: HashSet<Arc<str>>,
+    /// Whether an answer is outstanding: the wait for it may have been cancelled.
+    awaits_answer: bool,
 }
 
 impl Link {
@@ -137,6 +140,7 @@
             protocol,
             applied: SessionValues::default(),
             prepared: HashSet::new(),
+            awaits_answer: false,
         };
         link.start(deadline).await?;
         Ok(link)
@@ -164,7 +168,7 @@
             self.stream.try_read(&mut byte),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock
         );
-        silent && self.input.is_empty()
+        silent && self.input.is_empty() && !self.awaits_answer
     }
 
     /// Returns what must be sent before a statement, so that the connection has the session's values
@@ -243,9 +247,11 @@
             (self.protocol.encode_command)(&mut self.output, command, None);
         }
         (self.protocol.encode_command)(&mut self.output, command, after);
+        self.awaits_answer = true;
         self.flush(deadline).await?;
         self.set_up(missing, deadline).await?;
         let answer = self.answer(deadline).await?;
+        self.awaits_answer = false;
         self.used_at = Instant::now();
         Ok(answer)
     }
@@ -257,8 +263,11 @@
     /// Fails as [`Link::run`] does.
     pub async fn order(&mut self, command: &InstanceCommand, deadline: Instant) -> Result<Answer> {
         (self.protocol.encode_command)(&mut self.output, command, None);
+        self.awaits_answer = true;
         self.flush(deadline).await?;
-        self.answer(deadline).await
+        let answer = self.answer(deadline).await?;
+        self.awaits_answer = false;
+        Ok(answer)
     }
 
     async fn answer(&mut self, deadline: Instant) -> Result<Answer> {
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -13,6 +13,7 @@
 use super::clock;
 use super::follow::Progress;
 use super::freshness::Freshness;
+use super::gateways::Gateways;
 use super::gossip::Outbox;
 use super::guard::Guard;
 use super::handover::Handover;
@@ -57,8 +58,12 @@
     pub outbox: Outbox,
     /// Signals sessions that the VM is stopping.
     pub stopping: Notify,
+    /// Gateways that this VM forwards to.
+    pub gateways: Gateways,
     /// Callers connected.
     pub sessions: Cell<usize>,
+    /// Tasks that run for other VMs.
+    pub tasks: Cell<usize>,
     pools: RefCell<HashMap<InstanceName, Rc<Pool>>>,
 }
 
@@ -81,6 +86,10 @@
     pub borrowed_guard: Guard,
     /// Until when proofs lent to other VMs hold.
     pub lent_until: Timestamp,
+    /// Whether this VM is registered as a gateway.
+    pub gateway: bool,
+    /// Until when others may wait for confirmations of this VM after it was a gateway.
+    pub gateway_until: Timestamp,
     /// Lease of this VM's registration.
     pub lease: Option<u64>,
     /// When the store last answered a renewal.
@@ -155,6 +164,26 @@
         self.directory.get(&record.primary).filter(|_| takes)
     }
 
+    /// Returns whether a replacement of a primary may wait for this VM's confirmation.
+    pub fn confirms(&self, now: Timestamp) -> bool {
+        self.gateway || now < self.gateway_until
+    }
+
+    /// Returns the VMs that hold connections to instances.
+    pub fn gateways(&self) -> impl Iterator<Item = (&VmName, &VmRecord)> {
+        self.vms.iter().filter(|(_, record)| record.gateway)
+    }
+
+    /// Returns the fewest connections that an instance of some database takes.
+    pub fn least_connections(&self) -> usize {
+        let databases = self
+            .catalog
+            .iter()
+            .flat_map(|catalog| catalog.databases.values());
+        let connections = databases.map(|database| database.max_connections);
+        connections.min().unwrap_or_default()
+    }
+
     fn record(&self, database: &DatabaseName) -> Option<&PrimaryRecord> {
         let record = self.databases.get(database)?.record.as_ref()?;
         Some(&record.record)
@@ -180,7 +209,9 @@
             borrowing: Borrowing::default(),
             outbox: Outbox::default(),
             stopping: Notify::new(),
+            gateways: Gateways::default(),
             sessions: Cell::new(0),
+            tasks: Cell::new(0),
             pools: RefCell::default(),
         })
     }
@@ -189,11 +220,12 @@
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
         let now = clock::now();
-        state.stop == StopPhase::Running
-            && state.catalog.is_some()
-            && state.directory_known
-            && state.in_touch(now)
-            && !state.databases.is_empty()
+        let served = if state.gateway {
+            state.directory_known && state.in_touch(now) && !state.databases.is_empty()
+        } else {
+            self.gateways.any_reachable(&state, &self.settings.vm)
+        };
+        state.stop == StopPhase::Running && state.catalog.is_some() && served
     }
 
     /// Asks the sessions that are open to move to other VMs once the balancer has noticed that this
@@ -223,7 +255,7 @@
         let known = async {
             loop {
                 let changed = self.changed.notified();
-                if self.state.borrow().is_informed(clock::now()) {
+                if self.is_informed() {
                     return;
                 }
                 changed.await;
@@ -240,6 +272,24 @@
         }
     }
 
+    /// Waits until a condition holds that only changes along with [`Node::changed`].
+    pub async fn until(&self, condition: impl Fn(&State) -> bool) {
+        loop {
+            let changed = self.changed.notified();
+            if condition(&self.state.borrow()) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Returns whether this VM can open sessions and serve them.
+    fn is_informed(&self) -> bool {
+        let state = self.state.borrow();
+        let forwards = || self.gateways.any_reachable(&state, &self.settings.vm);
+        state.is_informed(clock::now()) || (state.catalog.is_some() && forwards())
+    }
+
     /// Divides the limits of the workspaces anew.
     pub fn divide_limits(&self) {
         let now = clock::now();
@@ -247,9 +297,13 @@
         let Some(catalog) = state.catalog.clone() else {
             return;
         };
-        let vms = state.vms.len();
-        let registered: Vec<_> = state.vms.keys().cloned().collect();
-        state.quota.retain_peers(|vm| registered.contains(vm), now);
+        if !state.gateway {
+            return;
+        }
+        let state = &mut *state;
+        let vms = state.gateways().count();
+        let registered = |vm: &VmName| state.vms.get(vm).is_some_and(|record| record.gateway);
+        state.quota.retain_peers(registered, now);
         let workspaces = catalog.workspaces.values();
         state.quota.divide(workspaces.map(AsRef::as_ref), vms, now);
     }
@@ -333,7 +387,7 @@
         let catalog = state.catalog.as_ref();
         let known = catalog.and_then(|catalog| catalog.databases.get(database));
         let max_connections = known.map_or(1, |database| database.max_connections);
-        Limits::divide(max_connections, state.vms.len())
+        Limits::divide(max_connections, state.gateways().count())
     }
 }
 
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -6,19 +6,20 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::time::{sleep, timeout};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::time::{Instant, sleep};
 
 use super::agreement;
 use super::borrowing;
+use super::channel::{self, Channel, PeerRequest, PeerResponse};
 use super::clock;
+use super::gateways;
 use super::gossip::{Datagram, MAX_DATAGRAM_BYTES, ProvenRecord};
 use super::handover::Replacement;
 use super::node::{Node, State};
 use super::quota::Demand;
 use crate::configuration::Revision;
-use crate::name::VmName;
+use crate::name::{VmName, WorkspaceName};
 use crate::time::Timestamp;
 
 /// Interval at which demand is announced.
@@ -39,8 +40,14 @@
 /// Longest time to fetch a configuration from another VM.
 const FETCH_WITHIN: Duration = Duration::from_secs(1);
 
-/// Largest configuration: the largest value of the store.
-const MAX_CONFIGURATION_BYTES: u64 = 1_048_576;
+/// Intervals between two announcements of a VM's progress.
+const PROGRESS_INTERVALS: u32 = 2;
+
+/// VMs that are told a VM's progress at once: each hears of a change several times a second.
+const TOLD: usize = 3;
+
+/// Demands in one datagram.
+const MAX_DEMANDS: usize = 60;
 
 /// Operations per second below which a VM counts as idle.
 const IDLE_DEMAND: f64 = 0.05;
@@ -82,30 +89,68 @@
         loop {
             sleep(DEMAND_INTERVAL).await;
             let now = clock::now();
-            let demand = self.node.state.borrow_mut().quota.measure(now);
+            let mut state = self.node.state.borrow_mut();
+            let gateway = state.gateway;
+            let demand = state.quota.measure(now);
+            drop(state);
             turn += 1;
             let busy = demand.values().any(|rate| *rate > IDLE_DEMAND);
-            if busy || turn % IDLE_INTERVALS == 0 {
-                self.send_status(&demand);
+            if gateway && (busy || turn % IDLE_INTERVALS == 0) {
+                self.send_demand(&demand);
+            }
+            if turn % PROGRESS_INTERVALS == 0 {
+                self.send_progress();
             }
         }
     }
 
-    fn send_status(&self, demand: &Demand) {
-        let demand = demand.iter();
-        let demand = demand.map(|(workspace, rate)| (workspace.clone(), *rate as f32));
-        let datagram = {
-            let state = self.node.state.borrow();
-            Datagram::Status {
-                vm: self.node.settings.vm.clone(),
-                version: version(&state),
-                shared_change: self.node.shared_progress.own().0,
-                directory_change: self.node.directory_progress.own().0,
-                demand: demand.collect(),
+    /// Tells the other gateways this VM's demand.
+    fn send_demand(&self, demand: &Demand) {
+        let demand = demand.iter().filter(|(_, rate)| **rate > IDLE_DEMAND);
+        let demand: Vec<_> = demand
+            .map(|(workspace, rate)| (workspace.clone(), *rate as f32))
+            .collect();
+        let mut parts = demand.chunks(MAX_DEMANDS);
+        let first = parts.next().unwrap_or_default();
+        let others = self.gateways();
+        for address in &others {
+            self.node.outbox.send(*address, self.status(first, false));
+        }
+        for part in parts {
+            for address in &others {
+                self.node.outbox.send(*address, self.status(part, true));
             }
+        }
+    }
+
+    /// Tells some of the other VMs how far this one has followed the store, so that none misses for
+    /// long what its own watch didn't deliver.
+    fn send_progress(&self) {
+        let others: Vec<SocketAddr> = {
+            let state = self.node.state.borrow();
+            let own = &self.node.settings.vm;
+            let others = state.vms.iter().filter(|(vm, _)| *vm != own);
+            // Gateways tell each other anyway.
+            let others = others.filter(|(_, record)| !(state.gateway && record.gateway));
+            others.map(|(_, record)| record.peer_address).collect()
         };
-        for address in self.others() {
-            self.node.outbox.send(address, datagram.clone());
+        let told = rand::seq::index::sample(&mut rand::rng(), others.len(), TOLD.min(others.len()));
+        for index in told {
+            self.node
+                .outbox
+                .send(others[index], self.status(&[], false));
+        }
+    }
+
+    fn status(&self, demand: &[(WorkspaceName, f32)], continued: bool) -> Datagram {
+        let state = self.node.state.borrow();
+        Datagram::Status {
+            vm: self.node.settings.vm.clone(),
+            version: version(&state),
+            shared_change: self.node.shared_progress.own().0,
+            directory_change: self.node.directory_progress.own().0,
+            demand: demand.to_vec(),
+            continued,
         }
     }
 
@@ -117,8 +162,8 @@
             let now = clock::now();
             let heard = self.node.state.borrow().store_heard_at;
             let silent = heard > Timestamp::ZERO && now.since(heard) > STORE_SILENCE;
-            let others = self.others();
-            if !silent || others.is_empty() {
+            let others = self.gateways();
+            if !silent || others.is_empty() || !self.node.state.borrow().gateway {
                 continue;
             }
             turn += 1;
@@ -156,13 +201,9 @@
                 shared_change,
                 directory_change,
                 demand,
+                continued,
             } => {
-                let demand = demand
-                    .into_iter()
-                    .map(|(name, rate)| (name, f64::from(rate)));
-                let mut state = self.node.state.borrow_mut();
-                state.quota.heard(vm, demand.collect(), clock::now());
-                drop(state);
+                self.hear_demand(vm, demand, continued);
                 self.node.shared_progress.heard(Revision(shared_change));
                 self.node
                     .directory_progress
@@ -208,6 +249,15 @@
         }
     }
 
+    fn hear_demand(&self, vm: VmName, demand: Vec<(WorkspaceName, f32)>, continued: bool) {
+        let mut state = self.node.state.borrow_mut();
+        if state.vms.get(&vm).is_some_and(|record| record.gateway) {
+            let demand = demand.into_iter();
+            let demand = demand.map(|(name, rate)| (name, f64::from(rate))).collect();
+            state.quota.heard(vm, demand, continued, clock::now());
+        }
+    }
+
     /// Acknowledges that a VM has left a former primary, if that is collected here.
     fn hear_left(&self, vm: VmName, replacement: Replacement, from: SocketAddr) {
         if self.node.handover.hear(&replacement, vm) {
@@ -287,25 +337,21 @@
     }
 
     async fn fetch(&self, from: SocketAddr) {
-        match timeout(FETCH_WITHIN, fetch_configuration(from)).await {
-            Ok(Ok((revision, value))) => {
-                log::info!(
-                    "event=configuration_fetched from={from} revision={}",
-                    revision.0
-                );
-                agreement::apply_configuration(&self.node, revision, Some(value));
+        match fetch_configuration(from).await {
+            Ok(Some((revision, value))) => {
+                log::info!("event=configuration_fetched from={from} revision={revision}");
+                agreement::apply_configuration(&self.node, Revision(revision), Some(value));
             }
-            Ok(Err(error)) => {
+            Ok(None) => log::info!("event=configuration_unfetched from={from} error=none_held"),
+            Err(error) => {
                 log::warn!("event=configuration_unfetched from={from} error=\"{error}\"");
             }
-            Err(_) => log::warn!("event=configuration_unfetched from={from} error=timeout"),
         }
     }
 
-    fn others(&self) -> Vec<SocketAddr> {
+    fn gateways(&self) -> Vec<SocketAddr> {
         let state = self.node.state.borrow();
-        let own: &VmName = &self.node.settings.vm;
-        let others = state.vms.iter().filter(|(vm, _)| *vm != own);
+        let others = gateways::others(&state, &self.node.settings.vm);
         others.map(|(_, record)| record.peer_address).collect()
     }
 
@@ -329,43 +375,12 @@
     state.catalog.as_ref().map_or(0, |catalog| catalog.version)
 }
 
-/// Sends the configuration to every VM that connects.
-pub async fn serve_configuration(node: Rc<Node>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(PROOF_INTERVAL).await;
-            continue;
-        };
-        let held = node.state.borrow().catalog_value.clone();
-        let Some((revision, value)) = held else {
-            continue;
-        };
-        tokio::task::spawn_local(async move {
-            let sending = send_configuration(stream, revision, &value);
-            if let Ok(Err(error)) = timeout(FETCH_WITHIN, sending).await {
-                log::debug!("event=configuration_unsent error=\"{error}\"");
-            }
-        });
+/// Fetches the configuration of another VM; `None` when it has none.
+async fn fetch_configuration(from: SocketAddr) -> channel::Result<Option<(u64, Vec<u8>)>> {
+    let mut channel = Channel::open(from, FETCH_WITHIN).await?;
+    let deadline = Instant::now() + FETCH_WITHIN;
+    match channel.ask(&PeerRequest::Configuration, deadline).await? {
+        PeerResponse::Configuration(held) => Ok(held),
+        _ => Ok(None),
     }
 }
-
-async fn send_configuration(
-    mut stream: TcpStream,
-    revision: Revision,
-    value: &[u8],
-) -> io::Result<()> {
-    stream.write_u64(revision.0).await?;
-    stream.write_all(value).await?;
-    stream.shutdown().await
-}
-
-async fn fetch_configuration(from: SocketAddr) -> io::Result<(Revision, Vec<u8>)> {
-    let mut stream = TcpStream::connect(from).await?;
-    let revision = Revision(stream.read_u64().await?);
-    let mut value = Vec::new();
-    stream
-        .take(MAX_CONFIGURATION_BYTES)
-        .read_to_end(&mut value)
-        .await?;
-    Ok((revision, value))
-}
--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -136,15 +136,17 @@
         }
     }
 
-    /// Records what another VM announced.
-    pub fn heard(&mut self, vm: VmName, demand: Demand, now: Timestamp) {
-        self.peers.insert(
-            vm,
-            PeerDemand {
-                demand,
-                heard_at: now,
-            },
-        );
+    /// Records what another VM announced; adds it to what the VM announced before if it is
+    /// `continued`.
+    pub fn heard(&mut self, vm: VmName, demand: Demand, continued: bool, now: Timestamp) {
+        let known = self.peers.remove(&vm).filter(|_| continued);
+        let mut announced = known.map(|known| known.demand).unwrap_or_default();
+        announced.extend(demand);
+        let peer = PeerDemand {
+            demand: announced,
+            heard_at: now,
+        };
+        self.peers.insert(vm, peer);
     }
 
     /// Forgets VMs that are registered no longer and aren't heard either.
--- a/src/entry/quota/tests.rs
+++ b/src/entry/quota/tests.rs
@@ -51,7 +51,12 @@
     for (index, vm) in vms.iter_mut().enumerate() {
         for (from, demand) in demands.iter().enumerate() {
             if from != index && cut_off != Some(from) && cut_off != Some(index) {
-                vm.heard(VmName::from(format!("vm-{from}")), demand.clone(), now);
+                vm.heard(
+                    VmName::from(format!("vm-{from}")),
+                    demand.clone(),
+                    false,
+                    now,
+                );
             }
         }
     }
@@ -141,3 +146,17 @@
         "only what fits into the VM's own burst is kept"
     );
 }
+
+#[test]
+fn a_demand_told_in_parts_counts_whole_and_a_new_one_replaces_it() {
+    let now = Timestamp::from_millis(1_000);
+    let names = ["council-1", "council-2"].map(WorkspaceName::from);
+    let demand = |index: usize| [(names[index].clone(), RATE_PER_S)].into_iter().collect();
+    let other = VmName::from("vm-1");
+    let mut vm = Quota::default();
+    vm.heard(other.clone(), demand(0), false, now);
+    vm.heard(other.clone(), demand(1), true, now);
+    assert_eq!(vm.peers[&other].demand.len(), 2);
+    vm.heard(other.clone(), demand(0), false, now);
+    assert_eq!(vm.peers[&other].demand.len(), 1);
+}
--- a/src/entry/record.rs
+++ b/src/entry/record.rs
@@ -4,7 +4,7 @@
 use strum::Display;
 
 use crate::configuration::Revision;
-use crate::name::{InstanceName, VmName};
+use crate::name::{InstanceName, VmName, ZoneName};
 
 /// Whether the primary of a database is being replaced.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Display)]
@@ -64,12 +64,18 @@
 }
 
 /// Registration of a VM, kept in the store under its lease.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct VmRecord {
     /// Lease that carries the registration.
     pub lease: u64,
     /// Address on which the VM hears other VMs.
     pub peer_address: std::net::SocketAddr,
+    /// Availability zone that the VM runs in.
+    pub availability_zone: ZoneName,
+    /// Part of a core that the VM has.
+    pub cpu_share: f64,
+    /// Whether the VM holds connections to instances: only then it relies on a guard.
+    pub gateway: bool,
 }
 
 /// Holder of the duty to replace primaries, kept in the store under a lease of its own.
--- a/src/entry/registration.rs
+++ b/src/entry/registration.rs
@@ -7,8 +7,9 @@
 
 use super::agreement;
 use super::clock;
+use super::gateways;
 use super::keys;
-use super::node::Node;
+use super::node::{Node, StopPhase};
 use super::record::VmRecord;
 use crate::configuration::Revision;
 use crate::control::command::PlatformRequest;
@@ -18,6 +19,16 @@
 /// Pause before a failed call is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
+/// Interval at which this VM's part is looked at.
+const PART_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time for which VMs that start together wait for each other before the first takes a part.
+const START_PATIENCE: Duration = Duration::from_millis(400);
+
+/// Time for which another part must seem right before this VM takes it: VMs that restart are back
+/// within it.
+const PART_PATIENCE: Duration = Duration::from_millis(1_500);
+
 /// Lease of the registration.
 #[derive(Debug, Clone, Copy)]
 struct Registration {
@@ -27,55 +38,82 @@
 
 /// Keeps this VM registered until the process ends.
 pub async fn run(node: Rc<Node>) {
+    let mut next_part = None;
     loop {
-        match register(&node).await {
-            Some(registration) => keep(&node, registration).await,
+        match register(&node, next_part).await {
+            Some(registration) => next_part = keep(&node, registration).await,
             None => tokio::time::sleep(RETRY_PAUSE).await,
         }
     }
 }
 
-async fn register(node: &Rc<Node>) -> Option<Registration> {
+/// Registers this VM, as a gateway or not; by what is known of the others where that isn't decided.
+async fn register(node: &Rc<Node>, gateway: Option<bool>) -> Option<Registration> {
+    // Tells which part this VM has, before others rely on it.
+    if !agreement::refresh(node).await {
+        return None;
+    }
+    let gateway = gateway.unwrap_or_else(|| is_chosen(node));
     let sent_at = clock::now();
-    let ttl = node.settings.guard_ttl;
+    let ttl = if gateway {
+        node.settings.guard_ttl
+    } else {
+        node.settings.entry_ttl
+    };
     let answer = node.call(PlatformRequest::GrantLease { ttl }).await;
     let Ok(PlatformAnswer::Lease { lease, ttl }) = answer else {
         log::warn!("event=lease_not_granted answer={answer:?}");
         return None;
     };
-    let record = VmRecord {
-        lease,
-        peer_address: node.settings.peer_address,
-    };
-    write_record(node, &record).await?;
+    write_record(node, lease, gateway).await?;
     // Read after the registration stands: a replacement that began earlier is seen here, one that
     // begins later waits for this VM.
-    if !agreement::refresh(node).await {
+    if gateway && !agreement::refresh(node).await {
         return None;
     }
     let mut state = node.state.borrow_mut();
     state.lease = Some(lease);
-    state.guard.renew(sent_at, ttl);
+    state.gateway = gateway;
+    if gateway {
+        state.guard.renew(sent_at, ttl);
+    }
     state.store_heard_at = clock::now();
     drop(state);
     node.changed.notify_waiters();
     log::info!(
-        "event=registered vm={} lease={lease} ttl_ms={}",
+        "event=registered vm={} lease={lease} ttl_ms={} gateway={gateway}",
         node.settings.vm,
         ttl.as_millis()
     );
     Some(Registration { lease, ttl })
 }
 
-async fn write_record(node: &Rc<Node>, record: &VmRecord) -> Option<()> {
-    let value = serde_json::to_vec(record).ok()?;
+/// Returns whether this VM should be a gateway. One that is stopping stays what it is.
+fn is_chosen(node: &Node) -> bool {
+    let state = node.state.borrow();
+    if state.stop != StopPhase::Running {
+        return state.gateway;
+    }
+    let connections = state.least_connections();
+    gateways::is_chosen(&node.settings, &state.vms, connections)
+}
+
+async fn write_record(node: &Rc<Node>, lease: u64, gateway: bool) -> Option<()> {
+    let record = VmRecord {
+        lease,
+        peer_address: node.settings.peer_address,
+        availability_zone: node.settings.availability_zone.clone(),
+        cpu_share: node.settings.cpu_share,
+        gateway,
+    };
+    let value = serde_json::to_vec(&record).ok()?;
     let mut expected = Revision(0);
     loop {
         let request = PlatformRequest::CompareAndSwap {
             key: keys::vm(&node.settings.vm),
             expected,
             value: Some(value.clone()),
-            lease: Some(record.lease),
+            lease: Some(lease),
         };
         match node.call(request).await {
             Ok(PlatformAnswer::Swapped { .. }) => return Some(()),
@@ -91,22 +129,40 @@
     }
 }
 
-/// Renews the lease until it has lapsed.
-async fn keep(node: &Rc<Node>, registration: Registration) {
+/// Renews the lease until it has lapsed, or this VM's part changes; returns whether it is a gateway
+/// from then on, where that is decided.
+async fn keep(node: &Rc<Node>, registration: Registration) -> Option<bool> {
     let lease = registration.lease;
-    let mut next = Instant::now() + node.settings.guard_renewal;
+    let gateway = node.state.borrow().gateway;
+    let renewal = if gateway {
+        node.settings.guard_renewal
+    } else {
+        node.settings.entry_renewal
+    };
+    let mut next = Instant::now() + renewal;
+    let mut changing_since = None;
     loop {
-        tokio::time::sleep_until(next).await;
+        let look = next.min(Instant::now() + PART_INTERVAL);
+        tokio::time::sleep_until(look).await;
+        if is_chosen(node) == gateway {
+            changing_since = None;
+        } else if changing_since.get_or_insert(look).elapsed() >= patience(node) {
+            leave_part(node, lease).await;
+            return Some(!gateway);
+        }
+        if look < next {
+            continue;
+        }
         let sent_at = clock::now();
         match node.call(PlatformRequest::KeepAlive { lease }).await {
             Ok(PlatformAnswer::Lease { .. }) => {
                 renewed(node, sent_at, registration.ttl);
-                next = Instant::now() + node.settings.guard_renewal;
+                next = Instant::now() + renewal;
             }
             Ok(PlatformAnswer::LeaseLapsed) => {
                 log::warn!("event=registration_lapsed lease={lease}");
                 end(node);
-                return;
+                return None;
             }
             answer => {
                 note_loss(node, &answer);
@@ -116,13 +172,45 @@
     }
 }
 
+fn patience(node: &Node) -> Duration {
+    let state = node.state.borrow();
+    if state.gateways().next().is_none() {
+        return START_PATIENCE;
+    }
+    PART_PATIENCE
+}
+
+/// Gives this VM's part up, so that it registers for the other one.
+async fn leave_part(node: &Rc<Node>, lease: u64) {
+    let was_gateway = {
+        let mut state = node.state.borrow_mut();
+        let was_gateway = state.gateway;
+        if was_gateway {
+            state.gateway_until = clock::now() + node.settings.guard_ttl;
+        }
+        state.gateway = false;
+        was_gateway
+    };
+    end(node);
+    node.changed.notify_waiters();
+    log::info!(
+        "event=part_changed vm={} was_gateway={was_gateway}",
+        node.settings.vm
+    );
+    if let Err(error) = node.call(PlatformRequest::Revoke { lease }).await {
+        log::warn!("event=lease_not_ended lease={lease} error=\"{error}\"");
+    }
+}
+
 fn renewed(node: &Rc<Node>, sent_at: Timestamp, ttl: Duration) {
     let mut state = node.state.borrow_mut();
     let now = clock::now();
-    if !state.guard.holds(now) {
-        log::info!("event=guard_regained");
+    if state.gateway {
+        if !state.guard.holds(now) {
+            log::info!("event=guard_regained");
+        }
+        state.guard.renew(sent_at, ttl);
     }
-    state.guard.renew(sent_at, ttl);
     state.store_heard_at = now;
 }
 
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -10,8 +10,8 @@
 
 use super::duty::Duty;
 use super::node::Node;
-use super::peers::{self, Peers};
-use super::{agreement, directory, listener, registration};
+use super::peers::Peers;
+use super::{agreement, directory, listener, registration, relay};
 
 /// Result of starting an entry.
 pub type Result<T, E = StartError> = std::result::Result<T, E>;
@@ -41,7 +41,7 @@
         .context(BindSnafu { address })?;
     let address = node.settings.peer_address;
     let bound = Peers::bind(Rc::clone(node)).await;
-    let (peers, configuration) = bound.context(BindSnafu { address })?;
+    let (peers, requests) = bound.context(BindSnafu { address })?;
     spawn_local(registration::run(Rc::clone(node)));
     spawn_local(agreement::run(Rc::clone(node)));
     spawn_local(directory::run(Rc::clone(node)));
@@ -49,7 +49,7 @@
     spawn_local(Rc::clone(&peers).seek_proofs());
     spawn_local(Rc::clone(&peers).deliver());
     spawn_local(peers.listen());
-    spawn_local(peers::serve_configuration(Rc::clone(node), configuration));
+    spawn_local(relay::run(Rc::clone(node), requests));
     spawn_local(tick(Rc::clone(node)));
     spawn_local(listener::run(Rc::clone(node), callers));
     log::info!(
@@ -72,6 +72,7 @@
         duty.tick(&node);
         node.divide_limits();
         node.tidy_pools(node.settings.tick);
+        node.gateways.tidy(&node.state.borrow());
         node.shed_if_isolated();
     }
 }
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -4,19 +4,16 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use tokio::time::Instant;
-
-use super::admission;
 use super::catalog::{Catalog, Route};
-use super::execution::{self, Need};
-use super::link::{SessionValues, Setup, shared_name};
+use super::forwarding::{self, Place};
+use super::link::{SessionValues, shared_name};
 use super::node::Node;
 use super::position::Position;
 use super::statement::{
     Access, Answer, Failure, FailureKind, InstanceCommand, Outcome, Prepared, Request,
     SessionState, Statement,
 };
-use super::transaction::{Begun, Step, Transaction};
+use super::task::{Action, Reply, Runnable, Task};
 use crate::name::WorkspaceName;
 use crate::telemetry::metrics::metrics;
 
@@ -26,9 +23,55 @@
 /// Values of one session; more are refused.
 const MAX_VALUES: usize = 64;
 
+/// Identifier of steps that no request of the caller asked for.
+const NO_REQUEST: &str = "-";
+
 /// Name under which callers without a key of their own reach open routes.
 const ANYONE: &str = "-";
 
+/// Transaction of a session.
+#[derive(Debug, Default)]
+enum Transaction {
+    /// None.
+    #[default]
+    None,
+    /// Acknowledged to the caller; no instance knows of it yet.
+    Begun {
+        /// Whether it only reads.
+        access: Access,
+        /// Route that it runs on until its end.
+        route: Arc<Route>,
+    },
+    /// Open on an instance.
+    Open {
+        /// Route that it runs on until its end.
+        route: Arc<Route>,
+        /// VM that runs it.
+        place: Box<Place>,
+    },
+    /// Failed; the caller has yet to end it.
+    Failed,
+}
+
+impl Transaction {
+    /// Returns the state that the caller is told.
+    const fn state(&self) -> SessionState {
+        match self {
+            Self::None => SessionState::Idle,
+            Self::Begun { .. } | Self::Open { .. } => SessionState::Open,
+            Self::Failed => SessionState::Failed,
+        }
+    }
+
+    /// Returns the route of a running transaction.
+    const fn route(&self) -> Option<&Arc<Route>> {
+        match self {
+            Self::Begun { route, .. } | Self::Open { route, .. } => Some(route),
+            Self::None | Self::Failed => None,
+        }
+    }
+}
+
 /// Session of one caller.
 #[derive(Debug)]
 pub struct Session {
@@ -36,7 +79,7 @@
     route: Arc<str>,
     key: Arc<str>,
     workspace: WorkspaceName,
-    values: SessionValues,
+    values: Arc<SessionValues>,
     prepared: HashMap<Arc<str>, Prepared>,
     mark: Option<Position>,
     transaction: Transaction,
@@ -58,7 +101,7 @@
             route,
             key,
             workspace,
-            values: SessionValues::default(),
+            values: Arc::default(),
             prepared: HashMap::new(),
             mark: None,
             transaction: Transaction::None,
@@ -111,22 +154,30 @@
             Statement::Commit => self.commit(request).await,
             Statement::Rollback => self.roll_back().await,
             Statement::Query { access } => {
-                let command = InstanceCommand::Run(request.clone());
-                self.execute(catalog, &request.id, command, access, None)
-                    .await
+                let runnable = Runnable {
+                    command: InstanceCommand::Run {
+                        id: Arc::clone(&request.id),
+                        text: request.text,
+                    },
+                    access,
+                    prepared: None,
+                };
+                self.execute(catalog, &request.id, runnable).await
             }
             Statement::Execute { name, arguments } => {
                 let Some(prepared) = self.prepared.get(&name).cloned() else {
                     return self.fail_step(no_such_statement()).await;
                 };
-                let command = InstanceCommand::Execute {
-                    id: Arc::clone(&request.id),
-                    name: shared_name(&prepared),
-                    arguments,
+                let runnable = Runnable {
+                    command: InstanceCommand::Execute {
+                        id: Arc::clone(&request.id),
+                        name: shared_name(&prepared),
+                        arguments,
+                    },
+                    access: prepared.access,
+                    prepared: Some(prepared),
                 };
-                let access = prepared.access;
-                self.execute(catalog, &request.id, command, access, Some(prepared))
-                    .await
+                self.execute(catalog, &request.id, runnable).await
             }
             Statement::Invalid => self.fail(invalid()),
         }
@@ -135,9 +186,7 @@
     /// Ends a transaction that was idle for too long; the caller learns of it with its next
     /// request.
     pub async fn end_idle_transaction(&mut self) {
-        if let Transaction::Open(open) = std::mem::take(&mut self.transaction) {
-            open.rollback().await;
-        }
+        self.abandon().await;
         self.transaction = Transaction::Failed;
         log::info!(
             "event=transaction_idle workspace={} route={}",
@@ -148,8 +197,9 @@
 
     /// Ends what the caller left behind.
     pub async fn abandon(&mut self) {
-        if let Transaction::Open(open) = std::mem::take(&mut self.transaction) {
-            open.rollback().await;
+        if let Transaction::Open { route, mut place } = std::mem::take(&mut self.transaction) {
+            let task = self.task(NO_REQUEST.into(), route, Action::Rollback);
+            place.run(&task).await;
         }
     }
 
@@ -168,7 +218,7 @@
         if self.values.values.len() >= MAX_VALUES {
             return self.fail(invalid());
         }
-        self.values.set(name, value);
+        Arc::make_mut(&mut self.values).set(name, value);
         self.done()
     }
 
@@ -184,191 +234,101 @@
         if self.state() != SessionState::Idle {
             return self.fail(invalid());
         }
-        let Some(route) = catalog.routes.get(&self.route) else {
+        let Some(route) = catalog.routes.get(&self.route).map(Arc::clone) else {
             return self.fail(no_such_route());
         };
-        if let Err(failure) = self.admit(catalog, &request.id).await {
-            return self.fail(failure);
+        let id = Arc::clone(&request.id);
+        let task = self.task(id, Arc::clone(&route), Action::Admit);
+        let (reply, _) = forwarding::start(&self.node, task).await;
+        match reply.answer.outcome {
+            Outcome::Done(_) => {
+                self.transaction = Transaction::Begun { access, route };
+                self.done()
+            }
+            Outcome::Failed(failure) => self.fail(failure),
         }
-        self.transaction = Transaction::Begun(Begun {
-            access,
-            route: Arc::clone(route),
-        });
-        self.done()
     }
 
     async fn commit(&mut self, request: Request) -> Answer {
-        let open = match std::mem::take(&mut self.transaction) {
-            Transaction::Open(open) => open,
-            Transaction::Begun(begun) => match self.start(begun, &request.id).await {
-                Ok(open) => Box::new(open),
-                Err(failure) => return self.fail(failure),
-            },
+        let text = request.text;
+        let reply = match std::mem::take(&mut self.transaction) {
+            Transaction::Open { route, mut place } => {
+                let unopened = None;
+                let task = self.task(request.id, route, Action::Commit { unopened, text });
+                place.run(&task).await
+            }
+            Transaction::Begun { access, route } => {
+                let unopened = Some(access);
+                let task = self.task(request.id, route, Action::Commit { unopened, text });
+                forwarding::start(&self.node, task).await.0
+            }
             Transaction::Failed => return self.fail(rolled_back()),
             Transaction::None => return self.fail(invalid()),
         };
-        let timeout = open.route().statement_timeout;
-        let command = InstanceCommand::Run(request);
-        let deadline = Instant::now() + timeout;
-        let (answer, mark) = open.commit(&command, &self.values, deadline).await;
-        self.mark = self.mark.max(mark);
-        answer
+        self.mark = self.mark.max(reply.mark);
+        reply.answer
     }
 
     async fn roll_back(&mut self) -> Answer {
-        match std::mem::take(&mut self.transaction) {
-            Transaction::Open(open) => open.rollback().await,
-            Transaction::Begun(_) | Transaction::Failed => {}
+        match &self.transaction {
             Transaction::None => return self.fail(invalid()),
+            Transaction::Open { .. } => self.abandon().await,
+            Transaction::Begun { .. } | Transaction::Failed => {
+                self.transaction = Transaction::None;
+            }
         }
         self.done()
     }
 
-    async fn execute(
-        &mut self,
-        catalog: &Catalog,
-        id: &Arc<str>,
-        command: InstanceCommand,
-        access: Access,
-        prepared: Option<Prepared>,
-    ) -> Answer {
+    async fn execute(&mut self, catalog: &Catalog, id: &Arc<str>, runnable: Runnable) -> Answer {
+        let id = Arc::clone(id);
         match std::mem::take(&mut self.transaction) {
-            Transaction::None => self.run_alone(catalog, id, command, access, prepared).await,
+            Transaction::None => {
+                let Some(route) = catalog.routes.get(&self.route) else {
+                    return self.fail(no_such_route());
+                };
+                let task = self.task(id, Arc::clone(route), Action::Alone(runnable));
+                let (reply, _) = forwarding::start(&self.node, task).await;
+                self.mark = self.mark.max(reply.mark);
+                reply.answer
+            }
             Transaction::Failed => {
                 self.transaction = Transaction::Failed;
                 self.fail(invalid())
             }
-            Transaction::Begun(begun) => match self.start(begun, id).await {
-                Ok(open) => {
-                    self.transaction = Transaction::Open(Box::new(open));
-                    self.run_inside(command, access, prepared).await
-                }
-                Err(failure) => {
-                    self.transaction = Transaction::Failed;
-                    self.fail(failure)
-                }
-            },
-            Transaction::Open(open) => {
-                self.transaction = Transaction::Open(open);
-                self.run_inside(command, access, prepared).await
+            Transaction::Begun { access, route } => {
+                let first = runnable;
+                let task = self.task(id, Arc::clone(&route), Action::Begin { access, first });
+                let (reply, place) = forwarding::start(&self.node, task).await;
+                self.go_on(route, reply, place.map(Box::new))
             }
-        }
-    }
-
-    async fn run_alone(
-        &mut self,
-        catalog: &Catalog,
-        id: &Arc<str>,
-        command: InstanceCommand,
-        access: Access,
-        prepared: Option<Prepared>,
-    ) -> Answer {
-        let Some(route) = catalog.routes.get(&self.route).map(Arc::clone) else {
-            return self.fail(no_such_route());
-        };
-        if let Err(failure) = self.admit(catalog, id).await {
-            return self.fail(failure);
-        }
-        let need = Need {
-            id,
-            route: &route,
-            workspace: &self.workspace,
-            access,
-            starts_transaction: false,
-            mark: self.mark,
-            setup: Setup {
-                values: &self.values,
-                prepared: command.prepared_name().zip(prepared.as_ref()),
-                in_transaction: false,
-            },
-            deadline: Instant::now() + route.statement_timeout,
-        };
-        match execution::run(&self.node, &need, &command).await {
-            Ok(ran) => {
-                let done = matches!(ran.answer.outcome, Outcome::Done(_));
-                if done && access == Access::Write {
-                    self.mark = self.mark.max(ran.answer.position);
-                }
-                if ran.answer.state != SessionState::Idle {
-                    ran.lease.close();
-                }
-                Answer {
-                    state: SessionState::Idle,
-                    ..ran.answer
-                }
+            Transaction::Open { route, mut place } => {
+                let task = self.task(id, Arc::clone(&route), Action::Inside(runnable));
+                let reply = place.run(&task).await;
+                self.go_on(route, reply, Some(place))
             }
-            Err(failure) => self.fail(failure),
         }
     }
 
-    async fn run_inside(
-        &mut self,
-        command: InstanceCommand,
-        access: Access,
-        prepared: Option<Prepared>,
-    ) -> Answer {
-        let Transaction::Open(mut open) = std::mem::take(&mut self.transaction) else {
-            return self.fail(invalid());
+    /// Keeps a transaction that is still open after one of its statements.
+    fn go_on(&mut self, route: Arc<Route>, reply: Reply, place: Option<Box<Place>>) -> Answer {
+        let open = reply.answer.state == SessionState::Open;
+        self.transaction = match place.filter(|_| open) {
+            Some(place) => Transaction::Open { route, place },
+            None => Transaction::Failed,
         };
-        let deadline = Instant::now() + open.route().statement_timeout;
-        let step = Step {
-            command,
-            access,
-            values: &self.values,
-            prepared: prepared.as_ref(),
-        };
-        match open.run(&step, deadline).await {
-            Ok(answer) if answer.state == SessionState::Open => {
-                self.transaction = Transaction::Open(open);
-                answer
-            }
-            Ok(answer) => {
-                open.rollback().await;
-                self.transaction = Transaction::Failed;
-                Answer {
-                    state: SessionState::Failed,
-                    ..answer
-                }
-            }
-            Err(failure) => {
-                open.abandon();
-                self.transaction = Transaction::Failed;
-                self.fail(failure)
-            }
-        }
+        reply.answer
     }
 
-    async fn start(
-        &self,
-        begun: Begun,
-        id: &Arc<str>,
-    ) -> Result<super::transaction::OpenTransaction, Failure> {
-        let route = Arc::clone(&begun.route);
-        let need = Need {
+    fn task(&self, id: Arc<str>, route: Arc<Route>, action: Action) -> Task {
+        Task {
             id,
-            route: &route,
-            workspace: &self.workspace,
-            access: begun.access,
-            starts_transaction: true,
+            route,
+            workspace: self.workspace.clone(),
             mark: self.mark,
-            setup: Setup {
-                values: &self.values,
-                prepared: None,
-                in_transaction: false,
-            },
-            deadline: Instant::now() + route.statement_timeout,
-        };
-        begun.open(&self.node, &need).await
-    }
-
-    async fn admit(&self, catalog: &Catalog, id: &Arc<str>) -> Result<(), Failure> {
-        let route = catalog.routes.get(&self.route);
-        let workspace = catalog.workspaces.get(&self.workspace);
-        // Callers without a key of their own have no limit of their own.
-        let (Some(route), Some(workspace)) = (route, workspace) else {
-            return Ok(());
-        };
-        admission::admit(&self.node, route, workspace, id).await
+            values: Arc::clone(&self.values),
+            action,
+        }
     }
 
     async fn fail_step(&mut self, failure: Failure) -> Answer {
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -12,6 +12,11 @@
     pub vm: VmName,
     /// Availability zone of this VM.
     pub availability_zone: ZoneName,
+    /// Part of a core that this VM has.
+    pub cpu_share: f64,
+    /// Number of VMs up to which each is a gateway: a hop costs more than the connections that it
+    /// saves.
+    pub direct_vms: usize,
     /// Address on which callers are accepted.
     pub caller_address: SocketAddr,
     /// Address on which other VMs are heard.
@@ -25,6 +30,10 @@
     pub guard_ttl: Duration,
     /// Interval between renewals of the guard.
     pub guard_renewal: Duration,
+    /// Time-to-live of the lease of a VM without a guard; nothing waits for its end.
+    pub entry_ttl: Duration,
+    /// Interval between renewals of that lease.
+    pub entry_renewal: Duration,
     /// Time-to-live of the lease on the duty to replace primaries.
     pub duty_ttl: Duration,
     /// Interval at which health, duties and limits are looked at.
@@ -46,12 +55,16 @@
         Self {
             vm: VmName::from(""),
             availability_zone: ZoneName::from(""),
+            cpu_share: 1.0,
+            direct_vms: 12,
             caller_address: unset,
             peer_address: unset,
             stop_within: Duration::from_secs(6),
             balancer_notice: Duration::from_millis(2_200),
             guard_ttl: Duration::from_secs(5),
             guard_renewal: Duration::from_secs(1),
+            entry_ttl: Duration::from_secs(9),
+            entry_renewal: Duration::from_secs(3),
             duty_ttl: Duration::from_millis(1_500),
             tick: Duration::from_millis(100),
             connect_timeout: Duration::from_millis(500),
--- a/src/entry/shutdown.rs
+++ b/src/entry/shutdown.rs
@@ -25,7 +25,7 @@
     sleep_until(noticed.min(end)).await;
     node.state.borrow_mut().stop = StopPhase::Draining;
     node.stopping.notify_waiters();
-    while node.sessions.get() > 0 && Instant::now() < end {
+    while node.sessions.get() + node.tasks.get() > 0 && Instant::now() < end {
         sleep(POLL).await;
     }
     log::info!("event=stopped sessions_left={}", node.sessions.get());
--- a/src/entry/statement.rs
+++ b/src/entry/statement.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
+use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use strum::{Display, IntoStaticStr};
 
@@ -20,7 +21,7 @@
 }
 
 /// Whether a statement only reads.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
 #[strum(serialize_all = "snake_case")]
 pub enum Access {
     /// Reads only.
@@ -77,7 +78,7 @@
 }
 
 /// Prepared statement.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Prepared {
     /// What it does.
     pub access: Access,
@@ -113,7 +114,7 @@
 }
 
 /// State of a session or of a connection after an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SessionState {
     /// Between transactions.
     Idle,
@@ -124,7 +125,9 @@
 }
 
 /// Why a statement was not answered with success.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, IntoStaticStr)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, Display, IntoStaticStr, Serialize, Deserialize,
+)]
 #[strum(serialize_all = "snake_case")]
 pub enum FailureKind {
     /// Not run: no capacity.
@@ -158,7 +161,7 @@
 }
 
 /// Failure of a statement.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Failure {
     /// Its kind.
     pub kind: FailureKind,
@@ -193,7 +196,7 @@
 }
 
 /// How a statement ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// Success, with the instance's signature; `None` where this VM answered itself.
     Done(Option<Bytes>),
@@ -202,7 +205,7 @@
 }
 
 /// Whole answer to one statement.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
     /// Rows as the instance sent them, encoded.
     pub rows: Bytes,
@@ -227,10 +230,15 @@
 }
 
 /// What a connection to an instance is asked for.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum InstanceCommand {
     /// Runs a caller's statement as it is.
-    Run(Request),
+    Run {
+        /// Identifier that the caller chose.
+        id: Arc<str>,
+        /// Text that the caller wrote.
+        text: Arc<str>,
+    },
     /// Runs a statement prepared on the connection.
     Execute {
         /// Identifier that the caller chose.
@@ -283,8 +291,7 @@
     /// Returns the identifier of the caller's request; `-` for a VM's own commands.
     pub fn id(&self) -> &str {
         match self {
-            Self::Run(request) => &request.id,
-            Self::Execute { id, .. } => id,
+            Self::Run { id, .. } | Self::Execute { id, .. } => id,
             _ => "-",
         }
     }
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -184,7 +184,7 @@
     /// Tells every VM the record, whether or not it hears the store.
     fn tell_all(&self) {
         let state = self.node.state.borrow();
-        for vm in state.vms.values() {
+        for (_, vm) in state.gateways() {
             self.node
                 .outbox
                 .send(vm.peer_address, Datagram::Record(self.proven()));
--- a/src/entry/transaction.rs
+++ b/src/entry/transaction.rs
@@ -1,19 +1,17 @@
-//! Transaction of a session.
+//! Transaction that is open on an instance.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep};
 
-use super::catalog::Route;
 use super::execution::{self, Need};
 use super::link::{SessionValues, Setup};
 use super::node::Node;
 use super::pool::Lease;
 use super::position::Position;
 use super::statement::{
-    Access, Answer, Failure, FailureKind, InstanceCommand, Outcome, Prepared, SessionState,
+    Access, Answer, Failure, FailureKind, InstanceCommand, Outcome, SessionState,
 };
 
 /// Pause before a statement is offered again to an instance that had no capacity.
@@ -22,33 +20,9 @@
 /// Longest time to roll back on an instance before the connection is closed instead.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Transaction of a session.
-#[derive(Debug, Default)]
-pub enum Transaction {
-    /// None.
-    #[default]
-    None,
-    /// Acknowledged to the caller; no instance knows of it yet.
-    Begun(Begun),
-    /// Open on an instance.
-    Open(Box<OpenTransaction>),
-    /// Failed; the caller has yet to end it.
-    Failed,
-}
-
-/// Transaction that no instance knows of yet.
-#[derive(Debug, Clone)]
-pub struct Begun {
-    /// Whether it only reads.
-    pub access: Access,
-    /// Route that it runs on until its end.
-    pub route: Arc<Route>,
-}
-
 /// Transaction that is open on an instance.
 #[derive(Debug)]
 pub struct OpenTransaction {
-    begun: Begun,
     lease: Lease,
     wrote: bool,
 }
@@ -57,62 +31,32 @@
 #[derive(Debug)]
 pub struct Step<'a> {
     /// The command.
-    pub command: InstanceCommand,
+    pub command: &'a InstanceCommand,
     /// What the command does.
     pub access: Access,
-    /// Values of the session.
-    pub values: &'a SessionValues,
-    /// Statement that must be prepared on the connection.
-    pub prepared: Option<&'a Prepared>,
-}
-
-impl Transaction {
-    /// Returns the state that the caller is told.
-    pub const fn state(&self) -> SessionState {
-        match self {
-            Self::None => SessionState::Idle,
-            Self::Begun(_) | Self::Open(_) => SessionState::Open,
-            Self::Failed => SessionState::Failed,
-        }
-    }
-
-    /// Returns the route of a running transaction.
-    pub fn route(&self) -> Option<&Arc<Route>> {
-        match self {
-            Self::Begun(begun) => Some(&begun.route),
-            Self::Open(open) => Some(open.route()),
-            Self::None | Self::Failed => None,
-        }
-    }
+    /// What it needs on its connection.
+    pub setup: Setup<'a>,
 }
 
-impl Begun {
-    /// Starts the transaction on an instance.
+impl OpenTransaction {
+    /// Starts a transaction on an instance.
     ///
     /// # Errors
     ///
     /// Fails with what the caller is told; nothing is kept.
-    pub async fn open(self, node: &Rc<Node>, need: &Need<'_>) -> Result<OpenTransaction, Failure> {
+    pub async fn start(node: &Rc<Node>, need: &Need<'_>) -> Result<Self, Failure> {
         let command = InstanceCommand::Begin {
-            access: self.access,
+            access: need.access,
         };
         let ran = execution::run(node, need, &command).await?;
         match ran.answer.outcome {
-            Outcome::Done(_) => Ok(OpenTransaction {
-                begun: self,
+            Outcome::Done(_) => Ok(Self {
                 lease: ran.lease,
                 wrote: false,
             }),
             Outcome::Failed(failure) => Err(nothing_kept(failure)),
         }
     }
-}
-
-impl OpenTransaction {
-    /// Returns the route that the transaction runs on.
-    pub const fn route(&self) -> &Arc<Route> {
-        &self.begun.route
-    }
 
     /// Runs one statement. A failure of the connection closes it, which rolls back.
     ///
@@ -120,14 +64,9 @@
     ///
     /// Fails when the connection is lost; nothing of the transaction is kept.
     pub async fn run(&mut self, step: &Step<'_>, deadline: Instant) -> Result<Answer, Failure> {
-        let setup = Setup {
-            values: step.values,
-            prepared: step.command.prepared_name().zip(step.prepared),
-            in_transaction: true,
-        };
         loop {
             let link = self.lease.link();
-            let answer = link.run(&setup, &step.command, None, deadline).await;
+            let answer = link.run(&step.setup, step.command, None, deadline).await;
             let answer = answer.map_err(|error| aborted(step.command.id(), &error))?;
             self.wrote |= step.access == Access::Write;
             let Outcome::Failed(failure) = &answer.outcome else {
