--- a/lab/src/measure/control_slopes/service.rs
+++ b/lab/src/measure/control_slopes/service.rs
@@ -64,7 +64,7 @@
         let mut events = Vec::new();
         let answer = match request {
             PlatformRequest::Get { key } => self.found(|found| found == key),
-            PlatformRequest::List { prefix } => self.found(|found| found.starts_with(&prefix)),
+            PlatformRequest::List { prefix, .. } => self.found(|found| found.starts_with(&prefix)),
             PlatformRequest::CompareAndSwap {
                 key,
                 expected,
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -57,6 +57,8 @@
     List {
         /// Prefix of the keys.
         prefix: String,
+        /// Whether the answer may be some seconds old, which costs the store less.
+        allow_stale: bool,
     },
     /// Writes a key if it still has the expected revision.
     CompareAndSwap {
--- a/src/control/configuration/source.rs
+++ b/src/control/configuration/source.rs
@@ -130,7 +130,10 @@
     let prefix = CONFIGURATION_PREFIX.to_owned();
     vec![Command::Platform {
         call,
-        request: PlatformRequest::List { prefix },
+        request: PlatformRequest::List {
+            prefix,
+            allow_stale: false,
+        },
     }]
 }
 
--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -341,7 +341,10 @@
     let prefix = VM_LIST_PREFIX.to_owned();
     vec![Command::Platform {
         call,
-        request: PlatformRequest::List { prefix },
+        request: PlatformRequest::List {
+            prefix,
+            allow_stale: false,
+        },
     }]
 }
 
--- a/src/control/tests/cell.rs
+++ b/src/control/tests/cell.rs
@@ -553,7 +553,7 @@
         self.service_calls += 1;
         let answer = match request {
             PlatformRequest::Get { key } => self.found(|known| *known == key),
-            PlatformRequest::List { prefix } => self.found(|known| known.starts_with(&prefix)),
+            PlatformRequest::List { prefix, .. } => self.found(|known| known.starts_with(&prefix)),
             PlatformRequest::CompareAndSwap {
                 key,
                 expected,
--- a/src/entry/agreement.rs
+++ b/src/entry/agreement.rs
@@ -37,7 +37,7 @@
 fn replace(node: &Rc<Node>, found: Vec<KeyValue>) {
     let mut state = node.state.borrow_mut();
     let present = |key: &str| found.iter().any(|found| found.key == key);
-    state.vms.retain(|vm, _| present(&keys::vm(vm)));
+    state.gateways.retain(|vm, _| present(&keys::gateway(vm)));
     if !present(keys::DUTY) {
         state.duty_holder = None;
     }
@@ -60,8 +60,8 @@
     } else if key == keys::DUTY {
         let record = value.and_then(|value| serde_json::from_slice::<DutyRecord>(&value).ok());
         node.state.borrow_mut().duty_holder = record.map(|record| record.holder);
-    } else if let Some(vm) = key.strip_prefix(keys::VMS) {
-        apply_vm(&mut node.state.borrow_mut(), vm, value);
+    } else if let Some(vm) = key.strip_prefix(keys::GATEWAYS) {
+        apply_gateway(&mut node.state.borrow_mut(), vm, value);
     } else if let Some(database) = key.strip_prefix(keys::DATABASES) {
         apply_record(node, DatabaseName::from(database), revision, value);
     }
@@ -107,14 +107,14 @@
     }
 }
 
-fn apply_vm(state: &mut State, vm: &str, value: Option<Vec<u8>>) {
+fn apply_gateway(state: &mut State, vm: &str, value: Option<Vec<u8>>) {
     let record = value.and_then(|value| serde_json::from_slice::<VmRecord>(&value).ok());
     match record {
         Some(record) => {
-            state.vms.insert(VmName::from(vm), record);
+            state.gateways.insert(VmName::from(vm), record);
         }
         None => {
-            state.vms.remove(vm);
+            state.gateways.remove(vm);
         }
     }
 }
--- a/src/entry/confirmation.rs
+++ b/src/entry/confirmation.rs
@@ -65,7 +65,7 @@
         let address = node
             .state
             .borrow()
-            .vms
+            .gateways
             .get(&holder)
             .map(|record| record.peer_address);
         if let Some(address) = address {
@@ -109,7 +109,7 @@
     }
 }
 
-/// Waits until every registered VM has confirmed, is known not to run, or has lost its guard.
+/// Waits until every gateway has confirmed, is known not to run, or has lost its guard.
 pub async fn all(node: &Rc<Node>, record: &ProvenRecord, generation: u64) {
     let replacement = (record.database.clone(), generation);
     let started = Instant::now();
@@ -153,14 +153,10 @@
 
 async fn registered(node: &Rc<Node>) -> HashMap<VmName, Pending> {
     loop {
-        if let Some((keys, _)) = follow::list(node, keys::VMS).await {
+        if let Some((keys, _)) = follow::list(node, keys::GATEWAYS).await {
             let records = keys.into_iter().filter_map(|key| {
-                let vm = VmName::from(key.key.strip_prefix(keys::VMS)?);
+                let vm = VmName::from(key.key.strip_prefix(keys::GATEWAYS)?);
                 let record: VmRecord = serde_json::from_slice(&key.value?).ok()?;
-                // The others rely on no record.
-                if !record.gateway {
-                    return None;
-                }
                 let pending = Pending {
                     record,
                     lease_ended_at: None,
--- a/src/entry/duty.rs
+++ b/src/entry/duty.rs
@@ -222,8 +222,7 @@
 fn rank(node: &Node, state: &State, database: &DatabaseName) -> u32 {
     let weight = |vm: &VmName| xxhash_rust::xxh3::xxh3_64(format!("{vm}/{database}").as_bytes());
     let own = weight(&node.settings.vm);
-    let before = state.gateways().filter(|(vm, _)| weight(vm) < own);
-    let before = before.count();
+    let before = state.gateways.keys().filter(|vm| weight(vm) < own).count();
     u32::try_from(before).unwrap_or(u32::MAX)
 }
 
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -12,19 +12,25 @@
 use crate::control::command::PlatformRequest;
 use crate::control::event::{KeyValue, PlatformAnswer};
 
-/// Pause before the store is asked again after a failure.
+/// Pause before the store is asked again after a failure; doubles with each one in a row.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
+/// Longest pause after a failure at a VM that isn't a gateway: gateways tell it what it misses.
+const MAX_RETRY_PAUSE: Duration = Duration::from_secs(2);
+
 /// Batches of a watch that may wait to be applied; while none may wait, the store isn't asked.
 const WATCH_QUEUE_BATCHES: usize = 1;
 
 /// Pause between two batches at a VM that isn't a gateway: it needs no change at once, and each
 /// batch is a call.
-const BATCH_PAUSE: Duration = Duration::from_millis(150);
+const BATCH_PAUSE: Duration = Duration::from_millis(300);
 
 /// Time for a watch to deliver what other VMs have seen before the keys are read again.
 const BEHIND_PATIENCE: Duration = Duration::from_millis(400);
 
+/// The same at a VM that pauses between batches.
+const PAUSED_PATIENCE: Duration = Duration::from_millis(1_300);
+
 /// How far this VM, and the others, have followed a prefix.
 #[derive(Debug, Default)]
 pub struct Progress {
@@ -57,10 +63,16 @@
     }
 
     /// Waits until the others have known more than this VM for a while.
-    async fn fallen_behind(&self) {
+    async fn fallen_behind(&self, node: &Node) {
         loop {
             self.behind.notified().await;
-            sleep(BEHIND_PATIENCE).await;
+            let gateway = node.state.borrow().gateway;
+            sleep(if gateway {
+                BEHIND_PATIENCE
+            } else {
+                PAUSED_PATIENCE
+            })
+            .await;
             if self.is_behind() {
                 return;
             }
@@ -83,20 +95,25 @@
 impl Follower<'_> {
     /// Reads and watches the keys until the process ends.
     pub async fn run(&self, node: &Node) {
+        let mut pause = RETRY_PAUSE;
         loop {
             // What the others knew before the keys were read is known here afterwards.
             let heard = self.progress.peers.get();
             let Some((keys, revision)) = list(node, self.prefix).await else {
-                sleep(RETRY_PAUSE).await;
+                sleep(pause).await;
+                if !node.state.borrow().gateway {
+                    pause = (pause * 2).min(MAX_RETRY_PAUSE);
+                }
                 continue;
             };
+            pause = RETRY_PAUSE;
             (self.replace)(keys);
             self.progress.note(heard);
             tokio::select! {
                 () = self.watch(node, Revision(revision.0 + 1)) => {
                     log::info!("event=watch_ended prefix={:?}", self.prefix);
                 }
-                () = self.progress.fallen_behind() => {
+                () = self.progress.fallen_behind(node) => {
                     log::info!("event=watch_behind prefix={:?}", self.prefix);
                 }
             }
@@ -133,8 +150,18 @@
 
 /// Reads the keys of a prefix; `None` when the store doesn't answer.
 pub async fn list(node: &Node, prefix: &str) -> Option<(Vec<KeyValue>, Revision)> {
+    read(node, prefix, false).await
+}
+
+/// Reads the keys of a prefix as they were some seconds ago; `None` when the store doesn't answer.
+pub async fn list_stale(node: &Node, prefix: &str) -> Option<Vec<KeyValue>> {
+    read(node, prefix, true).await.map(|(keys, _)| keys)
+}
+
+async fn read(node: &Node, prefix: &str, allow_stale: bool) -> Option<(Vec<KeyValue>, Revision)> {
     let request = PlatformRequest::List {
         prefix: prefix.to_owned(),
+        allow_stale,
     };
     match node.call(request).await {
         Ok(PlatformAnswer::Found { keys, revision }) => Some((keys, revision)),
--- a/src/entry/forwarding.rs
+++ b/src/entry/forwarding.rs
@@ -41,12 +41,16 @@
         let reply = worker.run(&task).await;
         return (reply, Some(Place::Here(worker)));
     }
+    let deadline = deadline(&task);
     let mut gateways = node.gateways.ranked(node, &task.workspace);
     gateways.truncate(MAX_TRIED);
     for gateway in &gateways {
-        if let Some((reply, lease)) = offer(&task, gateway, false).await {
+        if let Some((reply, lease)) = offer(&task, gateway, false, deadline).await {
             return (reply, lease.map(Place::There));
         }
+        if Instant::now() >= deadline {
+            return (task.lost(), None);
+        }
         log::info!(
             "event=task_moved id={} from={} kind=forward",
             task.id,
@@ -56,7 +60,7 @@
     }
     // Every gateway would rather leave it to another: the first one does what it can.
     if let Some(gateway) = gateways.first()
-        && let Some((reply, lease)) = offer(&task, gateway, true).await
+        && let Some((reply, lease)) = offer(&task, gateway, true, deadline).await
     {
         return (reply, lease.map(Place::There));
     }
@@ -68,6 +72,7 @@
     task: &Task,
     gateway: &Rc<Gateway>,
     insist: bool,
+    deadline: Instant,
 ) -> Option<(Reply, Option<ChannelLease>)> {
     let mut lease = match gateway.take().await {
         Ok(lease) => lease,
@@ -81,7 +86,7 @@
             return None;
         }
     };
-    match ask(&mut lease, task, insist).await {
+    match ask(&mut lease, task, insist, deadline).await {
         Ok(Some(reply)) => Some((reply, Some(lease))),
         Ok(None) => None,
         Err(error) => {
@@ -96,13 +101,13 @@
     lease: &mut ChannelLease,
     task: &Task,
     insist: bool,
+    deadline: Instant,
 ) -> Result<Option<Reply>, ChannelError> {
     let gateway = Rc::clone(lease.gateway());
     let request = PeerRequest::Run {
         task: Box::new(task.clone()),
         insist,
     };
-    let deadline = Instant::now() + task.route.statement_timeout + ANSWER_MARGIN;
     gateway.note_health(Health::sent);
     lease.set_settled(false);
     let asking = lease.channel().ask(&request, deadline);
@@ -135,7 +140,7 @@
     pub async fn run(&mut self, task: &Task) -> Reply {
         match self {
             Self::Here(worker) => worker.run(task).await,
-            Self::There(lease) => match ask(lease, task, true).await {
+            Self::There(lease) => match ask(lease, task, true, deadline(task)).await {
                 Ok(Some(reply)) => reply,
                 Ok(None) => task.lost(),
                 Err(error) => {
@@ -147,6 +152,10 @@
     }
 }
 
+fn deadline(task: &Task) -> Instant {
+    Instant::now() + task.route.statement_timeout + ANSWER_MARGIN
+}
+
 fn note_loss(task: &Task, gateway: &Gateway, error: &ChannelError) {
     log::warn!(
         "event=gateway_lost id={} vm={} error=\"{error}\"",
--- a/src/entry/gateways.rs
+++ b/src/entry/gateways.rs
@@ -4,7 +4,7 @@
 //! instance's connections don't suffice for all: some VMs are gateways, the others forward.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -49,13 +49,11 @@
 /// Returns whether this VM should be a gateway, by the registrations known: the VMs of a zone with
 /// the most capacity are, where not all can be. VMs that start together wait for each other's
 /// registrations before the first becomes one.
-pub fn is_chosen(
-    own: &EntrySettings,
-    vms: &BTreeMap<VmName, VmRecord>,
-    connections: usize,
-) -> bool {
-    let others = || vms.iter().filter(|(vm, _)| **vm != own.vm);
-    if !vms.contains_key(&own.vm) && !others().any(|(_, vm)| vm.gateway) {
+pub fn is_chosen(own: &EntrySettings, state: &State) -> bool {
+    let registered = || state.gateways.iter().chain(&state.entries);
+    let others = || registered().filter(|(vm, _)| **vm != own.vm);
+    let is_known = registered().any(|(vm, _)| *vm == own.vm);
+    if !is_known && state.gateways.is_empty() {
         return false;
     }
     if others().count() < own.direct_vms {
@@ -63,7 +61,7 @@
     }
     let zones = others().map(|(_, vm)| &vm.availability_zone);
     let zones: BTreeSet<_> = zones.chain([&own.availability_zone]).collect();
-    let wanted = (connections / CONNECTIONS_PER_GATEWAY).max(MIN_GATEWAYS);
+    let wanted = (state.least_connections() / CONNECTIONS_PER_GATEWAY).max(MIN_GATEWAYS);
     let wanted_here = wanted.div_ceil(zones.len());
     let near = || others().filter(|(_, vm)| vm.availability_zone == own.availability_zone);
     let largest = near().map(|(_, vm)| vm.cpu_share).fold(0.0, f64::max);
@@ -145,8 +143,8 @@
     pub fn tidy(&self, state: &State) {
         let mut known = self.known.borrow_mut();
         known.retain(|vm, gateway| {
-            let record = state.vms.get(vm);
-            record.is_some_and(|record| record.gateway && record.lease == gateway.lease)
+            let record = state.gateways.get(vm);
+            record.is_some_and(|record| record.lease == gateway.lease)
         });
         for gateway in known.values() {
             gateway.tidy();
@@ -159,8 +157,7 @@
     state: &'a State,
     own: &'a VmName,
 ) -> impl Iterator<Item = (&'a VmName, &'a VmRecord)> {
-    let gateways = state.vms.iter().filter(|(_, record)| record.gateway);
-    gateways.filter(move |(vm, _)| *vm != own)
+    state.gateways.iter().filter(move |(vm, _)| *vm != own)
 }
 
 /// Weighted rendezvous hash: the gateway with the smallest value serves the workspace, and each
--- a/src/entry/gateways/tests.rs
+++ b/src/entry/gateways/tests.rs
@@ -1,10 +1,14 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
 
 use super::{distance, is_chosen};
+use crate::entry::catalog::{Catalog, Database};
+use crate::entry::node::State;
 use crate::entry::record::VmRecord;
 use crate::entry::settings::EntrySettings;
-use crate::name::{VmName, WorkspaceName, ZoneName};
+use crate::name::{DatabaseName, VmName, WorkspaceName, ZoneName};
 
 /// VMs of one zone and size.
 #[derive(Clone, Copy)]
@@ -28,7 +32,6 @@
         peer_address: SocketAddr::from(([127, 0, 0, 1], 1)),
         availability_zone: ZoneName::from(zone),
         cpu_share,
-        gateway: true,
     }
 }
 
@@ -43,6 +46,11 @@
 }
 
 fn chosen(vms: &BTreeMap<VmName, VmRecord>, connections: usize) -> Vec<VmName> {
+    let state = State {
+        catalog: Some(Rc::new(catalog(connections))),
+        entries: vms.clone(),
+        ..State::default()
+    };
     let is_chosen = |vm: &VmName, record: &VmRecord| {
         let own = EntrySettings {
             vm: vm.clone(),
@@ -50,12 +58,25 @@
             cpu_share: record.cpu_share,
             ..EntrySettings::default()
         };
-        is_chosen(&own, vms, connections)
+        is_chosen(&own, &state)
     };
     let chosen = vms.iter().filter(|(vm, record)| is_chosen(vm, record));
     chosen.map(|(vm, _)| vm.clone()).collect()
 }
 
+fn catalog(max_connections: usize) -> Catalog {
+    let name = DatabaseName::from("db");
+    let database = Database {
+        name: name.clone(),
+        max_connections,
+        synchronous_replicas: 1,
+    };
+    Catalog {
+        databases: [(name, Arc::new(database))].into_iter().collect(),
+        ..Catalog::default()
+    }
+}
+
 #[test]
 fn the_vms_with_the_most_capacity_are_gateways_where_not_all_can_be() {
     struct Case {
@@ -132,17 +153,16 @@
         vm: VmName::from("vm-new"),
         ..EntrySettings::default()
     };
-    let plain = VmRecord {
-        gateway: false,
-        ..record("a", 0.25)
-    };
-    let starting = BTreeMap::from([(VmName::from("vm-1"), plain.clone())]);
-    assert!(!is_chosen(&own, &BTreeMap::new(), 20));
-    assert!(!is_chosen(&own, &starting, 20));
-    let registered = BTreeMap::from([(own.vm.clone(), plain)]);
-    assert!(is_chosen(&own, &registered, 20));
-    let running = fleet(&[part("a", 3, 0.25)]);
-    assert!(is_chosen(&own, &running, 20));
+    let vms = |name: &str| BTreeMap::from([(VmName::from(name), record("a", 0.25))]);
+    let mut state = State::default();
+    assert!(!is_chosen(&own, &state));
+    state.entries = vms("vm-1");
+    assert!(!is_chosen(&own, &state));
+    state.entries = vms("vm-new");
+    assert!(is_chosen(&own, &state));
+    state.entries = BTreeMap::new();
+    state.gateways = vms("vm-1");
+    assert!(is_chosen(&own, &state));
 }
 
 #[test]
--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -11,14 +11,17 @@
 /// Prefix of the records of primaries.
 pub const DATABASES: &str = "databases/";
 
-/// Prefix of the VMs' registrations.
-pub const VMS: &str = "vms/";
+/// Prefix of the gateways' registrations.
+pub const GATEWAYS: &str = "gateways/";
+
+/// Prefix of the registrations of the other VMs.
+pub const ENTRIES: &str = "entries/";
 
 /// Key of the duty to replace primaries.
 pub const DUTY: &str = "duty";
 
-/// Prefix that covers the configuration and the records, but neither announcements nor
-/// confirmations: those change often and are read by other means.
+/// Prefix that covers the configuration, the records and the gateways, but neither announcements
+/// nor confirmations nor other VMs: those change often and are read by other means.
 pub const SHARED: &str = "";
 
 /// Returns the key of a database's record.
@@ -26,9 +29,14 @@
     format!("{DATABASES}{name}")
 }
 
-/// Returns the key of a VM's registration.
-pub fn vm(name: &VmName) -> String {
-    format!("{VMS}{name}")
+/// Returns the key of a gateway's registration.
+pub fn gateway(name: &VmName) -> String {
+    format!("{GATEWAYS}{name}")
+}
+
+/// Returns the key of the registration of a VM that is no gateway.
+pub fn entry(name: &VmName) -> String {
+    format!("{ENTRIES}{name}")
 }
 
 /// Returns the prefix of the confirmations that a database's replacement has begun.
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -96,8 +96,10 @@
     pub store_heard_at: Timestamp,
     /// What is known of each database.
     pub databases: HashMap<DatabaseName, DatabaseState>,
-    /// Registered VMs.
-    pub vms: BTreeMap<VmName, VmRecord>,
+    /// VMs that hold connections to instances and rely on a guard.
+    pub gateways: BTreeMap<VmName, VmRecord>,
+    /// The other VMs, as they were known some seconds ago.
+    pub entries: BTreeMap<VmName, VmRecord>,
     /// Holder of the duty to replace primaries.
     pub duty_holder: Option<VmName>,
     /// Limits of the workspaces.
@@ -169,11 +171,6 @@
         self.gateway || now < self.gateway_until
     }
 
-    /// Returns the VMs that hold connections to instances.
-    pub fn gateways(&self) -> impl Iterator<Item = (&VmName, &VmRecord)> {
-        self.vms.iter().filter(|(_, record)| record.gateway)
-    }
-
     /// Returns the fewest connections that an instance of some database takes.
     pub fn least_connections(&self) -> usize {
         let databases = self
@@ -301,8 +298,8 @@
             return;
         }
         let state = &mut *state;
-        let vms = state.gateways().count();
-        let registered = |vm: &VmName| state.vms.get(vm).is_some_and(|record| record.gateway);
+        let vms = state.gateways.len();
+        let registered = |vm: &VmName| state.gateways.contains_key(vm);
         state.quota.retain_peers(registered, now);
         let workspaces = catalog.workspaces.values();
         state.quota.divide(workspaces.map(AsRef::as_ref), vms, now);
@@ -387,7 +384,7 @@
         let catalog = state.catalog.as_ref();
         let known = catalog.and_then(|catalog| catalog.databases.get(database));
         let max_connections = known.map_or(1, |database| database.max_connections);
-        Limits::divide(max_connections, state.gateways().count())
+        Limits::divide(max_connections, state.gateways.len())
     }
 }
 
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -43,9 +43,6 @@
 /// Intervals between two announcements of a VM's progress.
 const PROGRESS_INTERVALS: u32 = 2;
 
-/// VMs that are told a VM's progress at once: each hears of a change several times a second.
-const TOLD: usize = 3;
-
 /// Demands in one datagram.
 const MAX_DEMANDS: usize = 60;
 
@@ -97,8 +94,7 @@
             let busy = demand.values().any(|rate| *rate > IDLE_DEMAND);
             if gateway && (busy || turn % IDLE_INTERVALS == 0) {
                 self.send_demand(&demand);
-            }
-            if turn % PROGRESS_INTERVALS == 0 {
+            } else if !gateway && turn % PROGRESS_INTERVALS == 0 {
                 self.send_progress();
             }
         }
@@ -123,22 +119,21 @@
         }
     }
 
-    /// Tells some of the other VMs how far this one has followed the store, so that none misses for
-    /// long what its own watch didn't deliver.
+    /// Tells a gateway how far this VM has followed the store; the gateway answers with what its
+    /// watch missed.
     fn send_progress(&self) {
-        let others: Vec<SocketAddr> = {
-            let state = self.node.state.borrow();
-            let own = &self.node.settings.vm;
-            let others = state.vms.iter().filter(|(vm, _)| *vm != own);
-            // Gateways tell each other anyway.
-            let others = others.filter(|(_, record)| !(state.gateway && record.gateway));
-            others.map(|(_, record)| record.peer_address).collect()
-        };
-        let told = rand::seq::index::sample(&mut rand::rng(), others.len(), TOLD.min(others.len()));
-        for index in told {
-            self.node
-                .outbox
-                .send(others[index], self.status(&[], false));
+        let others = self.gateways();
+        if !others.is_empty() {
+            let index = rand::random_range(0..others.len());
+            self.node.outbox.send(others[index], self.status(&[], true));
+        }
+    }
+
+    /// Answers a VM that is behind this one.
+    fn send_news(&self, version: u64, shared_change: u64, to: SocketAddr) {
+        let own = self.node.shared_progress.own().0;
+        if version < self::version(&self.node.state.borrow()) || shared_change < own {
+            self.node.outbox.send(to, self.status(&[], true));
         }
     }
 
@@ -204,6 +199,7 @@
                 continued,
             } => {
                 self.hear_demand(vm, demand, continued);
+                self.send_news(version, shared_change, from);
                 self.node.shared_progress.heard(Revision(shared_change));
                 self.node
                     .directory_progress
@@ -251,7 +247,7 @@
 
     fn hear_demand(&self, vm: VmName, demand: Vec<(WorkspaceName, f32)>, continued: bool) {
         let mut state = self.node.state.borrow_mut();
-        if state.vms.get(&vm).is_some_and(|record| record.gateway) {
+        if state.gateways.contains_key(&vm) {
             let demand = demand.into_iter();
             let demand = demand.map(|(name, rate)| (name, f64::from(rate))).collect();
             state.quota.heard(vm, demand, continued, clock::now());
--- a/src/entry/record.rs
+++ b/src/entry/record.rs
@@ -74,8 +74,6 @@
     pub availability_zone: ZoneName,
     /// Part of a core that the VM has.
     pub cpu_share: f64,
-    /// Whether the VM holds connections to instances: only then it relies on a guard.
-    pub gateway: bool,
 }
 
 /// Holder of the duty to replace primaries, kept in the store under a lease of its own.
--- a/src/entry/registration.rs
+++ b/src/entry/registration.rs
@@ -7,6 +7,7 @@
 
 use super::agreement;
 use super::clock;
+use super::follow;
 use super::gateways;
 use super::keys;
 use super::node::{Node, StopPhase};
@@ -14,17 +15,25 @@
 use crate::configuration::Revision;
 use crate::control::command::PlatformRequest;
 use crate::control::event::{PlatformAnswer, PlatformFailure};
+use crate::name::VmName;
 use crate::time::Timestamp;
 
-/// Pause before a failed call is repeated.
+/// Pause before a failed call is repeated; doubles with each registration that fails in a row.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
+/// Longest pause before a registration is tried again.
+const MAX_RETRY_PAUSE: Duration = Duration::from_secs(1);
+
 /// Interval at which this VM's part is looked at.
 const PART_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time for which VMs that start together wait for each other before the first takes a part.
 const START_PATIENCE: Duration = Duration::from_millis(400);
 
+/// Interval at which the VMs that are no gateways are read: they only matter when one of them must
+/// become a gateway.
+const ENTRIES_INTERVAL: Duration = Duration::from_secs(8);
+
 /// Time for which another part must seem right before this VM takes it: VMs that restart are back
 /// within it.
 const PART_PATIENCE: Duration = Duration::from_millis(1_500);
@@ -39,18 +48,24 @@
 /// Keeps this VM registered until the process ends.
 pub async fn run(node: Rc<Node>) {
     let mut next_part = None;
+    let mut pause = RETRY_PAUSE;
     loop {
         match register(&node, next_part).await {
             Some(registration) => next_part = keep(&node, registration).await,
-            None => tokio::time::sleep(RETRY_PAUSE).await,
+            None => {
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(MAX_RETRY_PAUSE);
+                continue;
+            }
         }
+        pause = RETRY_PAUSE;
     }
 }
 
 /// Registers this VM, as a gateway or not; by what is known of the others where that isn't decided.
 async fn register(node: &Rc<Node>, gateway: Option<bool>) -> Option<Registration> {
     // Tells which part this VM has, before others rely on it.
-    if !agreement::refresh(node).await {
+    if !agreement::refresh(node).await || !read_entries(node, true).await {
         return None;
     }
     let gateway = gateway.unwrap_or_else(|| is_chosen(node));
@@ -88,14 +103,38 @@
     Some(Registration { lease, ttl })
 }
 
+/// Reads the registrations of the VMs that are no gateways; returns whether the store answered.
+async fn read_entries(node: &Node, allow_stale: bool) -> bool {
+    let found = if allow_stale {
+        follow::list_stale(node, keys::ENTRIES).await
+    } else {
+        let found = follow::list(node, keys::ENTRIES).await;
+        found.map(|(keys, _)| keys)
+    };
+    let Some(found) = found else { return false };
+    let records = found.into_iter().filter_map(|key| {
+        let vm = VmName::from(key.key.strip_prefix(keys::ENTRIES)?);
+        let record = serde_json::from_slice(&key.value?).ok()?;
+        Some((vm, record))
+    });
+    node.state.borrow_mut().entries = records.collect();
+    true
+}
+
+fn entries_interval(node: &Node) -> Duration {
+    if node.state.borrow().gateways.is_empty() {
+        return PART_INTERVAL;
+    }
+    ENTRIES_INTERVAL
+}
+
 /// Returns whether this VM should be a gateway. One that is stopping stays what it is.
 fn is_chosen(node: &Node) -> bool {
     let state = node.state.borrow();
     if state.stop != StopPhase::Running {
         return state.gateway;
     }
-    let connections = state.least_connections();
-    gateways::is_chosen(&node.settings, &state.vms, connections)
+    gateways::is_chosen(&node.settings, &state)
 }
 
 async fn write_record(node: &Rc<Node>, lease: u64, gateway: bool) -> Option<()> {
@@ -104,13 +143,17 @@
         peer_address: node.settings.peer_address,
         availability_zone: node.settings.availability_zone.clone(),
         cpu_share: node.settings.cpu_share,
-        gateway,
+    };
+    let key = if gateway {
+        keys::gateway(&node.settings.vm)
+    } else {
+        keys::entry(&node.settings.vm)
     };
     let value = serde_json::to_vec(&record).ok()?;
     let mut expected = Revision(0);
     loop {
         let request = PlatformRequest::CompareAndSwap {
-            key: keys::vm(&node.settings.vm),
+            key: key.clone(),
             expected,
             value: Some(value.clone()),
             lease: Some(lease),
@@ -141,9 +184,15 @@
     };
     let mut next = Instant::now() + renewal;
     let mut changing_since = None;
+    let mut entries_read_at = Instant::now();
     loop {
         let look = next.min(Instant::now() + PART_INTERVAL);
         tokio::time::sleep_until(look).await;
+        if entries_read_at.elapsed() >= entries_interval(node) {
+            let allow_stale = !node.state.borrow().gateways.is_empty();
+            read_entries(node, allow_stale).await;
+            entries_read_at = Instant::now();
+        }
         if is_chosen(node) == gateway {
             changing_since = None;
         } else if changing_since.get_or_insert(look).elapsed() >= patience(node) {
@@ -166,7 +215,7 @@
             }
             answer => {
                 note_loss(node, &answer);
-                next = Instant::now() + RETRY_PAUSE;
+                next = Instant::now() + if gateway { RETRY_PAUSE } else { renewal / 4 };
             }
         }
     }
@@ -174,7 +223,7 @@
 
 fn patience(node: &Node) -> Duration {
     let state = node.state.borrow();
-    if state.gateways().next().is_none() {
+    if state.gateways.is_empty() {
         return START_PATIENCE;
     }
     PART_PATIENCE
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -184,7 +184,7 @@
     /// Tells every VM the record, whether or not it hears the store.
     fn tell_all(&self) {
         let state = self.node.state.borrow();
-        for (_, vm) in state.gateways() {
+        for vm in state.gateways.values() {
             self.node
                 .outbox
                 .send(vm.peer_address, Datagram::Record(self.proven()));
--- a/src/store/etcd.rs
+++ b/src/store/etcd.rs
@@ -78,10 +78,13 @@
 impl Gateway {
     async fn call(&self, request: PlatformRequest) -> Result<PlatformAnswer> {
         match request {
-            PlatformRequest::Get { key } => self.range(&key, None).await,
-            PlatformRequest::List { prefix } => {
+            PlatformRequest::Get { key } => self.range(&key, None, false).await,
+            PlatformRequest::List {
+                prefix,
+                allow_stale,
+            } => {
                 let end = prefix_end(&self.service_key(&prefix).0);
-                self.range(&prefix, Some(Base64(end))).await
+                self.range(&prefix, Some(Base64(end)), allow_stale).await
             }
             PlatformRequest::CompareAndSwap {
                 key,
@@ -104,10 +107,16 @@
         }
     }
 
-    async fn range(&self, key: &str, range_end: Option<Base64>) -> Result<PlatformAnswer> {
+    async fn range(
+        &self,
+        key: &str,
+        range_end: Option<Base64>,
+        serializable: bool,
+    ) -> Result<PlatformAnswer> {
         let body = RangeRequest {
             key: self.service_key(key),
             range_end,
+            serializable,
         };
         let response: RangeResponse = self.post("/v3/kv/range", &body).await?;
         let keys = response
@@ -132,6 +141,7 @@
         let read = RangeRequest {
             key: key.clone(),
             range_end: None,
+            serializable: false,
         };
         let write = match value {
             Some(value) => RequestOp::Put(PutRequest {
--- a/src/store/gateway.rs
+++ b/src/store/gateway.rs
@@ -72,6 +72,9 @@
     pub(crate) key: Base64,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) range_end: Option<Base64>,
+    /// Whether the member that is asked may answer from what it knows.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub(crate) serializable: bool,
 }
 
 #[derive(Debug, Clone, Default, Deserialize)]
