Let VMs that forward learn the configuration from gateways

Ruled out: longer pauses between watches alone (a configuration would come late where its bound is 3 s).

Change: such a VM asks a gateway twice a second for the version of its configuration and fetches a newer one from it; it reads the gateways' few registrations every 4 s, stale, and everything once gateways are silent.

--- a/src/entry/agreement.rs
+++ b/src/entry/agreement.rs
@@ -1,6 +1,9 @@
 //! Keeps the configuration and the records of this VM in line with the store.
 
 use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::sleep;
 
 use super::catalog::Catalog;
 use super::clock;
@@ -13,15 +16,75 @@
 use crate::control::event::KeyValue;
 use crate::name::{DatabaseName, VmName};
 
-/// Reads and watches the shared keys until the process ends.
+/// Interval at which a VM that only forwards reads the gateways.
+const GATEWAYS_INTERVAL: Duration = Duration::from_secs(4);
+
+/// The same while it knows none.
+const START_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Silence of the gateways after which such a VM reads the configuration from the store itself.
+const GATEWAY_SILENCE: Duration = Duration::from_millis(1_500);
+
+/// Interval at which it does.
+const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Keeps the shared keys in line with the store until the process ends.
 pub async fn run(node: Rc<Node>) {
+    loop {
+        tokio::select! {
+            () = poll(&node) => {}
+            () = node.until(|state| state.gateway) => {}
+        }
+        tokio::select! {
+            () = follow(&node) => {}
+            () = node.until(|state| !state.gateway) => {}
+        }
+    }
+}
+
+/// Reads and watches every shared key, as gateways do.
+async fn follow(node: &Rc<Node>) {
     let follower = Follower {
         prefix: keys::SHARED,
         progress: &node.shared_progress,
-        replace: &|keys| replace(&node, keys),
-        apply: &|key| apply(&node, key),
+        replace: &|keys| replace(node, keys),
+        apply: &|key| apply(node, key),
     };
-    follower.run(&node).await;
+    follower.run(node).await;
+}
+
+/// Reads the gateways now and then. They tell their configuration, so that a change of it isn't a
+/// call to the store for each VM.
+async fn poll(node: &Rc<Node>) {
+    loop {
+        let now = clock::now();
+        let (known, silent) = {
+            let state = node.state.borrow();
+            let silent = now.since(state.gateways_heard_at) > GATEWAY_SILENCE;
+            (!state.gateways.is_empty(), silent)
+        };
+        sleep(match (known, silent) {
+            (false, _) => START_INTERVAL,
+            (true, true) => REFRESH_INTERVAL,
+            (true, false) => GATEWAYS_INTERVAL,
+        })
+        .await;
+        if known && silent {
+            refresh(node).await;
+        } else if let Some(found) = follow::list_stale(node, keys::GATEWAYS).await {
+            replace_gateways(&mut node.state.borrow_mut(), found);
+            node.changed.notify_waiters();
+        }
+    }
+}
+
+fn replace_gateways(state: &mut State, found: Vec<KeyValue>) {
+    state.gateways.clear();
+    for KeyValue { key, value, .. } in found {
+        if let Some(vm) = key.strip_prefix(keys::GATEWAYS) {
+            apply_gateway(state, vm, value);
+        }
+    }
 }
 
 /// Reads the shared keys; returns whether the store answered.
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -12,25 +12,15 @@
 use crate::control::command::PlatformRequest;
 use crate::control::event::{KeyValue, PlatformAnswer};
 
-/// Pause before the store is asked again after a failure; doubles with each one in a row.
+/// Pause before the store is asked again after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
-/// Longest pause after a failure at a VM that isn't a gateway: gateways tell it what it misses.
-const MAX_RETRY_PAUSE: Duration = Duration::from_secs(2);
-
-/// Batches of a watch that may wait to be applied; while none may wait, the store isn't asked.
-const WATCH_QUEUE_BATCHES: usize = 1;
-
-/// Pause between two batches at a VM that isn't a gateway: it needs no change at once, and each
-/// batch is a call.
-const BATCH_PAUSE: Duration = Duration::from_millis(300);
+/// Batches of a watch that may wait to be applied.
+const WATCH_QUEUE_BATCHES: usize = 16;
 
 /// Time for a watch to deliver what other VMs have seen before the keys are read again.
 const BEHIND_PATIENCE: Duration = Duration::from_millis(400);
 
-/// The same at a VM that pauses between batches.
-const PAUSED_PATIENCE: Duration = Duration::from_millis(1_300);
-
 /// How far this VM, and the others, have followed a prefix.
 #[derive(Debug, Default)]
 pub struct Progress {
@@ -63,16 +53,10 @@
     }
 
     /// Waits until the others have known more than this VM for a while.
-    async fn fallen_behind(&self, node: &Node) {
+    async fn fallen_behind(&self) {
         loop {
             self.behind.notified().await;
-            let gateway = node.state.borrow().gateway;
-            sleep(if gateway {
-                BEHIND_PATIENCE
-            } else {
-                PAUSED_PATIENCE
-            })
-            .await;
+            sleep(BEHIND_PATIENCE).await;
             if self.is_behind() {
                 return;
             }
@@ -95,25 +79,20 @@
 impl Follower<'_> {
     /// Reads and watches the keys until the process ends.
     pub async fn run(&self, node: &Node) {
-        let mut pause = RETRY_PAUSE;
         loop {
             // What the others knew before the keys were read is known here afterwards.
             let heard = self.progress.peers.get();
             let Some((keys, revision)) = list(node, self.prefix).await else {
-                sleep(pause).await;
-                if !node.state.borrow().gateway {
-                    pause = (pause * 2).min(MAX_RETRY_PAUSE);
-                }
+                sleep(RETRY_PAUSE).await;
                 continue;
             };
-            pause = RETRY_PAUSE;
             (self.replace)(keys);
             self.progress.note(heard);
             tokio::select! {
                 () = self.watch(node, Revision(revision.0 + 1)) => {
                     log::info!("event=watch_ended prefix={:?}", self.prefix);
                 }
-                () = self.progress.fallen_behind(node) => {
+                () = self.progress.fallen_behind() => {
                     log::info!("event=watch_behind prefix={:?}", self.prefix);
                 }
             }
@@ -132,10 +111,6 @@
                     batch.revision.0
                 );
                 batch.keys.into_iter().for_each(self.apply);
-                let paused = !node.state.borrow().gateway;
-                if paused {
-                    sleep(BATCH_PAUSE).await;
-                }
             }
         };
         tokio::join!(watching, applying);
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -31,6 +31,16 @@
         /// Whether the demand adds to that of the datagram before.
         continued: bool,
     },
+    /// Asks a gateway for its version of the configuration.
+    VersionWanted {
+        /// Version of the sender's configuration.
+        version: u64,
+    },
+    /// Tells the version of the sender's configuration.
+    Version {
+        /// The version.
+        version: u64,
+    },
     /// Asks for tokens that the receiver can spare.
     TokensWanted {
         /// Workspace that they are for.
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -98,6 +98,8 @@
     pub databases: HashMap<DatabaseName, DatabaseState>,
     /// VMs that hold connections to instances and rely on a guard.
     pub gateways: BTreeMap<VmName, VmRecord>,
+    /// When a gateway last told its version of the configuration.
+    pub gateways_heard_at: Timestamp,
     /// The other VMs, as they were known some seconds ago.
     pub entries: BTreeMap<VmName, VmRecord>,
     /// Holder of the duty to replace primaries.
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -40,8 +40,8 @@
 /// Longest time to fetch a configuration from another VM.
 const FETCH_WITHIN: Duration = Duration::from_secs(1);
 
-/// Intervals between two announcements of a VM's progress.
-const PROGRESS_INTERVALS: u32 = 2;
+/// Intervals after which a VM that is no gateway asks one for its version of the configuration.
+const VERSION_INTERVALS: u32 = 2;
 
 /// Demands in one datagram.
 const MAX_DEMANDS: usize = 60;
@@ -94,8 +94,8 @@
             let busy = demand.values().any(|rate| *rate > IDLE_DEMAND);
             if gateway && (busy || turn % IDLE_INTERVALS == 0) {
                 self.send_demand(&demand);
-            } else if !gateway && turn % PROGRESS_INTERVALS == 0 {
-                self.send_progress();
+            } else if !gateway && turn % VERSION_INTERVALS == 0 {
+                self.ask_version();
             }
         }
     }
@@ -119,21 +119,14 @@
         }
     }
 
-    /// Tells a gateway how far this VM has followed the store; the gateway answers with what its
-    /// watch missed.
-    fn send_progress(&self) {
+    /// Asks a gateway for its version of the configuration.
+    fn ask_version(&self) {
         let others = self.gateways();
         if !others.is_empty() {
             let index = rand::random_range(0..others.len());
-            self.node.outbox.send(others[index], self.status(&[], true));
-        }
-    }
-
-    /// Answers a VM that is behind this one.
-    fn send_news(&self, version: u64, shared_change: u64, to: SocketAddr) {
-        let own = self.node.shared_progress.own().0;
-        if version < self::version(&self.node.state.borrow()) || shared_change < own {
-            self.node.outbox.send(to, self.status(&[], true));
+            let version = version(&self.node.state.borrow());
+            let wanted = Datagram::VersionWanted { version };
+            self.node.outbox.send(others[index], wanted);
         }
     }
 
@@ -199,25 +192,24 @@
                 continued,
             } => {
                 self.hear_demand(vm, demand, continued);
-                self.send_news(version, shared_change, from);
                 self.node.shared_progress.heard(Revision(shared_change));
                 self.node
                     .directory_progress
                     .heard(Revision(directory_change));
                 self.fetch_newer(version, from);
             }
+            Datagram::VersionWanted { version } => self.tell_version(version, from),
+            Datagram::Version { version } => {
+                self.node.state.borrow_mut().gateways_heard_at = clock::now();
+                self.fetch_newer(version, from);
+            }
             Datagram::ProofWanted { nonce } => {
                 if let Some(proof) = self.lend(nonce) {
                     self.node.outbox.send(from, proof);
                 }
             }
             Datagram::TokensWanted { workspace, nonce } => {
-                let mut state = self.node.state.borrow_mut();
-                let tokens = state.quota.lend(&workspace, clock::now());
-                drop(state);
-                self.node
-                    .outbox
-                    .send(from, Datagram::Tokens { nonce, tokens });
+                self.lend_tokens(&workspace, nonce, from);
             }
             Datagram::Tokens { nonce, tokens } => borrowing::take(&self.node, nonce, tokens),
             Datagram::Record(proven) => self.apply(proven),
@@ -245,6 +237,23 @@
         }
     }
 
+    fn lend_tokens(&self, workspace: &WorkspaceName, nonce: u64, to: SocketAddr) {
+        let tokens = {
+            let mut state = self.node.state.borrow_mut();
+            state.quota.lend(workspace, clock::now())
+        };
+        self.node
+            .outbox
+            .send(to, Datagram::Tokens { nonce, tokens });
+    }
+
+    /// Tells the version of this VM's configuration to a VM that has version `theirs`.
+    fn tell_version(self: &Rc<Self>, theirs: u64, to: SocketAddr) {
+        let version = version(&self.node.state.borrow());
+        self.node.outbox.send(to, Datagram::Version { version });
+        self.fetch_newer(theirs, to);
+    }
+
     fn hear_demand(&self, vm: VmName, demand: Vec<(WorkspaceName, f32)>, continued: bool) {
         let mut state = self.node.state.borrow_mut();
         if state.gateways.contains_key(&vm) {
--- a/src/entry/registration.rs
+++ b/src/entry/registration.rs
@@ -50,14 +50,12 @@
     let mut next_part = None;
     let mut pause = RETRY_PAUSE;
     loop {
-        match register(&node, next_part).await {
-            Some(registration) => next_part = keep(&node, registration).await,
-            None => {
-                tokio::time::sleep(pause).await;
-                pause = (pause * 2).min(MAX_RETRY_PAUSE);
-                continue;
-            }
-        }
+        let Some(registration) = register(&node, next_part).await else {
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(MAX_RETRY_PAUSE);
+            continue;
+        };
+        next_part = keep(&node, registration).await;
         pause = RETRY_PAUSE;
     }
 }
