Leave gateways alone that are known to be unreachable

A VM whose near gateways declined tried far ones that it knew to be unreachable: 400 ms each, and its callers, who wait 0.8 s, gave up (1,336 requests unserved). Ruled out: lost answers of instances (6 lines answer_missing in that time).

Change: a gateway that counts as unreachable is only asked whether it lives; a task goes to one that declined when none is willing. Connecting takes 250 ms at most.

--- a/src/entry/forwarding.rs
+++ b/src/entry/forwarding.rs
@@ -44,7 +44,7 @@
     let deadline = deadline(&task);
     let mut gateways = node.gateways.ranked(node, &task.workspace);
     gateways.truncate(MAX_TRIED);
-    for gateway in &gateways {
+    for gateway in gateways.iter().filter(|gateway| gateway.is_willing()) {
         if let Some((reply, lease)) = offer(&task, gateway, false, deadline).await {
             return (reply, lease.map(Place::There));
         }
@@ -58,8 +58,8 @@
         );
         metrics().count_move("forward");
     }
-    // Every gateway would rather leave it to another: the first one does what it can.
-    if let Some(gateway) = gateways.first()
+    // Every gateway would rather leave it to another: the first of them does what it can.
+    if let Some(gateway) = gateways.iter().find(|gateway| !gateway.is_willing())
         && let Some((reply, lease)) = offer(&task, gateway, true, deadline).await
     {
         return (reply, lease.map(Place::There));
--- a/src/entry/gateways.rs
+++ b/src/entry/gateways.rs
@@ -32,7 +32,7 @@
 const CAPACITY_PART: f64 = 0.5;
 
 /// Longest time to connect to a gateway.
-const CONNECT_WITHIN: Duration = Duration::from_millis(400);
+const CONNECT_WITHIN: Duration = Duration::from_millis(250);
 
 /// Idle time after which a connection to a gateway is closed.
 const IDLE_LIMIT: Duration = Duration::from_secs(8);
@@ -99,19 +99,23 @@
 }
 
 impl Gateways {
-    /// Returns the gateways in the order in which they serve a workspace: willing ones first,
-    /// then those of this VM's zone, then by a hash of both weighted by capacity.
+    /// Returns the gateways that can be reached in the order in which they serve a workspace:
+    /// willing ones first, then those of this VM's zone, then by a hash of both weighted by
+    /// capacity. One that can't be reached is only asked whether it lives: an attempt to connect
+    /// would cost a statement most of its time.
     pub fn ranked(&self, node: &Node, workspace: &WorkspaceName) -> Vec<Rc<Gateway>> {
         let state = node.state.borrow();
-        let mut ranked: Vec<_> = others(&state, &node.settings.vm)
-            .map(|(vm, record)| {
-                let gateway = self.get(vm, record);
-                let willing = gateway.is_willing();
+        let known = others(&state, &node.settings.vm);
+        let known = known.map(|(vm, record)| (vm, record, self.get(vm, record)));
+        let mut ranked: Vec<_> = known
+            .filter(|(.., gateway)| gateway.verdict() != Verdict::Unreachable)
+            .map(|(vm, record, gateway)| {
                 let near = record.availability_zone == node.settings.availability_zone;
-                (!willing, !near, distance(vm, record, workspace), gateway)
+                let order = (!gateway.is_willing(), !near);
+                (order, distance(vm, record, workspace), gateway)
             })
             .collect();
-        ranked.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
+        ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         ranked.into_iter().map(|(.., gateway)| gateway).collect()
     }
 
@@ -224,10 +228,10 @@
         self.declined_at.set(Some(Instant::now()));
     }
 
-    fn is_willing(&self) -> bool {
+    /// Returns whether the gateway left no task to another lately.
+    pub fn is_willing(&self) -> bool {
         let declined = self.declined_at.get();
-        let declined = declined.is_some_and(|at| at.elapsed() < DECLINED_PAUSE);
-        !declined && self.verdict() != Verdict::Unreachable
+        declined.is_none_or(|at| at.elapsed() >= DECLINED_PAUSE)
     }
 
     fn verdict(&self) -> Verdict {
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -320,6 +320,7 @@
     pub async fn call(&self, request: PlatformRequest) -> store::Result<PlatformAnswer> {
         let kind = kind(&request);
         let answer = (self.adapter.store.call)(request).await;
+        log::debug!("event=store_called kind={kind} answered={}", answer.is_ok());
         metrics().count_store_call(kind, answer.is_ok());
         answer
     }
