Divide limits by how many VMs hear each other

A cut divides the VMs while the workspace sends ten times its usual; both sides went on to count the other's demand of before the cut, which its own, grown since, outweighs.

Change: VMs that hear each other divide the part of the limit that belongs to their number among those registered. A VM alone whose registration may have lapsed keeps 0.3 of that. An idle VM announces itself twice a second.

--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -300,11 +300,10 @@
             return;
         }
         let state = &mut *state;
-        let vms = state.gateways.len();
-        let registered = |vm: &VmName| state.gateways.contains_key(vm);
-        state.quota.retain_peers(registered, now);
-        let workspaces = catalog.workspaces.values();
-        state.quota.divide(workspaces.map(AsRef::as_ref), vms, now);
+        let guarded = state.guard.holds(now);
+        let registered = state.gateways.keys();
+        let workspaces = catalog.workspaces.values().map(AsRef::as_ref);
+        state.quota.divide(workspaces, registered, guarded, now);
     }
 
     /// Returns the configuration in force.
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -50,7 +50,7 @@
 const IDLE_DEMAND: f64 = 0.05;
 
 /// Intervals between the announcements of an idle VM.
-const IDLE_INTERVALS: u32 = 4;
+const IDLE_INTERVALS: u32 = 2;
 
 /// Sockets towards the other VMs.
 #[derive(Debug)]
--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -31,12 +31,15 @@
 /// Time after which unused tokens of the start are dropped.
 const STARTING_TOKENS_KEPT: Duration = Duration::from_secs(2);
 
-/// Part of its share that a VM keeps which hears none of the others: they may have given its part
-/// away.
-const ISOLATED_FACTOR: f64 = 0.6;
+/// Part of its share that a VM keeps which hears none of the others and whose registration may have
+/// lapsed: they divide its part among themselves then.
+const ISOLATED_FACTOR: f64 = 0.3;
 
-/// Time after which a VM that was heard counts as not heard.
-const HEARD_WITHIN: Duration = Duration::from_secs(3);
+/// Time after which a VM that was heard counts as not heard: two announcements of an idle one.
+const HEARD_WITHIN: Duration = Duration::from_millis(1_200);
+
+/// Time after which what a silent VM announced is forgotten.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(10);
 
 /// Demand of the workspaces as one VM announces it, in operations per second.
 pub type Demand = HashMap<WorkspaceName, f64>;
@@ -149,12 +152,6 @@
         self.peers.insert(vm, peer);
     }
 
-    /// Forgets VMs that are registered no longer and aren't heard either.
-    pub fn retain_peers(&mut self, registered: impl Fn(&VmName) -> bool, now: Timestamp) {
-        self.peers
-            .retain(|vm, peer| registered(vm) || now.since(peer.heard_at) < HEARD_WITHIN);
-    }
-
     /// Updates the averages of the demand and returns what is to be announced.
     pub fn measure(&mut self, now: Timestamp) -> Demand {
         let elapsed_s = now.since(self.counted_at).as_secs_f64();
@@ -179,20 +176,36 @@
         self.meters.values().any(|meter| meter.started)
     }
 
-    /// Divides the limits anew among `vms` VMs, this one included.
+    /// Divides the limits anew among the `registered` VMs, this one included; `guarded` tells
+    /// whether this VM's own registration stands.
+    ///
+    /// VMs that hear each other divide what belongs to their number. Where a cut divides them, the
+    /// demands told before it say nothing of those that come after it, but each side knows how many
+    /// there are on the other.
     pub fn divide<'a>(
         &mut self,
         workspaces: impl Iterator<Item = &'a Workspace>,
-        vms: usize,
+        registered: impl Iterator<Item = &'a VmName>,
+        guarded: bool,
         now: Timestamp,
     ) {
+        self.peers
+            .retain(|_, peer| now.since(peer.heard_at) < FORGOTTEN_AFTER);
         let heard = |peer: &PeerDemand| now.since(peer.heard_at) < HEARD_WITHIN;
-        let isolated = vms > 1 && !self.peers.values().any(heard);
+        let present = 1 + self.peers.values().filter(|peer| heard(peer)).count();
+        let silent = |vm: &&VmName| !self.peers.get(*vm).is_some_and(heard);
+        // This VM is among those that it doesn't hear.
+        let absent = registered.filter(silent).count().saturating_sub(1);
+        let mut group_part = present as f64 / (present + absent) as f64;
+        if present == 1 && absent > 0 && !guarded {
+            group_part *= ISOLATED_FACTOR;
+        }
         for workspace in workspaces {
             let base = BASE_DEMAND * workspace.rate_per_s;
             let others: f64 = self
                 .peers
                 .values()
+                .filter(|peer| heard(peer))
                 .filter_map(|peer| peer.demand.get(&workspace.name))
                 .sum();
             let meter = self
@@ -200,15 +213,13 @@
                 .entry(workspace.name.clone())
                 .or_insert_with(|| Meter::new(now));
             let own = meter.demand_per_s + base;
-            let sum = meter.demand_per_s + others + base * vms.max(1) as f64;
-            let mut part = if sum > 0.0 {
+            let sum = meter.demand_per_s + others + base * present as f64;
+            let within = if sum > 0.0 {
                 own / sum
             } else {
-                1.0 / vms.max(1) as f64
+                1.0 / present as f64
             };
-            if isolated {
-                part *= ISOLATED_FACTOR;
-            }
+            let part = group_part * within;
             let share = Share {
                 rate_per_s: workspace.rate_per_s * part,
                 burst: (workspace.burst * part).max(MIN_BURST),
