--- a/src/entry.rs
+++ b/src/entry.rs
@@ -21,6 +21,7 @@
 pub mod follow;
 pub mod forwarding;
 pub mod freshness;
+pub mod gateway;
 pub mod gateways;
 pub mod gossip;
 pub mod guard;
--- a/src/entry/forwarding.rs
+++ b/src/entry/forwarding.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::channel::{ChannelError, PeerRequest, PeerResponse};
-use super::gateways::{ChannelLease, Gateway};
+use super::gateway::{ChannelLease, Gateway};
 use super::health::Health;
 use super::node::Node;
 use super::statement::{Failure, FailureKind, SessionState};
