--- a/src/entry.rs
+++ b/src/entry.rs
@@ -46,6 +46,7 @@
 pub mod session;
 pub mod settings;
 pub mod shutdown;
+pub mod state;
 pub mod statement;
 pub mod takeover;
 pub mod task;
--- a/src/entry/gateways.rs
+++ b/src/entry/gateways.rs
@@ -9,9 +9,10 @@
 
 use super::gateway::Gateway;
 use super::health::Verdict;
-use super::node::{Node, State};
+use super::node::Node;
 use super::record::VmRecord;
 use super::settings::EntrySettings;
+use super::state::State;
 use crate::name::{VmName, WorkspaceName};
 
 /// Fewest gateways: the loss of one leaves most of the others.
--- a/src/entry/gateways/tests.rs
+++ b/src/entry/gateways/tests.rs
@@ -5,9 +5,9 @@
 
 use super::{distance, is_chosen};
 use crate::entry::catalog::{Catalog, Database};
-use crate::entry::node::State;
 use crate::entry::record::VmRecord;
 use crate::entry::settings::EntrySettings;
+use crate::entry::state::State;
 use crate::name::{DatabaseName, VmName, WorkspaceName, ZoneName};
 
 /// VMs of one zone and size.
--- a/src/entry/listener.rs
+++ b/src/entry/listener.rs
@@ -11,8 +11,9 @@
 use tokio::time::{Instant, timeout};
 
 use super::clock;
-use super::node::{Node, StopPhase};
+use super::node::Node;
 use super::session::Session;
+use super::state::StopPhase;
 use super::statement::{Answer, CallerMessage, SessionState};
 use crate::time::Timestamp;
 
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -8,7 +8,8 @@
 
 use super::channel::{Channel, PeerRequest, PeerResponse, Result};
 use super::clock;
-use super::node::{Node, StopPhase};
+use super::node::Node;
+use super::state::StopPhase;
 use super::task::{Action, Task};
 use super::worker::Worker;
 
--- a/src/entry/shutdown.rs
+++ b/src/entry/shutdown.rs
@@ -5,8 +5,9 @@
 
 use tokio::time::{Instant, sleep, sleep_until};
 
-use super::node::{Node, StopPhase};
+use super::node::Node;
 use super::registration;
+use super::state::StopPhase;
 
 /// Interval at which the sessions left are counted.
 const POLL: Duration = Duration::from_millis(50);
