Drop a request of another VM that nobody waits for

Its save d7-56 was at a gateway when that was suspended; the caller was told that nobody knew, saved d7-64 elsewhere and had it acknowledged; the gateway went on and ran d7-56. Ruled out: a replica behind the session's mark (the row was never older than a save that was kept before).

Change: a gateway looks whether the other end has gone before it runs what it reads, so that a save doesn't land long after its caller was told.

--- a/src/entry/channel.rs
+++ b/src/entry/channel.rs
@@ -120,11 +120,14 @@
 
     /// Returns whether the connection is open, silent, and was used within a time.
     pub fn is_usable(&self, within: Duration) -> bool {
-        let silent = matches!(
-            self.stream.try_read(&mut [0]),
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock
-        );
-        silent && self.input.is_empty() && self.used_at.elapsed() < within
+        !self.is_abandoned() && self.input.is_empty() && self.used_at.elapsed() < within
+    }
+
+    /// Returns whether the other VM has closed the connection, or sent what it may not send before
+    /// its request is answered: nobody waits for the answer then.
+    pub fn is_abandoned(&self) -> bool {
+        let nothing = self.stream.try_read(&mut [0]);
+        !matches!(nothing, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Asks the other VM and waits for its answer.
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -57,6 +57,11 @@
         let Some(request) = received? else {
             return Ok(());
         };
+        // A VM that was suspended finds requests of long ago.
+        if channel.is_abandoned() {
+            log::info!("event=request_abandoned");
+            return Ok(());
+        }
         let response = match request {
             PeerRequest::Configuration => {
                 let held = node.state.borrow().catalog_value.clone();
