Ask gateways of the own zone for the configuration

Each of 270 VMs fetched each configuration of 870 workspaces from a gateway of any zone.

Change: VMs ask a gateway of their zone for its version, others only when those are silent for 1.2 s.

Test: gateways_of_the_own_zone_are_asked_where_there_are_any.

--- a/src/entry/gateways.rs
+++ b/src/entry/gateways.rs
@@ -5,6 +5,7 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use super::gateway::Gateway;
@@ -120,6 +121,19 @@
     state.gateways.iter().filter(move |(vm, _)| *vm != own)
 }
 
+/// Returns the addresses of the other gateways in this VM's zone, or of all where there is none:
+/// what is fetched from them may be large, and bytes between zones are dear.
+pub fn near(state: &State, own: &EntrySettings) -> Vec<SocketAddr> {
+    let near = |record: &VmRecord| record.availability_zone == own.availability_zone;
+    let here = others(state, &own.vm).filter(|(_, record)| near(record));
+    let here: Vec<_> = here.map(|(_, record)| record.peer_address).collect();
+    if here.is_empty() {
+        let all = others(state, &own.vm);
+        return all.map(|(_, record)| record.peer_address).collect();
+    }
+    here
+}
+
 /// Weighted rendezvous hash: the gateway with the smallest value serves the workspace, and each
 /// serves workspaces in proportion to its capacity.
 fn distance(vm: &VmName, record: &VmRecord, workspace: &WorkspaceName) -> f64 {
--- a/src/entry/gateways/tests.rs
+++ b/src/entry/gateways/tests.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use super::{distance, is_chosen};
+use super::{distance, is_chosen, near};
 use crate::entry::catalog::{Catalog, Database};
 use crate::entry::record::VmRecord;
 use crate::entry::settings::EntrySettings;
@@ -180,3 +180,29 @@
     let large = served[&VmName::from("vm-a-0.5-0")];
     assert!((1_850..2_150).contains(&large), "{served:?}");
 }
+
+#[test]
+fn gateways_of_the_own_zone_are_asked_where_there_are_any() {
+    let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+    let gateway = |name: &str, zone: &str, port: u16| {
+        let record = VmRecord {
+            peer_address: address(port),
+            ..record(zone, 0.5)
+        };
+        (VmName::from(name), record)
+    };
+    let vms = [gateway("vm-1", "a", 1), gateway("vm-2", "b", 2)];
+    let state = State {
+        gateways: vms.into_iter().collect(),
+        ..State::default()
+    };
+    let cases = [("a", vec![1]), ("b", vec![2]), ("c", vec![1, 2])];
+    for (zone, expected) in cases {
+        let own = EntrySettings {
+            availability_zone: ZoneName::from(zone),
+            ..EntrySettings::default()
+        };
+        let expected: Vec<_> = expected.into_iter().map(address).collect();
+        assert_eq!(near(&state, &own), expected, "zone {zone}");
+    }
+}
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -44,6 +44,9 @@
 /// Intervals after which a VM that is no gateway asks one for its version of the configuration.
 const VERSION_INTERVALS: u32 = 2;
 
+/// Silence of the gateways nearby after which those of other zones are asked too.
+const NEAR_SILENCE: Duration = Duration::from_millis(1_200);
+
 /// Demands in one datagram.
 const MAX_DEMANDS: usize = 60;
 
@@ -120,12 +123,21 @@
         }
     }
 
-    /// Asks a gateway for its version of the configuration.
+    /// Asks a gateway for its version of the configuration: one nearby, unless those are silent.
     fn ask_version(&self) {
-        let others = self.gateways();
+        let now = clock::now();
+        let (others, version) = {
+            let state = self.node.state.borrow();
+            let silent = now.since(state.gateways_heard_at) > NEAR_SILENCE;
+            let others = if silent {
+                self.gateways()
+            } else {
+                gateways::near(&state, &self.node.settings)
+            };
+            (others, version(&state))
+        };
         if !others.is_empty() {
             let index = rand::random_range(0..others.len());
-            let version = version(&self.node.state.borrow());
             let wanted = Datagram::VersionWanted { version };
             self.node.outbox.send(others[index], wanted);
         }
