Recover a fleet whose configuration takes longer to read than a call may last

After 1,400 routes were added, the configuration is about 350 kB in the store's encoding, 1.4 s on a link of 2 Mbit/s. Each VM read all keys, the configuration among them, in one call of at most 1 s, dropped what had arrived and began anew (keys_unread, 14 times a VM). Until then it refused sessions with 'no such route', which it couldn't know. Ruled out: the store (other calls took 4 ms), lost leases (all were granted), memory. Change: a call's time limit covers the start of a response; its body may go on for as long as parts of it arrive. The configuration is read apart from the records, by gateways; the other VMs fetch it from a gateway, compressed. A VM without one answers 'not run: this VM is starting'. Only gateways are registered now: a VM compares itself with the registered gateways and steps in after a delay that depends on its capacity. A VM that forwards makes one stale read at its start and no call at rest; it learns a new list of gateways from a gateway, by revision. The time in which a silent gateway is detected could be 1.05 s by the phase of its pings (a test showed it with a bound of 1 s); pings are shorter and closer. Tests: a_large_value_is_read_for_as_long_as_parts_of_it_arrive (failed before with NoAnswer), a_vm_without_a_configuration_refuses_sessions_without_denying_their_route, a_vm_that_forwards_calls_the_store_once_and_follows_the_gateways, role::tests.

--- a/src/entry/channel.rs
+++ b/src/entry/channel.rs
@@ -13,6 +13,8 @@
 use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
+use super::encoded::EncodedConfiguration;
+use super::record::GatewayList;
 use super::task::{Reply, Task};
 
 /// Result of using a channel.
@@ -24,7 +26,7 @@
 /// Maximum message size: the largest configuration or reply plus its envelope.
 const MAX_MESSAGE_BYTES: usize = 2 << 20;
 
-/// Time limit for writing a message, reached when the other VM doesn't read.
+/// Time limit for writing a part of a message, reached when the other VM doesn't read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Why a channel can no longer be used.
@@ -55,6 +57,8 @@
 pub enum PeerRequest {
     /// Requests the configuration in force.
     Configuration,
+    /// Requests the list of gateways.
+    Gateways,
     /// Checks whether the VM is alive.
     Ping,
     /// Requests that a task be run.
@@ -69,8 +73,10 @@
 /// Response to a [`PeerRequest`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum PeerResponse {
-    /// The configuration with its revision in the store; `None` when there is none yet.
-    Configuration(Option<(u64, Vec<u8>)>),
+    /// The configuration; `None` when the VM has none yet.
+    Configuration(Option<EncodedConfiguration>),
+    /// The gateways that the VM knows.
+    Gateways(GatewayList),
     /// The VM is alive.
     Pong,
     /// The task was run.
@@ -146,6 +152,30 @@
         received.ok_or(ChannelError::Closed)
     }
 
+    /// Sends a request whose response may be large, and waits for it while parts of it arrive at
+    /// least once every `stall_timeout`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection fails or the response stops arriving.
+    pub async fn fetch(
+        &mut self,
+        request: &PeerRequest,
+        stall_timeout: Duration,
+    ) -> Result<PeerResponse> {
+        self.send(request).await?;
+        loop {
+            if let Some(response) = self.take_message()? {
+                self.used_at = Instant::now();
+                return Ok(response);
+            }
+            let reading = timeout(stall_timeout, self.read_part()).await;
+            if !reading.map_err(|_elapsed| ChannelError::TimedOut)?? {
+                return ClosedSnafu.fail();
+            }
+        }
+    }
+
     /// Sends a message.
     ///
     /// # Errors
@@ -156,9 +186,12 @@
         let mut output = BytesMut::with_capacity(message.len() + size_of::<u32>());
         let encoded = self.codec.encode(Bytes::from(message), &mut output);
         encoded.context(BrokenSnafu)?;
-        let writing = timeout(WRITE_TIMEOUT, self.stream.write_all(&output)).await;
-        let written = writing.map_err(|_elapsed| ChannelError::TimedOut)?;
-        written.context(BrokenSnafu)
+        while !output.is_empty() {
+            let writing = timeout(WRITE_TIMEOUT, self.stream.write_buf(&mut output)).await;
+            let written = writing.map_err(|_elapsed| ChannelError::TimedOut)?;
+            written.context(BrokenSnafu)?;
+        }
+        Ok(())
     }
 
     /// Receives a message; `None` when the other VM has closed the connection.
@@ -168,16 +201,25 @@
     /// Fails when the connection fails or the message can't be decoded.
     pub async fn receive<T: DeserializeOwned>(&mut self) -> Result<Option<T>> {
         loop {
-            let frame = self.codec.decode(&mut self.input).context(BrokenSnafu)?;
-            if let Some(frame) = frame {
-                return postcard::from_bytes(&frame)
-                    .map(Some)
-                    .context(MalformedSnafu);
+            if let Some(message) = self.take_message()? {
+                return Ok(Some(message));
             }
-            let reading = self.stream.read_buf(&mut self.input).await;
-            if reading.context(BrokenSnafu)? == 0 {
+            if !self.read_part().await? {
                 return Ok(None);
             }
         }
     }
+
+    /// Removes a complete message from the input; `None` while it is incomplete.
+    fn take_message<T: DeserializeOwned>(&mut self) -> Result<Option<T>> {
+        let frame = self.codec.decode(&mut self.input).context(BrokenSnafu)?;
+        let message = frame.map(|frame| postcard::from_bytes(&frame)).transpose();
+        message.context(MalformedSnafu)
+    }
+
+    /// Reads what has arrived; returns whether the connection is still open.
+    async fn read_part(&mut self) -> Result<bool> {
+        let reading = self.stream.read_buf(&mut self.input).await;
+        Ok(reading.context(BrokenSnafu)? > 0)
+    }
 }
--- a/src/entry/datagram.rs
+++ b/src/entry/datagram.rs
@@ -36,10 +36,12 @@
         /// Version of the sender's configuration.
         version: u64,
     },
-    /// Announces the version of the sender's configuration.
+    /// Announces what the sender knows, to a VM that isn't a gateway.
     Version {
         /// Version of the sender's configuration.
         version: u64,
+        /// Store revision up to which the sender knows every change of the gateways.
+        gateways_revision: u64,
     },
     /// Requests tokens that the receiver can spare.
     TokenRequest {
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::clock;
-use super::follow::Follower;
+use super::follow::{self, Follower};
 use super::health::Verdict;
 use super::instance::Change;
 use super::keys;
@@ -29,7 +29,7 @@
     loop {
         node.wait_until(|state| state.gateway).await;
         tokio::select! {
-            () = follow(&node) => {}
+            () = follow_announcements(&node) => {}
             () = node.wait_until(|state| !state.gateway) => {}
         }
         node.state.borrow_mut().directory_known = false;
@@ -37,12 +37,13 @@
     }
 }
 
-async fn follow(node: &Rc<Node>) {
+async fn follow_announcements(node: &Rc<Node>) {
     let unreadable = RefCell::default();
     let follower = Follower {
         prefix: keys::INSTANCES,
         progress: &node.directory_progress,
-        replace: &|keys| replace(node, &keys, &unreadable),
+        read: &|| Box::pin(follow::list(node, keys::INSTANCES)),
+        replace: &|keys, _| replace(node, &keys, &unreadable),
         apply: &|key| apply(node, &key, &unreadable),
     };
     follower.run(node).await;
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use futures::future::LocalBoxFuture;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::sleep;
 
@@ -66,12 +67,15 @@
 
 /// Reads and watches the keys under a prefix, and passes them to callbacks.
 pub struct Follower<'a> {
-    /// Prefix of the keys.
+    /// Prefix of the keys to watch.
     pub prefix: &'static str,
     /// Latest revisions seen under the prefix.
     pub progress: &'a Progress,
-    /// Applies the complete content, after a read.
-    pub replace: &'a dyn Fn(Vec<KeyValue>),
+    /// Reads the content, with the revision from which on changes must be watched; `None` when the
+    /// store doesn't respond.
+    pub read: &'a dyn Fn() -> LocalBoxFuture<'a, Option<(Vec<KeyValue>, Revision)>>,
+    /// Applies the content after a read, with its revision.
+    pub replace: &'a dyn Fn(Vec<KeyValue>, Revision),
     /// Applies one change, from the watch.
     pub apply: &'a dyn Fn(KeyValue),
 }
@@ -82,11 +86,11 @@
         loop {
             // The keys read below include every change that other VMs had reported before the read.
             let known_before = self.progress.peers.get();
-            let Some((keys, revision)) = list(node, self.prefix).await else {
+            let Some((keys, revision)) = (self.read)().await else {
                 sleep(RETRY_DELAY).await;
                 continue;
             };
-            (self.replace)(keys);
+            (self.replace)(keys, revision);
             self.progress.record_own(known_before);
             tokio::select! {
                 () = self.watch(node, Revision(revision.0 + 1)) => {
@@ -129,13 +133,13 @@
     read(node, prefix, false).await
 }
 
-/// Reads the keys under a prefix, possibly as they were some seconds ago. `None` when the store
-/// doesn't respond.
-pub async fn list_stale(node: &Node, prefix: &str) -> Option<Vec<KeyValue>> {
-    read(node, prefix, true).await.map(|(keys, _)| keys)
-}
-
-async fn read(node: &Node, prefix: &str, allow_stale: bool) -> Option<(Vec<KeyValue>, Revision)> {
+/// Reads the keys under a prefix, with the revision of the read. With `allow_stale` both may be some
+/// seconds old. `None` when the store doesn't respond.
+pub async fn read(
+    node: &Node,
+    prefix: &str,
+    allow_stale: bool,
+) -> Option<(Vec<KeyValue>, Revision)> {
     let request = PlatformRequest::List {
         prefix: prefix.to_owned(),
         allow_stale,
--- a/src/entry/gateway.rs
+++ b/src/entry/gateway.rs
@@ -25,10 +25,10 @@
 const DECLINED_PENALTY: Duration = Duration::from_millis(500);
 
 /// Time limit of a ping to a gateway that isn't known to be healthy.
-const PING_TIMEOUT: Duration = Duration::from_millis(250);
+const PING_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Delay between the time limit of a ping and the next ping.
-const PING_DELAY: Duration = Duration::from_millis(150);
+const PING_DELAY: Duration = Duration::from_millis(50);
 
 /// Gateway with the idle connections to it and the evidence about its health.
 #[derive(Debug)]
--- a/src/entry/gateways.rs
+++ b/src/entry/gateways.rs
@@ -4,7 +4,7 @@
 //! have enough connections for all of them: some VMs are gateways and the others forward to them.
 
 use std::cell::RefCell;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -16,42 +16,6 @@
 use super::state::State;
 use crate::name::{VmName, WorkspaceName};
 
-/// Minimum number of gateways, so that the loss of one removes only a small part of them.
-const MIN_GATEWAYS: usize = 8;
-
-/// Number of an instance's connections that each gateway should have: those in use, plus idle ones
-/// that were opened for some of the workspaces.
-const CONNECTIONS_PER_GATEWAY: usize = 10;
-
-/// Minimum capacity of a gateway, as a fraction of the largest capacity in its zone.
-const MIN_CAPACITY_FRACTION: f64 = 0.5;
-
-/// Returns whether this VM should be a gateway, given the known registrations. If not all VMs can
-/// be gateways, those with the most capacity in each zone are. While there is no gateway, a VM must
-/// be registered before it becomes one, so that VMs that start together see each other first.
-pub fn should_be_gateway(own: &EntrySettings, state: &State) -> bool {
-    let registered = || state.gateways.iter().chain(&state.forwarders);
-    let others = || registered().filter(|(vm, _)| **vm != own.vm);
-    let is_known = registered().any(|(vm, _)| *vm == own.vm);
-    if !is_known && state.gateways.is_empty() {
-        return false;
-    }
-    if others().count() < own.direct_vms {
-        return true;
-    }
-    let zones = others().map(|(_, vm)| &vm.availability_zone);
-    let zones: BTreeSet<_> = zones.chain([&own.availability_zone]).collect();
-    let gateway_count = (state.least_connections() / CONNECTIONS_PER_GATEWAY).max(MIN_GATEWAYS);
-    let gateways_in_zone = gateway_count.div_ceil(zones.len());
-    let in_zone = || others().filter(|(_, vm)| vm.availability_zone == own.availability_zone);
-    let largest = in_zone().map(|(_, vm)| vm.cpu_share).fold(0.0, f64::max);
-    let ranks_higher = |(name, vm): &(&VmName, &VmRecord)| {
-        vm.cpu_share > own.cpu_share || (vm.cpu_share >= own.cpu_share && **name < own.vm)
-    };
-    own.cpu_share >= largest * MIN_CAPACITY_FRACTION
-        && in_zone().filter(ranks_higher).count() < gateways_in_zone
-}
-
 /// Gateways known to this VM, with its connections to them.
 #[derive(Debug, Default)]
 pub struct Gateways {
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -7,13 +7,13 @@
 use std::time::Duration;
 
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use super::borrowing;
-use super::channel::{self, Channel, PeerRequest, PeerResponse};
 use super::clock;
 use super::confirmation_tracker::Replacement;
 use super::datagram::{Datagram, MAX_DATAGRAM_BYTES, RecordUpdate};
+use super::fetch;
 use super::gateways;
 use super::node::Node;
 use super::quota::Demand;
@@ -38,9 +38,6 @@
 /// Shortest validity of a sublease that is worth sending.
 const MIN_SUBLEASE: Duration = Duration::from_millis(100);
 
-/// Time limit for fetching a configuration from another VM.
-const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Number of demand intervals between two version requests of a VM that isn't a gateway.
 const VERSION_INTERVALS: u32 = 2;
 
@@ -63,6 +60,7 @@
     socket: UdpSocket,
     sublease_request: Cell<Option<(u64, Timestamp)>>,
     fetching: Cell<bool>,
+    fetching_gateways: Cell<bool>,
 }
 
 impl Peers {
@@ -80,6 +78,7 @@
             socket,
             sublease_request: Cell::new(None),
             fetching: Cell::new(false),
+            fetching_gateways: Cell::new(false),
         };
         Ok((Rc::new(peers), listener))
     }
@@ -217,9 +216,13 @@
                 self.fetch_newer(version, from);
             }
             Datagram::VersionRequest { version } => self.send_version(version, from),
-            Datagram::Version { version } => {
+            Datagram::Version {
+                version,
+                gateways_revision,
+            } => {
                 self.node.state.borrow_mut().gateway_contact_at = clock::now();
                 self.fetch_newer(version, from);
+                self.fetch_gateways(Revision(gateways_revision), from);
             }
             Datagram::SubleaseRequest { nonce } => {
                 if let Some(sublease) = self.grant_sublease(nonce) {
@@ -272,8 +275,14 @@
 
     /// Sends the version of this VM's configuration to a VM that has version `peer_version`.
     fn send_version(self: &Rc<Self>, peer_version: u64, to: SocketAddr) {
-        let version = version(&self.node.state.borrow());
-        self.node.outbox.send(to, Datagram::Version { version });
+        let announcement = {
+            let state = self.node.state.borrow();
+            Datagram::Version {
+                version: version(&state),
+                gateways_revision: state.gateways_revision.0,
+            }
+        };
+        self.node.outbox.send(to, announcement);
         self.fetch_newer(peer_version, to);
     }
 
@@ -371,22 +380,25 @@
         if peer_version > own && !self.fetching.replace(true) {
             let peers = Rc::clone(self);
             tokio::task::spawn_local(async move {
-                peers.fetch(from).await;
+                fetch::configuration(&peers.node, from).await;
                 peers.fetching.set(false);
             });
         }
     }
 
-    async fn fetch(&self, from: SocketAddr) {
-        match fetch_configuration(from).await {
-            Ok(Some((revision, value))) => {
-                log::info!("event=configuration_fetched from={from} revision={revision}");
-                synchronization::apply_configuration(&self.node, Revision(revision), Some(value));
-            }
-            Ok(None) => log::info!("event=configuration_unfetched from={from} error=none_held"),
-            Err(error) => {
-                log::warn!("event=configuration_unfetched from={from} error=\"{error}\"");
-            }
+    /// Fetches the list of gateways in the background if another VM has a newer one. A gateway
+    /// itself watches the list.
+    fn fetch_gateways(self: &Rc<Self>, revision: Revision, from: SocketAddr) {
+        let is_needed = {
+            let state = self.node.state.borrow();
+            !state.gateway && revision > state.gateways_revision
+        };
+        if is_needed && !self.fetching_gateways.replace(true) {
+            let peers = Rc::clone(self);
+            tokio::task::spawn_local(async move {
+                fetch::gateways(&peers.node, from).await;
+                peers.fetching_gateways.set(false);
+            });
         }
     }
 
@@ -415,13 +427,3 @@
 fn version(state: &State) -> u64 {
     state.catalog.as_ref().map_or(0, |catalog| catalog.version)
 }
-
-/// Fetches the encoded configuration of another VM with its revision; `None` when it has none.
-async fn fetch_configuration(from: SocketAddr) -> channel::Result<Option<(u64, Vec<u8>)>> {
-    let mut channel = Channel::open(from, FETCH_TIMEOUT).await?;
-    let deadline = Instant::now() + FETCH_TIMEOUT;
-    match channel.call(&PeerRequest::Configuration, deadline).await? {
-        PeerResponse::Configuration(held) => Ok(held),
-        _ => Ok(None),
-    }
-}
--- a/src/entry/record.rs
+++ b/src/entry/record.rs
@@ -1,5 +1,7 @@
 //! Records in the store: primaries, registered VMs and the holder of the failover lease.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 use strum::Display;
 
@@ -77,6 +79,15 @@
     pub cpu_share: f64,
 }
 
+/// Registered gateways.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct GatewayList {
+    /// Store revision up to which the list contains every change.
+    pub revision: Revision,
+    /// Registrations by VM.
+    pub gateways: BTreeMap<VmName, VmRecord>,
+}
+
 /// Holder of the failover lease: the right to replace primaries, which one VM has at a time.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FailoverLeaseRecord {
--- a/src/entry/registration.rs
+++ b/src/entry/registration.rs
@@ -1,5 +1,5 @@
-//! Registers this VM in the store under a lease. Renewals of a gateway's registration also extend
-//! its validity lease.
+//! Registers this VM in the store under a lease while it is a gateway. Renewals of the registration
+//! also extend its validity lease.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -7,17 +7,15 @@
 use tokio::time::Instant;
 
 use super::clock;
-use super::follow;
-use super::gateways;
 use super::keys;
 use super::node::Node;
 use super::record::VmRecord;
+use super::role;
 use super::state::StopPhase;
 use super::synchronization;
 use crate::configuration::Revision;
 use crate::control::command::PlatformRequest;
 use crate::control::event::{PlatformFailure, PlatformResponse};
-use crate::name::VmName;
 use crate::time::Timestamp;
 
 /// Delay before a failed call is repeated. Doubles with each consecutive failed registration.
@@ -26,21 +24,9 @@
 /// Longest delay between two attempts to register.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// Interval at which a VM checks whether it should be a gateway.
+/// Longest interval at which a VM checks whether it is in the right role.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Time for which another role must be the right one before this VM changes to it while there are
-/// no gateways. Lets VMs that start at the same time register before one of them becomes a gateway.
-const START_DELAY: Duration = Duration::from_millis(400);
-
-/// Interval at which the registrations of VMs that aren't gateways are read. They only matter when
-/// one of these VMs must become a gateway.
-const FORWARDERS_INTERVAL: Duration = Duration::from_secs(8);
-
-/// Time for which another role must be the right one before this VM changes to it while there are
-/// gateways. VMs that restart are registered again within this time.
-const ROLE_CHANGE_DELAY: Duration = Duration::from_millis(1_500);
-
 /// Store lease of this VM's registration.
 #[derive(Debug, Clone, Copy)]
 struct Registration {
@@ -48,109 +34,117 @@
     ttl: Duration,
 }
 
-/// Keeps this VM registered until the process ends.
+/// Why a registration ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ended {
+    /// The store let the lease lapse.
+    Lapsed,
+    /// Enough other VMs are gateways.
+    NotNeeded,
+}
+
+/// Keeps this VM registered whenever it should be a gateway, until the process ends.
 pub async fn run(node: Rc<Node>) {
-    let mut next_role = None;
-    let mut delay = RETRY_DELAY;
     loop {
-        let Some(registration) = register(&node, next_role).await else {
-            tokio::time::sleep(delay).await;
-            delay = (delay * 2).min(MAX_RETRY_DELAY);
-            continue;
+        await_need(&node).await;
+        while register_and_renew(&node).await == Ended::Lapsed {}
+    }
+}
+
+/// Waits until this VM should be a gateway. The last check is made on what the store holds now.
+async fn await_need(node: &Rc<Node>) {
+    let mut needed_since = None;
+    loop {
+        let (is_needed, delay) = {
+            let state = node.state.borrow();
+            // Before the first read of the gateways, nothing is known about them.
+            let is_known = state.gateways_revision > Revision(0);
+            let is_needed = is_known && should_be_gateway(node);
+            (is_needed, role::change_delay(&node.settings, &state))
         };
-        next_role = keep_registered(&node, registration).await;
-        delay = RETRY_DELAY;
+        if !is_needed {
+            needed_since = None;
+            wait_for_change(node, ROLE_CHECK_INTERVAL).await;
+            continue;
+        }
+        let since = *needed_since.get_or_insert_with(Instant::now);
+        let left = delay.saturating_sub(since.elapsed());
+        if !left.is_zero() {
+            wait_for_change(node, left).await;
+            continue;
+        }
+        if synchronization::refresh(node).await && should_be_gateway(node) {
+            return;
+        }
+        wait_for_change(node, RETRY_DELAY).await;
     }
 }
 
-/// Registers this VM. Where `gateway` is `None`, the role is chosen from the registrations of the
-/// other VMs. Returns `None` when a call to the store failed.
-async fn register(node: &Rc<Node>, gateway: Option<bool>) -> Option<Registration> {
-    // The role is chosen before the registration, because other VMs rely on it afterwards.
-    if !synchronization::refresh(node).await || !read_forwarders(node, true).await {
-        return None;
+async fn wait_for_change(node: &Node, limit: Duration) {
+    tokio::select! {
+        () = node.changed.notified() => {}
+        () = tokio::time::sleep(limit) => {}
+    }
+}
+
+async fn register_and_renew(node: &Rc<Node>) -> Ended {
+    let mut delay = RETRY_DELAY;
+    loop {
+        if let Some(registration) = register(node).await {
+            return keep_registered(node, registration).await;
+        }
+        tokio::time::sleep(delay).await;
+        delay = (delay * 2).min(MAX_RETRY_DELAY);
     }
-    let gateway = gateway.unwrap_or_else(|| should_be_gateway(node));
+}
+
+/// Registers this VM. Returns `None` when a call to the store failed.
+async fn register(node: &Rc<Node>) -> Option<Registration> {
     let sent_at = clock::now();
-    let ttl = if gateway {
-        node.settings.gateway_ttl
-    } else {
-        node.settings.forwarder_ttl
-    };
+    let ttl = node.settings.gateway_ttl;
     let response = node.call(PlatformRequest::GrantLease { ttl }).await;
     let Ok(PlatformResponse::Lease { lease, ttl }) = response else {
         log::warn!("event=lease_not_granted answer={response:?}");
         return None;
     };
-    write_record(node, lease, gateway).await?;
+    write_record(node, lease).await?;
     // Read after the registration is written: a replacement that began earlier is visible now, and
     // one that begins later waits for this VM's confirmation.
-    if gateway && !synchronization::refresh(node).await {
+    if !synchronization::refresh(node).await {
         return None;
     }
     let mut state = node.state.borrow_mut();
     state.lease = Some(lease);
-    state.gateway = gateway;
-    if gateway {
-        state.validity_lease.renew(sent_at, ttl);
-    }
+    state.gateway = true;
+    state.validity_lease.renew(sent_at, ttl);
     state.store_responded_at = clock::now();
     drop(state);
     node.changed.notify_waiters();
     log::info!(
-        "event=registered vm={} lease={lease} ttl_ms={} gateway={gateway}",
+        "event=registered vm={} lease={lease} ttl_ms={}",
         node.settings.vm,
         ttl.as_millis()
     );
     Some(Registration { lease, ttl })
 }
 
-/// Reads the registrations of VMs that aren't gateways; returns whether the store responded.
-async fn read_forwarders(node: &Node, allow_stale: bool) -> bool {
-    let found = if allow_stale {
-        follow::list_stale(node, keys::FORWARDERS).await
-    } else {
-        let found = follow::list(node, keys::FORWARDERS).await;
-        found.map(|(keys, _)| keys)
-    };
-    let Some(found) = found else { return false };
-    let records = found.into_iter().filter_map(|key| {
-        let vm = VmName::from(key.key.strip_prefix(keys::FORWARDERS)?);
-        let record = serde_json::from_slice(&key.value?).ok()?;
-        Some((vm, record))
-    });
-    node.state.borrow_mut().forwarders = records.collect();
-    true
-}
-
-fn forwarders_interval(node: &Node) -> Duration {
-    if node.state.borrow().gateways.is_empty() {
-        return ROLE_CHECK_INTERVAL;
-    }
-    FORWARDERS_INTERVAL
-}
-
 /// Returns whether this VM should be a gateway. A VM that is stopping keeps its role.
 fn should_be_gateway(node: &Node) -> bool {
     let state = node.state.borrow();
     if state.stop != StopPhase::Running {
         return state.gateway;
     }
-    gateways::should_be_gateway(&node.settings, &state)
+    role::should_be_gateway(&node.settings, &state)
 }
 
-async fn write_record(node: &Rc<Node>, lease: u64, gateway: bool) -> Option<()> {
+async fn write_record(node: &Rc<Node>, lease: u64) -> Option<()> {
     let record = VmRecord {
         lease,
         peer_address: node.settings.peer_address,
         availability_zone: node.settings.availability_zone.clone(),
         cpu_share: node.settings.cpu_share,
     };
-    let key = if gateway {
-        keys::gateway(&node.settings.vm)
-    } else {
-        keys::forwarder(&node.settings.vm)
-    };
+    let key = keys::gateway(&node.settings.vm);
     let value = serde_json::to_vec(&record).ok()?;
     let mut expected = Revision(0);
     loop {
@@ -174,32 +168,23 @@
     }
 }
 
-/// Renews the lease until it has lapsed or this VM's role changes. Returns whether the VM becomes a
-/// gateway; `None` when the lease has lapsed and the role must be chosen again.
-async fn keep_registered(node: &Rc<Node>, registration: Registration) -> Option<bool> {
+/// Renews the lease until it has lapsed or this VM is no longer needed as a gateway.
+async fn keep_registered(node: &Rc<Node>, registration: Registration) -> Ended {
     let lease = registration.lease;
-    let gateway = node.state.borrow().gateway;
-    let renewal = if gateway {
-        node.settings.gateway_renewal
-    } else {
-        node.settings.forwarder_renewal
-    };
+    let renewal = node.settings.gateway_renewal;
     let mut next = Instant::now() + renewal;
-    let mut changing_since = None;
-    let mut forwarders_read_at = Instant::now();
+    let mut unneeded_since = None;
     loop {
         let wake_at = next.min(Instant::now() + ROLE_CHECK_INTERVAL);
         tokio::time::sleep_until(wake_at).await;
-        if forwarders_read_at.elapsed() >= forwarders_interval(node) {
-            let allow_stale = !node.state.borrow().gateways.is_empty();
-            read_forwarders(node, allow_stale).await;
-            forwarders_read_at = Instant::now();
-        }
-        if should_be_gateway(node) == gateway {
-            changing_since = None;
-        } else if changing_since.get_or_insert(wake_at).elapsed() >= role_change_delay(node) {
-            leave_role(node, lease).await;
-            return Some(!gateway);
+        if should_be_gateway(node) {
+            unneeded_since = None;
+        } else {
+            let delay = role::change_delay(&node.settings, &node.state.borrow());
+            if unneeded_since.get_or_insert(wake_at).elapsed() >= delay {
+                leave_role(node, lease).await;
+                return Ended::NotNeeded;
+            }
         }
         if wake_at < next {
             continue;
@@ -213,41 +198,27 @@
             Ok(PlatformResponse::LeaseLapsed) => {
                 log::warn!("event=registration_lapsed lease={lease}");
                 drop_lease(node);
-                return None;
+                return Ended::Lapsed;
             }
             response => {
                 log_renewal_failure(node, &response);
-                next = Instant::now() + if gateway { RETRY_DELAY } else { renewal / 4 };
+                next = Instant::now() + RETRY_DELAY;
             }
         }
     }
 }
 
-fn role_change_delay(node: &Node) -> Duration {
-    let state = node.state.borrow();
-    if state.gateways.is_empty() {
-        return START_DELAY;
-    }
-    ROLE_CHANGE_DELAY
-}
-
-/// Ends the registration in the current role, so that this VM can register in the other one.
+/// Ends the registration of a gateway that is no longer needed.
 async fn leave_role(node: &Rc<Node>, lease: u64) {
-    let was_gateway = {
+    {
         let mut state = node.state.borrow_mut();
-        let was_gateway = state.gateway;
-        if was_gateway {
-            state.gateway_until = clock::now() + node.settings.gateway_ttl;
-        }
+        state.gateway_until = clock::now() + node.settings.gateway_ttl;
         state.gateway = false;
-        was_gateway
-    };
+        state.gateways.remove(&node.settings.vm);
+    }
     drop_lease(node);
     node.changed.notify_waiters();
-    log::info!(
-        "event=part_changed vm={} was_gateway={was_gateway}",
-        node.settings.vm
-    );
+    log::info!("event=gateway_left vm={}", node.settings.vm);
     if let Err(error) = node.call(PlatformRequest::Revoke { lease }).await {
         log::warn!("event=lease_not_revoked lease={lease} error=\"{error}\"");
     }
@@ -256,12 +227,10 @@
 fn record_renewal(node: &Rc<Node>, sent_at: Timestamp, ttl: Duration) {
     let mut state = node.state.borrow_mut();
     let now = clock::now();
-    if state.gateway {
-        if !state.validity_lease.is_valid(now) {
-            log::info!("event=guard_regained");
-        }
-        state.validity_lease.renew(sent_at, ttl);
+    if !state.validity_lease.is_valid(now) {
+        log::info!("event=guard_regained");
     }
+    state.validity_lease.renew(sent_at, ttl);
     state.store_responded_at = now;
 }
 
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -9,6 +9,7 @@
 use super::channel::{Channel, PeerRequest, PeerResponse, Result};
 use super::clock;
 use super::node::Node;
+use super::record::GatewayList;
 use super::state::StopPhase;
 use super::task::{Action, Task};
 use super::worker::Worker;
@@ -65,8 +66,15 @@
         }
         let response = match request {
             PeerRequest::Configuration => {
-                let held = node.state.borrow().catalog_value.clone();
-                PeerResponse::Configuration(held.map(|(revision, value)| (revision.0, value)))
+                let held = node.state.borrow().encoded_configuration.clone();
+                PeerResponse::Configuration(held)
+            }
+            PeerRequest::Gateways => {
+                let state = node.state.borrow();
+                PeerResponse::Gateways(GatewayList {
+                    revision: state.gateways_revision,
+                    gateways: state.gateways.clone(),
+                })
             }
             PeerRequest::Ping => PeerResponse::Pong,
             PeerRequest::Run { task, force } => run_task(node, worker, &task, force).await,
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -11,7 +11,7 @@
 use super::failover::FailoverMonitor;
 use super::node::Node;
 use super::peers::Peers;
-use super::{directory, listener, registration, relay, synchronization};
+use super::{directory, discovery, listener, registration, relay, synchronization};
 
 /// Result of starting an entry.
 pub type Result<T, E = StartError> = std::result::Result<T, E>;
@@ -44,6 +44,7 @@
     let (peers, requests) = bound.context(BindSnafu { address })?;
     spawn_local(registration::run(Rc::clone(node)));
     spawn_local(synchronization::run(Rc::clone(node)));
+    spawn_local(discovery::run(Rc::clone(node)));
     spawn_local(directory::run(Rc::clone(node)));
     spawn_local(Rc::clone(&peers).announce());
     spawn_local(Rc::clone(&peers).request_subleases());
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::catalog::{Catalog, Route};
 use super::forwarding::{self, Executor};
@@ -23,6 +24,9 @@
 /// Maximum number of values set in one session; further ones are refused.
 const MAX_VALUES: usize = 64;
 
+/// Retry delay suggested to a caller of a VM that has just started.
+const STARTING_RETRY_DELAY: Duration = Duration::from_millis(500);
+
 /// Request identifier of tasks that don't come from a request of the caller.
 const NO_REQUEST_ID: &str = "-";
 
@@ -91,9 +95,10 @@
     ///
     /// # Errors
     ///
-    /// Fails when there is no such route or the key belongs to no workspace.
+    /// Fails when there is no such route, when the key belongs to no workspace, or when this VM can't
+    /// tell because it has no configuration yet.
     pub fn open(node: Rc<Node>, route: Arc<str>, key: Arc<str>) -> Result<Self, Failure> {
-        let catalog = node.catalog().unwrap_or_default();
+        let catalog = node.catalog().ok_or_else(no_configuration)?;
         let known = catalog.routes.get(&route).ok_or_else(no_such_route)?;
         let workspace = workspace(&catalog, known, &key).ok_or_else(unauthorized)?;
         Ok(Self {
@@ -383,6 +388,14 @@
     })
 }
 
+fn no_configuration() -> Failure {
+    let retry_ms = STARTING_RETRY_DELAY.as_millis();
+    Failure::local(
+        FailureKind::Busy,
+        format!("not run: this VM is starting; retry in {retry_ms} ms"),
+    )
+}
+
 fn no_such_route() -> Failure {
     Failure::local(
         FailureKind::NoSuchRoute,
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -14,8 +14,8 @@
     pub availability_zone: ZoneName,
     /// CPU of this VM, in cores.
     pub cpu_share: f64,
-    /// Number of VMs up to which every VM is a gateway. In such small fleets, forwarding would cost
-    /// more than the connections that it saves.
+    /// Number of gateways up to which every VM becomes one. In such small fleets, forwarding would
+    /// cost more than the connections that it saves.
     pub direct_vms: usize,
     /// Address on which callers are accepted.
     pub caller_address: SocketAddr,
@@ -31,10 +31,6 @@
     pub gateway_ttl: Duration,
     /// Interval between renewals of a gateway's lease.
     pub gateway_renewal: Duration,
-    /// Time-to-live of the lease of a VM that isn't a gateway. Nothing waits for it to lapse.
-    pub forwarder_ttl: Duration,
-    /// Interval between renewals of the lease of a VM that isn't a gateway.
-    pub forwarder_renewal: Duration,
     /// Time-to-live of the failover lease, the right to replace primaries.
     pub failover_lease_ttl: Duration,
     /// Interval at which health, pending failovers and limits are checked.
@@ -58,15 +54,13 @@
             vm: VmName::from(""),
             availability_zone: ZoneName::from(""),
             cpu_share: 1.0,
-            direct_vms: 12,
+            direct_vms: 8,
             caller_address: unset,
             peer_address: unset,
             stop_within: Duration::from_secs(6),
             balancer_detection_time: Duration::from_millis(2_200),
             gateway_ttl: Duration::from_secs(5),
             gateway_renewal: Duration::from_secs(1),
-            forwarder_ttl: Duration::from_secs(12),
-            forwarder_renewal: Duration::from_secs(4),
             failover_lease_ttl: Duration::from_millis(1_500),
             tick: Duration::from_millis(100),
             connect_timeout: Duration::from_millis(500),
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use super::catalog::Catalog;
+use super::encoded::EncodedConfiguration;
 use super::freshness::Freshness;
 use super::instance::{Directory, Instance};
 use super::quota::Quota;
-use super::record::{Phase, PrimaryRecord, VersionedRecord, VmRecord};
+use super::record::{GatewayList, Phase, PrimaryRecord, VersionedRecord, VmRecord};
 use super::validity::ValidityLease;
 use crate::configuration::Revision;
 use crate::name::{DatabaseName, InstanceName, VmName};
@@ -23,8 +24,8 @@
 pub struct State {
     /// Configuration in force; `None` until it has been read.
     pub catalog: Option<Rc<Catalog>>,
-    /// Encoded configuration and its revision, for VMs that can't read it from the store.
-    pub catalog_value: Option<(Revision, Vec<u8>)>,
+    /// Configuration in the form in which other VMs fetch it from this one.
+    pub encoded_configuration: Option<EncodedConfiguration>,
     /// Announced instances.
     pub directory: Directory,
     /// Whether the announcements have been read since this VM became a gateway.
@@ -50,10 +51,10 @@
     pub databases: HashMap<DatabaseName, DatabaseState>,
     /// Gateways: VMs that hold connections to instances and have a validity lease.
     pub gateways: BTreeMap<VmName, VmRecord>,
+    /// Store revision up to which `gateways` contains every change; zero until they have been read.
+    pub gateways_revision: Revision,
     /// Time at which a gateway last announced its version of the configuration.
     pub gateway_contact_at: Timestamp,
-    /// VMs that aren't gateways and forward to them, as registered some seconds ago.
-    pub forwarders: BTreeMap<VmName, VmRecord>,
     /// VM that holds the failover lease, the right to replace primaries.
     pub failover_holder: Option<VmName>,
     /// This VM's share of the workspaces' limits.
@@ -138,6 +139,16 @@
         connections.min().unwrap_or_default()
     }
 
+    /// Replaces the gateways by a newer list; returns whether it was newer.
+    pub fn update_gateways(&mut self, list: GatewayList) -> bool {
+        let is_newer = list.revision > self.gateways_revision;
+        if is_newer {
+            self.gateways = list.gateways;
+            self.gateways_revision = list.revision;
+        }
+        is_newer
+    }
+
     fn record(&self, database: &DatabaseName) -> Option<&PrimaryRecord> {
         let record = self.databases.get(database)?.record.as_ref()?;
         Some(&record.record)
--- a/src/entry/synchronization.rs
+++ b/src/entry/synchronization.rs
@@ -1,43 +1,27 @@
 //! Keeps this VM's copies of the configuration and the records up to date with the store.
 
 use std::rc::Rc;
-use std::time::Duration;
-
-use tokio::time::sleep;
 
 use super::catalog::Catalog;
 use super::clock;
 use super::confirmation;
+use super::encoded::EncodedConfiguration;
 use super::follow::{self, Follower};
 use super::keys;
 use super::node::Node;
-use super::record::{FailoverLeaseRecord, Phase, PrimaryRecord, VersionedRecord, VmRecord};
+use super::record::{
+    FailoverLeaseRecord, GatewayList, Phase, PrimaryRecord, VersionedRecord, VmRecord,
+};
 use super::state::State;
 use crate::configuration::Revision;
-use crate::control::event::KeyValue;
+use crate::control::command::PlatformRequest;
+use crate::control::event::{KeyValue, PlatformResponse};
 use crate::name::{DatabaseName, VmName};
 
-/// Interval at which a VM that isn't a gateway reads the list of gateways.
-const GATEWAYS_INTERVAL: Duration = Duration::from_secs(4);
-
-/// Interval at which a VM that isn't a gateway reads the list of gateways while it knows none.
-const DISCOVERY_INTERVAL: Duration = Duration::from_millis(200);
-
-/// Time without a message from a gateway after which a VM that isn't a gateway reads the
-/// configuration from the store.
-const GATEWAY_SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
-
-/// Interval at which a VM that isn't a gateway reads the configuration from the store while no
-/// gateway sends messages.
-const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Keeps the copies of the shared keys up to date until the process ends.
+/// Follows the shared keys while this VM is a gateway, until the process ends.
 pub async fn run(node: Rc<Node>) {
     loop {
-        tokio::select! {
-            () = poll(&node) => {}
-            () = node.wait_until(|state| state.gateway) => {}
-        }
+        node.wait_until(|state| state.gateway).await;
         tokio::select! {
             () = follow(&node) => {}
             () = node.wait_until(|state| !state.gateway) => {}
@@ -45,65 +29,79 @@
     }
 }
 
-/// Reads and watches every shared key, on a gateway.
 async fn follow(node: &Rc<Node>) {
     let follower = Follower {
         prefix: keys::SHARED,
         progress: &node.shared_progress,
-        replace: &|keys| replace(node, keys),
+        read: &|| Box::pin(read_shared(node)),
+        replace: &|keys, revision| replace(node, keys, revision),
         apply: &|key| apply(node, key),
     };
     follower.run(node).await;
 }
 
-/// Reads the list of gateways periodically, on a VM that isn't one. The gateways announce the
-/// version of their configuration, so a new version doesn't cost a store call for each VM.
-async fn poll(node: &Rc<Node>) {
-    loop {
-        let now = clock::now();
-        let (known, silent) = {
-            let state = node.state.borrow();
-            let silent = now.since(state.gateway_contact_at) > GATEWAY_SILENCE_LIMIT;
-            (!state.gateways.is_empty(), silent)
-        };
-        sleep(match (known, silent) {
-            (false, _) => DISCOVERY_INTERVAL,
-            (true, true) => REFRESH_INTERVAL,
-            (true, false) => GATEWAYS_INTERVAL,
-        })
-        .await;
-        if known && silent {
-            refresh(node).await;
-        } else if let Some(found) = follow::list_stale(node, keys::GATEWAYS).await {
-            replace_gateways(&mut node.state.borrow_mut(), found);
-            node.changed.notify_waiters();
-        }
+/// Reads every shared key. The configuration is read after the others, so that changes made since
+/// their revision are all that this VM may lack.
+async fn read_shared(node: &Rc<Node>) -> Option<(Vec<KeyValue>, Revision)> {
+    let found = follow::list(node, keys::FLEET).await?;
+    read_configuration(node).await.then_some(found)
+}
+
+/// Reads the configuration from the store and puts it in force if it is newer; returns whether the
+/// store responded.
+pub async fn read_configuration(node: &Rc<Node>) -> bool {
+    let key = keys::CONFIGURATION.to_owned();
+    let response = node.call(PlatformRequest::Get { key }).await;
+    let Ok(PlatformResponse::Found { keys, .. }) = response else {
+        log::warn!("event=configuration_unread answer={response:?}");
+        return false;
+    };
+    keys.into_iter().for_each(|key| apply(node, key));
+    true
+}
+
+/// Reads the list of gateways on a VM that isn't one. With `allow_stale`, the list may be some
+/// seconds old and isn't used if a newer one is known.
+pub async fn read_gateways(node: &Rc<Node>, allow_stale: bool) {
+    let Some((keys, revision)) = follow::read(node, keys::GATEWAYS, allow_stale).await else {
+        return;
+    };
+    let list = GatewayList {
+        revision,
+        gateways: keys.into_iter().filter_map(gateway).collect(),
+    };
+    if node.state.borrow_mut().update_gateways(list) {
+        node.changed.notify_waiters();
     }
 }
 
-fn replace_gateways(state: &mut State, found: Vec<KeyValue>) {
-    state.gateways.clear();
-    for KeyValue { key, value, .. } in found {
-        if let Some(vm) = key.strip_prefix(keys::GATEWAYS) {
-            apply_gateway(state, vm, value);
+fn gateway(key: KeyValue) -> Option<(VmName, VmRecord)> {
+    let vm = VmName::from(key.key.strip_prefix(keys::GATEWAYS)?);
+    match serde_json::from_slice(&key.value?) {
+        Ok(record) => Some((vm, record)),
+        Err(error) => {
+            log::warn!("event=registration_unreadable vm={vm} error=\"{error}\"");
+            None
         }
     }
 }
 
-/// Reads the shared keys once; returns whether the store responded.
+/// Reads the records, the gateways and the failover lease once; returns whether the store
+/// responded.
 pub async fn refresh(node: &Rc<Node>) -> bool {
-    let found = follow::list(node, keys::SHARED).await;
+    let found = follow::list(node, keys::FLEET).await;
     let read = found.is_some();
-    if let Some((keys, _)) = found {
-        replace(node, keys);
+    if let Some((keys, revision)) = found {
+        replace(node, keys, revision);
     }
     read
 }
 
-fn replace(node: &Rc<Node>, found: Vec<KeyValue>) {
+fn replace(node: &Rc<Node>, found: Vec<KeyValue>, revision: Revision) {
     let mut state = node.state.borrow_mut();
     let present = |key: &str| found.iter().any(|found| found.key == key);
     state.gateways.retain(|vm, _| present(&keys::gateway(vm)));
+    state.gateways_revision = state.gateways_revision.max(revision);
     if !present(keys::FAILOVER_LEASE) {
         state.failover_holder = None;
     }
@@ -128,7 +126,7 @@
             value.and_then(|value| serde_json::from_slice::<FailoverLeaseRecord>(&value).ok());
         node.state.borrow_mut().failover_holder = record.map(|record| record.holder);
     } else if let Some(vm) = key.strip_prefix(keys::GATEWAYS) {
-        apply_gateway(&mut node.state.borrow_mut(), vm, value);
+        apply_gateway(&mut node.state.borrow_mut(), vm, revision, value);
     } else if let Some(database) = key.strip_prefix(keys::DATABASES) {
         apply_record(node, DatabaseName::from(database), revision, value);
     }
@@ -166,7 +164,7 @@
     );
     add_databases(&mut state, &catalog);
     state.catalog = Some(Rc::new(catalog));
-    state.catalog_value = Some((revision, value));
+    state.encoded_configuration = Some(EncodedConfiguration::compress(revision, &value));
 }
 
 fn add_databases(state: &mut State, catalog: &Catalog) {
@@ -175,7 +173,7 @@
     }
 }
 
-fn apply_gateway(state: &mut State, vm: &str, value: Option<Vec<u8>>) {
+fn apply_gateway(state: &mut State, vm: &str, revision: Revision, value: Option<Vec<u8>>) {
     let record = value.and_then(|value| serde_json::from_slice::<VmRecord>(&value).ok());
     match record {
         Some(record) => {
@@ -185,6 +183,7 @@
             state.gateways.remove(vm);
         }
     }
+    state.gateways_revision = state.gateways_revision.max(revision);
 }
 
 /// Stores a record if it is newer than the known one. If the record names a replacement, this VM
