--- a/src/entry/registration.rs
+++ b/src/entry/registration.rs
@@ -73,6 +73,11 @@
             wait_for_change(node, left).await;
             continue;
         }
+        // A cheaper read usually shows already that others have registered meanwhile.
+        synchronization::read_gateways(node, true).await;
+        if !should_be_gateway(node) {
+            continue;
+        }
         if synchronization::refresh(node).await && should_be_gateway(node) {
             return;
         }
