Count silence of a peer only while this process runs

A connection between VMs counted as lost after one wait of 2 s without bytes. A process that was suspended or starved for 2 s wakes with the timer due and nothing in its socket, because the peer (on the same machine) was suspended too; the connection was closed and a forwarded save ended with 08007. Ruled out: a deadlock of the windows (the test stands for both directions), a missed ping (sent every 500 ms). Change: five consecutive waits of 500 ms; a suspension ends only one of them. Test: a_connection_survives_a_suspension_of_both_processes: failed 3 of 3 with Lost, passes now.

--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -27,8 +27,13 @@
 /// Idle time after which a side with open streams sends a ping.
 const PING_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time without received bytes after which a connection with open streams counts as lost.
-pub(crate) const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time limit for one wait for received bytes.
+const READ_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Number of consecutive waits without received bytes after which a connection with open streams
+/// counts as lost. Several short waits, because one long wait also ends when this process was
+/// suspended or starved, in which case the peer isn't to blame.
+const MAX_SILENT_WAITS: u32 = 4;
 
 /// Creates the write queue of a connection: its sending handle and its receiver.
 pub(crate) fn link_queue() -> (LinkSender, mpsc::UnboundedReceiver<QueuedFrame>) {
@@ -93,21 +98,25 @@
     mut handle: impl FnMut(LinkFrame) -> ReadAction,
 ) {
     let mut buffer = BytesMut::new();
-    let mut was_busy = false;
+    let mut silent_waits = 0;
     loop {
         buffer.reserve(READ_BYTES);
         match timeout(READ_TIMEOUT, tcp.read_buf(&mut buffer)).await {
             Ok(Ok(0) | Err(_)) => return,
-            Ok(Ok(_)) => {}
-            // The first stream may have been opened just before the timeout, so the connection
-            // counts as lost only if streams were also open when the timeout started.
-            Err(_elapsed) if was_busy && is_busy() => return,
+            Ok(Ok(_)) => silent_waits = 0,
+            // The peer sends pings only while it has open streams.
+            Err(_elapsed) if !is_busy() => {
+                silent_waits = 0;
+                continue;
+            }
             Err(_elapsed) => {
-                was_busy = is_busy();
+                silent_waits += 1;
+                if silent_waits > MAX_SILENT_WAITS {
+                    return;
+                }
                 continue;
             }
         }
-        was_busy = is_busy();
         loop {
             match decoder.decode(&mut buffer) {
                 Ok(Some(frame)) => {
--- a/src/peer/server/tests.rs
+++ b/src/peer/server/tests.rs
@@ -193,6 +193,26 @@
     drop(sending.await.unwrap());
 }
 
+#[tokio::test]
+async fn a_connection_survives_a_suspension_of_both_processes() {
+    let (one, mut two) = pair().await;
+    let mut caller = one.client.open(&"vm-2".into(), head()).await.unwrap();
+    let home = within(two.exchanges.recv()).await.unwrap();
+    // Neither side could send or receive anything meanwhile.
+    tokio::time::pause();
+    for _ in 0..3 {
+        tokio::time::advance(Duration::from_secs(3)).await;
+        tokio::time::resume();
+        timeout(Duration::from_millis(100), caller.recv())
+            .await
+            .expect_err("the stream must stay open");
+        tokio::time::pause();
+    }
+    tokio::time::resume();
+    within(home.sender().send(HomeFrame::End)).await.unwrap();
+    assert_eq!(within(caller.recv()).await.unwrap(), HomeFrame::End);
+}
+
 #[tokio::test]
 async fn full_windows_in_both_directions_do_not_deadlock() {
     let (one, mut two) = pair().await;
