Let statements wait at the VM for a slot of their instance

After a partition of one primary and a burst of 1.8 times the load, one database of twenty stayed overloaded for 13 s (14 to 27 s: 3,000 to 7,000 'statement_moved reason=busy' each 2 s, one instance in the lines). Two causes: (1) each gateway sent what arrived, and sent it again every 15 ms, so that the instance's queue of 32 was always full of what came first; (2) a gateway that gets only 'busy' from the primary records no position, so that its reads can't leave it. Ruled out: the number of connections (no 'connection is free' in proportion), the failover (ended at 13.9 s). Change: entry::slots puts control::fairness::FairQueue, which the PostgreSQL path uses, before each instance: urgent routes first, workspaces by their rates, a limit that falls with the slowdown and with each rejection, refusal at once when no slot is expected within half of the latency objective, with the expected time as the retry delay. A rejection of the primary gives a position as well, and a read leaves a primary without capacity. The limit falls faster the slower statements are. Also: registrations of silent gateways are revoked together and not one by one (13 took 1.3 s), and the demand of a workspace is averaged over the time since it is counted, so that shares of the limits are right 0.3 s after a start in place of 1 s.

--- a/src/control/concurrency.rs
+++ b/src/control/concurrency.rs
@@ -11,9 +11,12 @@
 /// Mean slowdown of a window below which the limit is raised.
 const HEALTHY_RATIO: f64 = 1.3;
 
-/// Factor by which the limit is lowered.
+/// Factor by which the limit is lowered when statements are a little too slow.
 const DECREASE_FACTOR: f64 = 0.75;
 
+/// Smallest factor by which the limit is lowered at once, however slow the statements are.
+const MIN_DECREASE_FACTOR: f64 = 0.4;
+
 /// Upper bound on the slowdown that one sample contributes.
 const MAX_SAMPLE_RATIO: f64 = 8.0;
 
@@ -54,6 +57,13 @@
         }
     }
 
+    /// Lowers the limit, because the instance rejected a statement for lack of capacity.
+    pub fn on_rejected(&mut self) {
+        self.limit = (self.limit * DECREASE_FACTOR).max(1.0);
+        self.samples = 0;
+        self.ratio_sum = 0.0;
+    }
+
     /// Records the duration of a statement and the expected duration.
     pub fn observe(&mut self, measured: Duration, expected: Duration) {
         let expected_us = expected.as_micros().max(1) as f64;
@@ -67,7 +77,8 @@
         self.samples = 0;
         self.ratio_sum = 0.0;
         if mean > SLOW_RATIO {
-            self.limit = (self.limit * DECREASE_FACTOR).max(1.0);
+            let factor = (SLOW_RATIO / mean).clamp(MIN_DECREASE_FACTOR, DECREASE_FACTOR);
+            self.limit = (self.limit * factor).max(1.0);
         } else if mean < HEALTHY_RATIO {
             self.limit = (self.limit + 0.5).min(f64::from(self.slots));
         }
--- a/src/control/fairness.rs
+++ b/src/control/fairness.rs
@@ -263,6 +263,12 @@
         self.forget_idle();
     }
 
+    /// Lowers the limit of concurrent statements, because the instance rejected one for lack of
+    /// capacity.
+    pub fn on_rejected(&mut self) {
+        self.concurrency.on_rejected();
+    }
+
     /// Removes the requests whose deadline has passed.
     pub fn expire(&mut self, now: Timestamp) -> Vec<Shed<T>> {
         let mut expired = Vec::new();
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -49,6 +49,7 @@
 pub mod session;
 pub mod settings;
 pub mod shutdown;
+pub mod slots;
 pub mod state;
 pub mod statement;
 pub mod synchronization;
--- a/src/entry/confirmation.rs
+++ b/src/entry/confirmation.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::future::join_all;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -190,17 +191,12 @@
     pending: &mut HashMap<VmName, Pending>,
 ) {
     let ttl = node.settings.gateway_ttl;
-    let mut done = Vec::new();
-    for (vm, pending) in pending.iter_mut() {
+    let revoking = pending.iter_mut().map(async |(vm, pending)| {
         if let Some(ended_at) = pending.lease_ended_at {
-            if ended_at.elapsed() >= ttl {
-                done.push(vm.clone());
-            }
-            continue;
+            return (vm.clone(), ended_at.elapsed() >= ttl);
         }
         if is_stopped(&pending.record).await {
-            done.push(vm.clone());
-            continue;
+            return (vm.clone(), true);
         }
         let lease = pending.record.lease;
         let response = node.call(PlatformRequest::Revoke { lease }).await;
@@ -208,9 +204,12 @@
         if response.is_ok() {
             pending.lease_ended_at = Some(Instant::now());
         }
-    }
-    for vm in done {
-        pending.remove(&vm);
+        (vm.clone(), false)
+    });
+    for (vm, is_done) in join_all(revoking).await {
+        if is_done {
+            pending.remove(&vm);
+        }
     }
 }
 
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -13,10 +13,12 @@
 use super::link::{LinkError, Setup};
 use super::node::Node;
 use super::placement::{Candidate, choose};
-use super::pool::PooledLink;
+use super::pool::{Pool, PooledLink};
 use super::position::Position;
+use super::slots::{self, Slot};
 use super::state::State;
 use super::statement::{Access, Failure, FailureKind, InstanceCommand, Outcome, StatementResponse};
+use crate::control::fairness::Arrival;
 use crate::name::{InstanceName, WorkspaceName};
 use crate::telemetry::metrics::{Step, metrics};
 use crate::time::Timestamp;
@@ -28,6 +30,13 @@
 /// because a primary is being replaced.
 const TARGET_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Longest time for which a statement waits for a slot of an instance, as a fraction of its route's
+/// latency objective.
+const MAX_WAIT_FRACTION: f64 = 0.5;
+
+/// Number of instances without capacity that are tried for one statement.
+const MAX_FULL_INSTANCES: usize = 2;
+
 /// Retry delay suggested to a refused caller, after which there may be capacity.
 const RETRY_AFTER_BUSY: Duration = Duration::from_millis(100);
 
@@ -105,7 +114,8 @@
         .min(Instant::now() + wait_limit.min(node.settings.target_wait_limit));
     let started_at = clock::now();
     loop {
-        let (target, mut pooled) = acquire(node, context, &mut tried, selection_deadline).await?;
+        let (target, slot, mut pooled) =
+            acquire(node, context, &mut tried, selection_deadline).await?;
         let sent_at = clock::now();
         let route = &context.route.name;
         metrics().record_step(route, Step::Connect, sent_at.since(started_at));
@@ -122,6 +132,7 @@
             result = running => result,
             () = pool.wait_until_unreachable(), if repeatable => Err(LinkError::TimedOut),
         };
+        drop(slot);
         let response = match result {
             Ok(response) => response,
             Err(error) => {
@@ -164,17 +175,27 @@
         context.id,
         target.instance.name
     );
+    if kind == FailureKind::Busy {
+        pooled.pool().slots().on_rejected();
+    }
     match kind {
         FailureKind::NoSuchStatement => pooled.link().forget_prepared(),
         FailureKind::ReadOnly => {
             pooled.pool().record_health(|health, _| health.on_deposed());
             sleep(TARGET_POLL_INTERVAL).await;
         }
-        FailureKind::Busy if target.is_primary => sleep(BUSY_RETRY_DELAY).await,
+        FailureKind::Busy if !may_leave(context, target) => sleep(BUSY_RETRY_DELAY).await,
         _ => tried.push(target.instance.name.clone()),
     }
 }
 
+/// Returns whether another instance may run the statement. Only then is an instance without capacity
+/// left out of the next attempt.
+fn may_leave(context: &StatementContext<'_>, target: &Target) -> bool {
+    let may_be_stale = context.route.consistency.staleness().is_some();
+    !target.is_primary || (context.access == Access::Read && may_be_stale)
+}
+
 /// Returns whether the same command may be retried after a failure. A read that failed on
 /// the instance is retried unless another instance has been tried before.
 fn is_retryable(context: &StatementContext<'_>, failure: &Failure, tried_count: usize) -> bool {
@@ -182,14 +203,14 @@
     failure.not_run() || (failed_read && tried_count == 0)
 }
 
-/// Selects an instance and takes a connection to it. The target is checked again afterwards,
-/// because it may have become invalid while the connection was awaited.
+/// Selects an instance and takes a slot of it and a connection to it. The target is checked again
+/// afterwards, because it may have become invalid while they were awaited.
 async fn acquire(
     node: &Rc<Node>,
     context: &StatementContext<'_>,
     tried: &mut Vec<InstanceName>,
     selection_deadline: Instant,
-) -> Result<(Target, PooledLink), Failure> {
+) -> Result<(Target, Slot, PooledLink), Failure> {
     loop {
         let chosen = select_target(&node.state.borrow(), node, context, tried);
         let target = match chosen {
@@ -200,12 +221,26 @@
             }
         };
         let pool = node.pool(&target.instance);
+        let arrival = arrival(node, context);
+        let slot = match take_slot(&pool, &arrival).await {
+            Ok(slot) => slot,
+            Err(_) if may_leave(context, &target) && tried.len() < MAX_FULL_INSTANCES => {
+                tried.push(target.instance.name.clone());
+                continue;
+            }
+            Err(after) => {
+                let reason = "the instance has no capacity";
+                return Err(refusal(node, context, reason, after));
+            }
+        };
         let connect_timeout = node.settings.connect_timeout;
         let taken = pool
             .take(context.workspace, connect_timeout, selection_deadline)
             .await;
         match taken {
-            Ok(pooled) if is_still_valid(node, context, &target) => return Ok((target, pooled)),
+            Ok(pooled) if is_still_valid(node, context, &target) => {
+                return Ok((target, slot, pooled));
+            }
             Ok(_) => {}
             Err(error) => {
                 record_connect_failure(node, context, &target, &error);
@@ -214,6 +249,7 @@
                         node,
                         context,
                         "no connection to an instance is free",
+                        RETRY_AFTER_BUSY,
                     ));
                 }
                 tried.push(target.instance.name.clone());
@@ -238,7 +274,7 @@
     if cause == NoTarget::NoValidityLease
         || Instant::now() + TARGET_POLL_INTERVAL >= selection_deadline
     {
-        return Err(refusal(node, context, reason));
+        return Err(refusal(node, context, reason, RETRY_AFTER_BUSY));
     }
     let pause = sleep_until(Instant::now() + TARGET_POLL_INTERVAL);
     tokio::select! {
@@ -357,7 +393,7 @@
     Candidate {
         is_primary,
         is_same_zone: instance.availability_zone == node.settings.availability_zone,
-        in_flight: pool.in_flight(),
+        load: pool.load(),
         connection: pool.availability(context.workspace),
         latency: pool.latency(),
         position: pool.position(),
@@ -430,22 +466,70 @@
         node.pool(&target.instance)
             .record_health(|health, _| health.on_save(true));
     }
-    if let Some(position) = response.position.filter(|_| had_validity_lease && done) {
+    if let Some(position) = response
+        .position
+        .filter(|_| had_validity_lease && leads(response))
+    {
         known.freshness.record(position, sent_at);
     }
 }
 
+/// Returns whether a response of the recorded primary shows that the instance leads. One without
+/// capacity does: its position is as good as that of a served statement, and while it is
+/// overloaded, reads can only leave it by such positions.
+fn leads(response: &StatementResponse) -> bool {
+    match &response.outcome {
+        Outcome::Done(_) => true,
+        Outcome::Failed(failure) => failure.kind == FailureKind::Busy,
+    }
+}
+
+/// Describes a statement to the queue of an instance. It waits for at most half of its latency
+/// objective, so that its response is still in time when it starts last.
+fn arrival(node: &Node, context: &StatementContext<'_>) -> Arrival {
+    let catalog = node.catalog();
+    let workspace = catalog
+        .as_ref()
+        .and_then(|catalog| catalog.workspaces.get(context.workspace));
+    let rate_per_s = workspace.map_or(1.0, |workspace| workspace.rate_per_s);
+    Arrival {
+        workspace: context.workspace.clone(),
+        class: slots::class(context.route.priority),
+        weight: (rate_per_s as u32).max(1),
+        deadline: clock::now() + context.route.latency_objective.mul_f64(MAX_WAIT_FRACTION),
+    }
+}
+
+/// Waits for a slot of an instance.
+///
+/// # Errors
+///
+/// Fails with the time after which there may be one.
+async fn take_slot(pool: &Pool, arrival: &Arrival) -> Result<Slot, Duration> {
+    let taken = tokio::select! {
+        taken = pool.slots().take(arrival) => taken,
+        () = pool.wait_until_unreachable() => return Err(RETRY_AFTER_BUSY),
+    };
+    taken.map_err(|refused| refused.retry_after.unwrap_or(RETRY_AFTER_BUSY))
+}
+
 /// Builds the failure for a refused statement that hasn't run, and logs the refusal.
-pub fn refusal(node: &Node, context: &StatementContext<'_>, reason: &str) -> Failure {
+pub fn refusal(
+    node: &Node,
+    context: &StatementContext<'_>,
+    reason: &str,
+    retry_after: Duration,
+) -> Failure {
     metrics().count_entry_refusal(&context.route.name, reason);
+    let retry_ms = retry_after.as_millis();
     log::info!(
-        "event=request_refused id={} route={} workspace={} reason=\"{reason}\" vm={}",
+        "event=request_refused id={} route={} workspace={} reason=\"{reason}\" vm={} \
+         retry_ms={retry_ms}",
         context.id,
         context.route.name,
         context.workspace,
         node.settings.vm
     );
-    let retry_ms = RETRY_AFTER_BUSY.as_millis();
     Failure::local(
         FailureKind::Busy,
         format!("not run: {reason}; retry in {retry_ms} ms"),
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -219,11 +219,7 @@
             Datagram::Version {
                 version,
                 gateways_revision,
-            } => {
-                self.node.state.borrow_mut().gateway_contact_at = clock::now();
-                self.fetch_newer(version, from);
-                self.fetch_gateways(Revision(gateways_revision), from);
-            }
+            } => self.follow_gateway(version, Revision(gateways_revision), from),
             Datagram::SubleaseRequest { nonce } => {
                 if let Some(sublease) = self.grant_sublease(nonce) {
                     self.node.outbox.send(from, sublease);
@@ -263,6 +259,18 @@
         }
     }
 
+    /// Fetches what a gateway has announced, where it is newer than what is known here.
+    fn follow_gateway(
+        self: &Rc<Self>,
+        version: u64,
+        gateways_revision: Revision,
+        from: SocketAddr,
+    ) {
+        self.node.state.borrow_mut().gateway_contact_at = clock::now();
+        self.fetch_newer(version, from);
+        self.fetch_gateways(gateways_revision, from);
+    }
+
     fn lend_tokens(&self, workspace: &WorkspaceName, nonce: u64, to: SocketAddr) {
         let tokens = {
             let mut state = self.node.state.borrow_mut();
--- a/src/entry/placement.rs
+++ b/src/entry/placement.rs
@@ -44,8 +44,8 @@
     pub is_primary: bool,
     /// Whether the instance runs in this VM's availability zone.
     pub is_same_zone: bool,
-    /// Number of statements of this VM that run on the instance.
-    pub in_flight: u32,
+    /// Number of statements of this VM that run on the instance or wait for it.
+    pub load: u32,
     /// Availability of a connection.
     pub connection: Availability,
     /// Expected time of one statement.
@@ -64,7 +64,7 @@
 
 fn cost(need: Option<Position>, candidate: &Candidate) -> f64 {
     let latency = candidate.latency.as_secs_f64();
-    let mut cost = latency * f64::from(candidate.in_flight + 1);
+    let mut cost = latency * f64::from(candidate.load + 1);
     if candidate.is_primary {
         cost *= PRIMARY_FACTOR;
     } else if need.is_some_and(|need| candidate.position.is_none_or(|at| at < need)) {
--- a/src/entry/placement/tests.rs
+++ b/src/entry/placement/tests.rs
@@ -6,7 +6,7 @@
 const IDLE: Candidate = Candidate {
     is_primary: false,
     is_same_zone: true,
-    in_flight: 0,
+    load: 0,
     connection: Availability::Idle,
     latency: Duration::from_millis(20),
     position: Some(Position {
@@ -34,13 +34,7 @@
     },
     Case {
         name: "the primary is preferred to a busy replica",
-        candidates: [
-            PRIMARY,
-            Candidate {
-                in_flight: 2,
-                ..IDLE
-            },
-        ],
+        candidates: [PRIMARY, Candidate { load: 2, ..IDLE }],
         expected: 0,
     },
     Case {
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -14,6 +14,7 @@
 use super::link::{Link, LinkError, rejection};
 use super::placement::{Availability, Latency};
 use super::position::Position;
+use super::slots::Slots;
 use super::statement::{FailureKind, Protocol};
 use crate::name::WorkspaceName;
 use crate::time::Timestamp;
@@ -60,6 +61,7 @@
 #[derive(Debug)]
 pub struct Pool {
     instance: RefCell<Rc<Instance>>,
+    slots: Rc<Slots>,
     protocol: Protocol,
     limits: Cell<Limits>,
     idle: RefCell<Vec<Link>>,
@@ -86,6 +88,7 @@
     /// Builds an empty pool.
     pub fn new(instance: Rc<Instance>, protocol: Protocol, limits: Limits) -> Rc<Self> {
         Rc::new(Self {
+            slots: Slots::new(instance.slots),
             instance: RefCell::new(instance),
             protocol,
             limits: Cell::new(limits),
@@ -105,6 +108,7 @@
     /// Applies a new announcement of the instance. If its process, address or database changed,
     /// idle connections are closed and position and health are reset.
     pub fn update(&self, instance: &Rc<Instance>) {
+        self.slots.set_count(instance.slots);
         let previous = self.instance.replace(Rc::clone(instance));
         let same_process = previous.address == instance.address
             && previous.started_at_ms == instance.started_at_ms
@@ -171,9 +175,15 @@
         self.position.get()
     }
 
-    /// Returns the number of statements in flight.
-    pub fn in_flight(&self) -> u32 {
-        self.in_flight.get()
+    /// Returns the number of statements that run on the instance or wait for one of its slots.
+    pub fn load(&self) -> u32 {
+        let waiting = u32::try_from(self.slots.waiting()).unwrap_or(u32::MAX);
+        self.in_flight.get().saturating_add(waiting)
+    }
+
+    /// Returns the slots of the instance at this VM.
+    pub const fn slots(&self) -> &Rc<Slots> {
+        &self.slots
     }
 
     /// Returns the instance according to its latest announcement.
--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -54,6 +54,7 @@
 
 #[derive(Debug)]
 struct Meter {
+    created_at: Timestamp,
     bucket: Bucket,
     requests: f64,
     demand_per_s: f64,
@@ -163,8 +164,12 @@
         if elapsed_s <= 0.0 {
             return Demand::new();
         }
-        let gain = (elapsed_s / DEMAND_WINDOW.as_secs_f64()).min(1.0);
         for meter in self.meters.values_mut() {
+            // A new meter averages over the time since it was created, so that its demand is known
+            // after the first interval.
+            let age_s = now.since(meter.created_at).as_secs_f64().max(elapsed_s);
+            let gain = elapsed_s / DEMAND_WINDOW.as_secs_f64().min(age_s);
+            let gain = gain.min(1.0);
             let rate = meter.requests / elapsed_s;
             meter.requests = 0.0;
             meter.demand_per_s += gain * (rate - meter.demand_per_s);
@@ -246,6 +251,7 @@
             weight: 1,
         };
         Self {
+            created_at: now,
             bucket: Bucket::empty(share, now),
             requests: 0.0,
             demand_per_s: 0.0,
--- /dev/null
+++ b/src/entry/slots.rs
@@ -0,0 +1,174 @@
+//! Slots of an instance at this VM: bounds the statements that run on the instance, and orders those
+//! that wait.
+//!
+//! An instance serves its own queue in the order of arrival and rejects what doesn't fit. Waiting
+//! here instead, urgent routes go first, workspaces share the instance by their rates, and a
+//! statement that can't start in time is refused before it is sent.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep_until};
+
+use super::clock;
+use crate::configuration::RouteClass;
+use crate::control::fairness::{Arrival, FairQueue, FairQueueSettings, RunKey, Shed, WaiterKey};
+use crate::traffic::Refusal;
+
+/// Result of waiting for a slot.
+pub type Result<T, E = Refusal> = std::result::Result<T, E>;
+
+/// Highest priority number of a route whose statements are urgent; 0 is the highest priority.
+const MAX_URGENT_PRIORITY: u8 = 1;
+
+/// Highest priority number of a route whose statements aren't background work.
+const MAX_NORMAL_PRIORITY: u8 = 2;
+
+type Ticket = oneshot::Sender<Result<RunKey>>;
+
+/// Slots of one instance at this VM.
+#[derive(Debug)]
+pub struct Slots {
+    queue: RefCell<FairQueue<Ticket>>,
+}
+
+/// Slot of an instance; released when dropped, with the time it was held as its cost.
+#[derive(Debug)]
+pub struct Slot {
+    slots: Rc<Slots>,
+    run: RunKey,
+    since: Instant,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let cost = self.since.elapsed();
+        self.slots.queue.borrow_mut().finish(self.run, cost);
+        self.slots.start_waiting();
+    }
+}
+
+/// Request in the queue; removed from it when dropped.
+struct QueuedRequest<'a> {
+    slots: &'a Rc<Slots>,
+    waiter: WaiterKey,
+    granted: oneshot::Receiver<Result<RunKey>>,
+}
+
+impl QueuedRequest<'_> {
+    fn slot(&self, run: RunKey) -> Slot {
+        Slot {
+            slots: Rc::clone(self.slots),
+            run,
+            since: Instant::now(),
+        }
+    }
+}
+
+impl Drop for QueuedRequest<'_> {
+    fn drop(&mut self) {
+        // If a slot was granted in the meantime, release it.
+        if let Ok(Ok(run)) = self.granted.try_recv() {
+            drop(self.slot(run));
+            return;
+        }
+        self.slots.queue.borrow_mut().cancel(self.waiter);
+    }
+}
+
+impl Slots {
+    /// Builds the slots of an instance that runs `count` statements concurrently.
+    pub fn new(count: u32) -> Rc<Self> {
+        let queue = FairQueue::new(FairQueueSettings::default(), count);
+        Rc::new(Self {
+            queue: RefCell::new(queue),
+        })
+    }
+
+    /// Changes the number of statements that the instance runs concurrently.
+    pub fn set_count(&self, count: u32) {
+        self.queue.borrow_mut().set_slots(count);
+    }
+
+    /// Returns the number of statements that wait for a slot.
+    pub fn waiting(&self) -> usize {
+        self.queue.borrow().waiting()
+    }
+
+    /// Records that the instance rejected a statement for lack of capacity.
+    pub fn on_rejected(&self) {
+        self.queue.borrow_mut().on_rejected();
+    }
+
+    /// Waits for a slot.
+    ///
+    /// # Errors
+    ///
+    /// Fails at once when no slot is expected before the deadline of the arrival, and otherwise when
+    /// the deadline passes or more urgent requests need the room. Nothing was sent.
+    pub async fn take(self: &Rc<Self>, arrival: &Arrival) -> Result<Slot> {
+        let (ticket, granted) = oneshot::channel();
+        let entered = {
+            let mut queue = self.queue.borrow_mut();
+            queue.enter(arrival, ticket, clock::now())
+        };
+        let entered = entered.map_err(|shed| shed.refusal)?;
+        entered.shed.into_iter().for_each(refuse);
+        let mut queued = QueuedRequest {
+            slots: self,
+            waiter: entered.waiter,
+            granted,
+        };
+        self.start_waiting();
+        let end = Instant::now() + arrival.deadline.since(clock::now());
+        loop {
+            tokio::select! {
+                biased;
+                granted = &mut queued.granted => {
+                    let run = granted.expect("the queue keeps the ticket until it is granted or refused")?;
+                    return Ok(queued.slot(run));
+                }
+                () = sleep_until(end) => self.expire(),
+            }
+        }
+    }
+
+    fn expire(&self) {
+        let expired = self.queue.borrow_mut().expire(clock::now());
+        expired.into_iter().for_each(refuse);
+    }
+
+    /// Grants free slots to the requests that are next.
+    fn start_waiting(&self) {
+        loop {
+            let started = self.queue.borrow_mut().start();
+            let Some(started) = started else { return };
+            if let Err(Ok(run)) = started.ticket.send(Ok(started.run)) {
+                // The request has been cancelled meanwhile and used no time of the instance.
+                self.queue
+                    .borrow_mut()
+                    .finish(run, std::time::Duration::ZERO);
+            }
+        }
+    }
+}
+
+fn refuse(shed: Shed<Ticket>) {
+    // The receiver is dropped when the caller has disconnected.
+    let _ = shed.ticket.send(Err(shed.refusal));
+}
+
+/// Returns the class in which the statements of a route wait.
+pub const fn class(priority: u8) -> RouteClass {
+    if priority <= MAX_URGENT_PRIORITY {
+        RouteClass::Urgent
+    } else if priority <= MAX_NORMAL_PRIORITY {
+        RouteClass::Normal
+    } else {
+        RouteClass::Background
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/entry/synchronization.rs
+++ b/src/entry/synchronization.rs
@@ -56,7 +56,9 @@
         log::warn!("event=configuration_unread answer={response:?}");
         return false;
     };
-    keys.into_iter().for_each(|key| apply(node, key));
+    for key in keys {
+        apply(node, key);
+    }
     true
 }
 
--- a/src/traffic/home/relay.rs
+++ b/src/traffic/home/relay.rs
@@ -48,6 +48,13 @@
     Timer,
 }
 
+/// Whether the home's lease was valid whenever a message of the running statement was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum HomeLeaseState {
+    Valid,
+    Lapsed,
+}
+
 /// One transaction on one connection.
 pub(super) struct Relay<'a> {
     settings: RelaySettings<'a>,
@@ -64,8 +71,7 @@
     /// Frames sent to the instance; `None` once the request may no longer be retried.
     retry_frames: Option<VecDeque<CallerFrame>>,
     is_confirmed: bool,
-    /// Whether the home's lease was valid whenever a message of the running statement was sent.
-    was_leased: bool,
+    home_lease: HomeLeaseState,
     began_at: Timestamp,
     /// When the last message was sent to the instance, or received from it.
     last_activity_at: Timestamp,
@@ -89,7 +95,7 @@
         let mut relay = Self {
             is_confirmed: !settings.target.must_confirm,
             settings,
-            was_leased: true,
+            home_lease: HomeLeaseState::Valid,
             lease: Some(lease),
             slot: Some(slot),
             output: Output::default(),
@@ -171,7 +177,9 @@
             self.begin_statement(caller).await?;
         }
         self.store_for_retry(&frame);
-        self.was_leased &= self.settings.home.is_leased();
+        if !self.settings.home.is_leased() {
+            self.home_lease = HomeLeaseState::Lapsed;
+        }
         let lease = self.lease.as_mut().expect(LEASED);
         let taken = match frame {
             CallerFrame::Messages(messages) => lease.take_messages(messages),
@@ -199,7 +207,7 @@
             self.slot = Some(caller.run_unless_cancelled(slot).await??);
         }
         self.is_busy = true;
-        self.was_leased = true;
+        self.home_lease = HomeLeaseState::Valid;
         self.restart_timers();
         Ok(())
     }
@@ -284,7 +292,7 @@
             release::gate(&home, &save, deadline)
                 .await
                 .map_err(Refusal::without_retry)?;
-        } else if !self.was_leased && !self.settings.target.must_confirm {
+        } else if self.home_lease == HomeLeaseState::Lapsed && !self.settings.target.must_confirm {
             // Another home may have acknowledged writes before this read began, which it did not
             // see. Those acknowledged since need not be seen.
             return Err(Refusal::without_retry(RefusalReason::AnswerLost).into());
