--- a/src/entry/role/tests.rs
+++ b/src/entry/role/tests.rs
@@ -224,53 +224,58 @@
     assert_eq!(fleet.gateways().len(), 8);
 }
 
+/// VM with the registrations that it knows, and the range of its delay.
+struct DelayCase {
+    name: &'static str,
+    cpu_share: f64,
+    registered: &'static [&'static str],
+    is_gateway: bool,
+    expected_ms: std::ops::Range<u128>,
+}
+
+const ENOUGH: &[&str] = &["1", "2", "3", "4", "5", "6", "7", "8"];
+
+const DELAY_CASES: [DelayCase; 5] = [
+    DelayCase {
+        name: "restarts while its registration stands",
+        cpu_share: 0.25,
+        registered: &["vm-own", "vm-1"],
+        is_gateway: false,
+        expected_ms: 0..1,
+    },
+    DelayCase {
+        name: "starts in a fleet without gateways",
+        cpu_share: 0.25,
+        registered: &[],
+        is_gateway: false,
+        expected_ms: 200..301,
+    },
+    DelayCase {
+        name: "a larger one starts in a fleet without gateways",
+        cpu_share: 1.0,
+        registered: &[],
+        is_gateway: false,
+        expected_ms: 0..101,
+    },
+    DelayCase {
+        name: "replaces a missing gateway",
+        cpu_share: 1.0,
+        registered: ENOUGH,
+        is_gateway: false,
+        expected_ms: 1_500..1_601,
+    },
+    DelayCase {
+        name: "leaves",
+        cpu_share: 1.0,
+        registered: &["vm-own", "vm-1"],
+        is_gateway: true,
+        expected_ms: 1_500..1_501,
+    },
+];
+
 #[test]
 fn a_vm_that_restarts_returns_to_its_role_at_once_and_a_new_one_waits() {
-    struct Case {
-        name: &'static str,
-        cpu_share: f64,
-        registered: &'static [&'static str],
-        is_gateway: bool,
-        expected_ms: std::ops::Range<u128>,
-    }
-    let cases = [
-        Case {
-            name: "restarts while its registration stands",
-            cpu_share: 0.25,
-            registered: &["vm-own", "vm-1"],
-            is_gateway: false,
-            expected_ms: 0..1,
-        },
-        Case {
-            name: "starts in a fleet without gateways",
-            cpu_share: 0.25,
-            registered: &[],
-            is_gateway: false,
-            expected_ms: 200..301,
-        },
-        Case {
-            name: "a larger one starts in a fleet without gateways",
-            cpu_share: 1.0,
-            registered: &[],
-            is_gateway: false,
-            expected_ms: 0..101,
-        },
-        Case {
-            name: "replaces a missing gateway",
-            cpu_share: 1.0,
-            registered: &["1", "2", "3", "4", "5", "6", "7", "8"],
-            is_gateway: false,
-            expected_ms: 1_500..1_601,
-        },
-        Case {
-            name: "leaves",
-            cpu_share: 1.0,
-            registered: &["vm-own", "vm-1"],
-            is_gateway: true,
-            expected_ms: 1_500..1_501,
-        },
-    ];
-    for case in cases {
+    for case in DELAY_CASES {
         let own = EntrySettings {
             vm: VmName::from("vm-own"),
             cpu_share: case.cpu_share,
