Measure the wait for a slot by the monotonic clock of the runtime

Deadlines of the queue were taken from the boot-time clock, which runs in real time while the test's time is virtual. Change: the queue counts from its own creation. A wait isn't a lease; a suspension delays it as it delays what runs.

--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -15,10 +15,9 @@
 use super::placement::{Candidate, choose};
 use super::pool::{Pool, PooledLink};
 use super::position::Position;
-use super::slots::{self, Slot};
+use super::slots::{self, Slot, SlotRequest};
 use super::state::State;
 use super::statement::{Access, Failure, FailureKind, InstanceCommand, Outcome, StatementResponse};
-use crate::control::fairness::Arrival;
 use crate::name::{InstanceName, WorkspaceName};
 use crate::telemetry::metrics::{Step, metrics};
 use crate::time::Timestamp;
@@ -221,8 +220,8 @@
             }
         };
         let pool = node.pool(&target.instance);
-        let arrival = arrival(node, context);
-        let slot = match take_slot(&pool, &arrival).await {
+        let request = slot_request(node, context);
+        let slot = match take_slot(&pool, &request).await {
             Ok(slot) => slot,
             Err(_) if may_leave(context, &target) && tried.len() < MAX_FULL_INSTANCES => {
                 tried.push(target.instance.name.clone());
@@ -486,17 +485,17 @@
 
 /// Describes a statement to the queue of an instance. It waits for at most half of its latency
 /// objective, so that its response is still in time when it starts last.
-fn arrival(node: &Node, context: &StatementContext<'_>) -> Arrival {
+fn slot_request(node: &Node, context: &StatementContext<'_>) -> SlotRequest {
     let catalog = node.catalog();
     let workspace = catalog
         .as_ref()
         .and_then(|catalog| catalog.workspaces.get(context.workspace));
     let rate_per_s = workspace.map_or(1.0, |workspace| workspace.rate_per_s);
-    Arrival {
+    SlotRequest {
         workspace: context.workspace.clone(),
         class: slots::class(context.route.priority),
         weight: (rate_per_s as u32).max(1),
-        deadline: clock::now() + context.route.latency_objective.mul_f64(MAX_WAIT_FRACTION),
+        max_wait: context.route.latency_objective.mul_f64(MAX_WAIT_FRACTION),
     }
 }
 
@@ -505,9 +504,9 @@
 /// # Errors
 ///
 /// Fails with the time after which there may be one.
-async fn take_slot(pool: &Pool, arrival: &Arrival) -> Result<Slot, Duration> {
+async fn take_slot(pool: &Pool, request: &SlotRequest) -> Result<Slot, Duration> {
     let taken = tokio::select! {
-        taken = pool.slots().take(arrival) => taken,
+        taken = pool.slots().take(request) => taken,
         () = pool.wait_until_unreachable() => return Err(RETRY_AFTER_BUSY),
     };
     taken.map_err(|refused| refused.retry_after.unwrap_or(RETRY_AFTER_BUSY))
--- a/src/entry/slots.rs
+++ b/src/entry/slots.rs
@@ -7,13 +7,15 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep_until};
 
-use super::clock;
 use crate::configuration::RouteClass;
 use crate::control::fairness::{Arrival, FairQueue, FairQueueSettings, RunKey, Shed, WaiterKey};
+use crate::name::WorkspaceName;
+use crate::time::Timestamp;
 use crate::traffic::Refusal;
 
 /// Result of waiting for a slot.
@@ -27,10 +29,24 @@
 
 type Ticket = oneshot::Sender<Result<RunKey>>;
 
+/// Statement that needs a slot.
+#[derive(Debug, Clone)]
+pub struct SlotRequest {
+    /// Workspace of the statement.
+    pub workspace: WorkspaceName,
+    /// Class of its route.
+    pub class: RouteClass,
+    /// Weight of the workspace.
+    pub weight: u32,
+    /// Longest time for which it may wait.
+    pub max_wait: Duration,
+}
+
 /// Slots of one instance at this VM.
 #[derive(Debug)]
 pub struct Slots {
     queue: RefCell<FairQueue<Ticket>>,
+    created_at: Instant,
 }
 
 /// Slot of an instance; released when dropped, with the time it was held as its cost.
@@ -83,6 +99,7 @@
         let queue = FairQueue::new(FairQueueSettings::default(), count);
         Rc::new(Self {
             queue: RefCell::new(queue),
+            created_at: Instant::now(),
         })
     }
 
@@ -105,14 +122,18 @@
     ///
     /// # Errors
     ///
-    /// Fails at once when no slot is expected before the deadline of the arrival, and otherwise when
-    /// the deadline passes or more urgent requests need the room. Nothing was sent.
-    pub async fn take(self: &Rc<Self>, arrival: &Arrival) -> Result<Slot> {
+    /// Fails at once when no slot is expected within the longest wait, and otherwise when that time
+    /// is over or more urgent requests need the room. Nothing was sent.
+    pub async fn take(self: &Rc<Self>, request: &SlotRequest) -> Result<Slot> {
         let (ticket, granted) = oneshot::channel();
-        let entered = {
-            let mut queue = self.queue.borrow_mut();
-            queue.enter(arrival, ticket, clock::now())
+        let now = self.now();
+        let arrival = Arrival {
+            workspace: request.workspace.clone(),
+            class: request.class,
+            weight: request.weight,
+            deadline: now + request.max_wait,
         };
+        let entered = self.queue.borrow_mut().enter(&arrival, ticket, now);
         let entered = entered.map_err(|shed| shed.refusal)?;
         entered.shed.into_iter().for_each(refuse);
         let mut queued = QueuedRequest {
@@ -121,7 +142,7 @@
             granted,
         };
         self.start_waiting();
-        let end = Instant::now() + arrival.deadline.since(clock::now());
+        let end = Instant::now() + request.max_wait;
         loop {
             tokio::select! {
                 biased;
@@ -134,8 +155,14 @@
         }
     }
 
+    /// Returns the time since the slots were created. A suspension of the VM isn't counted, as it
+    /// delays the statements that wait here as much as those that run.
+    fn now(&self) -> Timestamp {
+        Timestamp::ZERO + self.created_at.elapsed()
+    }
+
     fn expire(&self) {
-        let expired = self.queue.borrow_mut().expire(clock::now());
+        let expired = self.queue.borrow_mut().expire(self.now());
         expired.into_iter().for_each(refuse);
     }
 
@@ -146,9 +173,7 @@
             let Some(started) = started else { return };
             if let Err(Ok(run)) = started.ticket.send(Ok(started.run)) {
                 // The request has been cancelled meanwhile and used no time of the instance.
-                self.queue
-                    .borrow_mut()
-                    .finish(run, std::time::Duration::ZERO);
+                self.queue.borrow_mut().finish(run, Duration::ZERO);
             }
         }
     }
--- a/src/entry/slots/tests.rs
+++ b/src/entry/slots/tests.rs
@@ -8,10 +8,8 @@
 use tokio::task::LocalSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use super::{Slots, class};
+use super::{SlotRequest, Slots, class};
 use crate::configuration::RouteClass;
-use crate::control::fairness::Arrival;
-use crate::entry::clock;
 use crate::traffic::RefusalReason;
 
 /// Slots of the simulated instance.
@@ -130,7 +128,7 @@
             Some(slots) => {
                 let within = route.objective / 2;
                 match slots
-                    .take(&arrival(route.workspace, route.priority, within))
+                    .take(&request(route.workspace, route.priority, within))
                     .await
                 {
                     Ok(slot) => Some(slot),
@@ -151,12 +149,12 @@
     false
 }
 
-fn arrival(workspace: &str, priority: u8, within: Duration) -> Arrival {
-    Arrival {
+fn request(workspace: &str, priority: u8, max_wait: Duration) -> SlotRequest {
+    SlotRequest {
         workspace: workspace.into(),
         class: class(priority),
         weight: 10,
-        deadline: clock::now() + within,
+        max_wait,
     }
 }
 
@@ -229,17 +227,17 @@
             let slots = Slots::new(1);
             let within = Duration::from_millis(200);
             for _ in 0..4 {
-                let slot = slots.take(&arrival("a", 2, within)).await.unwrap();
+                let slot = slots.take(&request("a", 2, within)).await.unwrap();
                 sleep(Duration::from_millis(150)).await;
                 drop(slot);
             }
-            let _running = slots.take(&arrival("a", 2, within)).await.unwrap();
+            let _running = slots.take(&request("a", 2, within)).await.unwrap();
             let mut waiting = Vec::new();
             for _ in 0..3 {
                 let slots = Rc::clone(&slots);
                 waiting.push(tokio::task::spawn_local(async move {
                     slots
-                        .take(&arrival("a", 2, Duration::from_secs(5)))
+                        .take(&request("a", 2, Duration::from_secs(5)))
                         .await
                         .is_ok()
                 }));
@@ -247,7 +245,7 @@
             tokio::task::yield_now().await;
             assert_eq!(slots.waiting(), 3);
             let asked_at = Instant::now();
-            let refused = slots.take(&arrival("a", 2, within)).await.unwrap_err();
+            let refused = slots.take(&request("a", 2, within)).await.unwrap_err();
             assert_eq!(refused.reason, RefusalReason::DeadlineUnreachable);
             assert!(refused.retry_after.unwrap() >= within);
             assert!(asked_at.elapsed().is_zero());
@@ -261,13 +259,13 @@
         .run_until(async {
             let slots = Slots::new(1);
             let within = Duration::from_secs(1);
-            let running = slots.take(&arrival("a", 2, within)).await.unwrap();
-            let cancelled = arrival("a", 2, within);
+            let running = slots.take(&request("a", 2, within)).await.unwrap();
+            let cancelled = request("a", 2, within);
             let cancelled = tokio::time::timeout(Duration::from_millis(10), slots.take(&cancelled));
             cancelled.await.expect_err("the only slot is taken");
             assert_eq!(slots.waiting(), 0);
             drop(running);
-            slots.take(&arrival("b", 1, within)).await.unwrap();
+            slots.take(&request("b", 1, within)).await.unwrap();
         })
         .await;
 }
