--- a/src/entry/discovery.rs
+++ b/src/entry/discovery.rs
@@ -44,8 +44,8 @@
 }
 
 async fn keep_informed(node: &Rc<Node>) {
-    // A list from before a restart of the fleet still tells which VMs are about to return, so that
-    // an old one does at first.
+    // A stale list is enough at first: after a restart of the whole fleet, it names the VMs that
+    // are about to return.
     synchronization::read_gateways(node, true).await;
     let started = Instant::now();
     loop {
--- a/src/entry/role.rs
+++ b/src/entry/role.rs
@@ -2,7 +2,7 @@
 //!
 //! Only gateways are registered, so that VMs that forward cost the store nothing. A VM therefore
 //! compares itself with the registered gateways alone. Where one more is needed, it registers after
-//! a delay that differs by VM, and checks again just before. Gateways too many leave again.
+//! a delay that differs by VM, and checks again just before. Surplus gateways deregister.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -26,8 +26,8 @@
 /// Delay before a VM registers, for each halving of one core: larger VMs register first.
 const DELAY_PER_HALVING: Duration = Duration::from_millis(100);
 
-/// Delay before a VM takes the place of a missing gateway, or leaves when there are too many. VMs
-/// that restart are registered again within this time.
+/// Delay before a VM takes the place of a missing gateway, or deregisters when there are too many.
+/// VMs that restart are registered again within this time.
 const ROLE_CHANGE_DELAY: Duration = Duration::from_millis(1_500);
 
 /// Range over which the registrations of VMs of the same capacity are spread.
@@ -49,9 +49,9 @@
     largest_cpu_share: f64,
 }
 
-/// Returns whether this VM should be a gateway beside the registered ones: in each zone those with
-/// the most capacity are, and beyond them as many as the fleet needs at least. A registered gateway
-/// ranks before an equal VM that isn't registered.
+/// Returns whether this VM should be a gateway beside the registered ones. The VMs with the most
+/// capacity in each zone are gateways, and others until there are `direct_vms` in all. A registered
+/// gateway ranks before an equal VM that isn't registered.
 pub fn should_be_gateway(own: &EntrySettings, state: &State) -> bool {
     let others = other_gateways(state, &own.vm).map(|(vm, record)| Candidate {
         vm,
