--- a/src/entry.rs
+++ b/src/entry.rs
@@ -54,6 +54,7 @@
 pub mod statement;
 pub mod synchronization;
 pub mod takeover;
+pub mod target;
 pub mod task;
 pub mod transaction;
 pub mod validity;
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -1,4 +1,4 @@
-//! Selects an instance for a statement, runs it there and retries on others where that is safe.
+//! Runs a statement on an instance and retries on others where that is safe.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -8,16 +8,14 @@
 
 use super::catalog::Route;
 use super::clock;
-use super::health::{Health, Verdict};
-use super::instance::{Instance, InstanceState};
+use super::health::Health;
 use super::link::{LinkError, Setup};
 use super::node::Node;
-use super::placement::{Candidate, choose};
 use super::pool::{Pool, PooledLink};
 use super::position::Position;
 use super::slots::{self, Slot, SlotRequest};
-use super::state::State;
 use super::statement::{Access, Failure, FailureKind, InstanceCommand, Outcome, StatementResponse};
+use super::target::{self, NoTarget, Target};
 use crate::name::{InstanceName, WorkspaceName};
 use crate::telemetry::metrics::{Step, metrics};
 use crate::time::Timestamp;
@@ -64,25 +62,6 @@
     pub deadline: Instant,
 }
 
-/// Instance chosen for a statement.
-#[derive(Debug, Clone)]
-struct Target {
-    instance: Rc<Instance>,
-    min_position: Option<Position>,
-    is_primary: bool,
-}
-
-/// Why no instance could be selected.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum NoTarget {
-    /// The primary is being replaced or unknown.
-    PrimaryUnavailable,
-    /// This VM has no validity lease and can't rely on the records it has read.
-    NoValidityLease,
-    /// Every eligible instance has been tried.
-    AllTried,
-}
-
 /// Response of an instance, with the connection that it was received on.
 #[derive(Debug)]
 pub struct Executed {
@@ -183,18 +162,11 @@
             pooled.pool().record_health(|health, _| health.on_deposed());
             sleep(TARGET_POLL_INTERVAL).await;
         }
-        FailureKind::Busy if !may_leave(context, target) => sleep(BUSY_RETRY_DELAY).await,
+        FailureKind::Busy if !target::may_leave(context, target) => sleep(BUSY_RETRY_DELAY).await,
         _ => tried.push(target.instance.name.clone()),
     }
 }
 
-/// Returns whether another instance may run the statement. Only then is an instance without capacity
-/// left out of the next attempt.
-fn may_leave(context: &StatementContext<'_>, target: &Target) -> bool {
-    let may_be_stale = context.route.consistency.staleness().is_some();
-    !target.is_primary || (context.access == Access::Read && may_be_stale)
-}
-
 /// Returns whether the same command may be retried after a failure. A read that failed on
 /// the instance is retried unless another instance has been tried before.
 fn is_retryable(context: &StatementContext<'_>, failure: &Failure, tried_count: usize) -> bool {
@@ -211,7 +183,7 @@
     selection_deadline: Instant,
 ) -> Result<(Target, Slot, PooledLink), Failure> {
     loop {
-        let chosen = select_target(&node.state.borrow(), node, context, tried);
+        let chosen = target::select(&node.state.borrow(), node, context, tried);
         let target = match chosen {
             Ok(target) => target,
             Err(cause) => {
@@ -223,7 +195,7 @@
         let request = slot_request(node, context);
         let slot = match take_slot(&pool, &request).await {
             Ok(slot) => slot,
-            Err(_) if may_leave(context, &target) && tried.len() < MAX_FULL_INSTANCES => {
+            Err(_) if target::may_leave(context, &target) && tried.len() < MAX_FULL_INSTANCES => {
                 tried.push(target.instance.name.clone());
                 continue;
             }
@@ -237,7 +209,7 @@
             .take(context.workspace, connect_timeout, selection_deadline)
             .await;
         match taken {
-            Ok(pooled) if is_still_valid(node, context, &target) => {
+            Ok(pooled) if target::is_still_valid(node, context, &target) => {
                 return Ok((target, slot, pooled));
             }
             Ok(_) => {}
@@ -284,134 +256,6 @@
     Ok(())
 }
 
-fn select_target(
-    state: &State,
-    node: &Node,
-    context: &StatementContext<'_>,
-    tried: &[InstanceName],
-) -> Result<Target, NoTarget> {
-    let now = clock::now();
-    let has_validity_lease = state.has_validity_lease(now);
-    let staleness = context.route.consistency.staleness();
-    let known = state.databases.get(&context.route.database);
-    let bound = known
-        .zip(staleness)
-        .and_then(|(known, staleness)| known.freshness.bound(now, staleness));
-    let position = bound.map(|bound| context.mark.map_or(bound, |mark| mark.max(bound)));
-    if context.access == Access::Read && staleness.is_some() {
-        return select_read_target(state, node, context, position, has_validity_lease, tried);
-    }
-    let instance = primary(state, context).ok_or(NoTarget::PrimaryUnavailable)?;
-    let min_position = if has_validity_lease || is_safe_without_lease(state, context) {
-        None
-    } else {
-        Some(position.ok_or(NoTarget::NoValidityLease)?)
-    };
-    if tried.contains(&instance.name) {
-        return Err(NoTarget::AllTried);
-    }
-    Ok(Target {
-        instance: Rc::clone(instance),
-        min_position,
-        is_primary: true,
-    })
-}
-
-/// Returns the primary if it accepts statements of this kind.
-fn primary<'a>(state: &'a State, context: &StatementContext<'_>) -> Option<&'a Rc<Instance>> {
-    match context.access {
-        Access::Read => state.readable_primary(&context.route.database),
-        Access::Write => state.primary(&context.route.database),
-    }
-}
-
-/// Returns whether a statement is safe on an instance that has been replaced as the primary: it
-/// reads nothing, and its save is acknowledged only if a replica still follows the instance.
-fn is_safe_without_lease(state: &State, context: &StatementContext<'_>) -> bool {
-    context.access == Access::Write && !context.starts_transaction && is_synchronous(state, context)
-}
-
-fn is_synchronous(state: &State, context: &StatementContext<'_>) -> bool {
-    let catalog = state.catalog.as_ref();
-    let database = catalog.and_then(|catalog| catalog.databases.get(&context.route.database));
-    database.is_some_and(|database| database.synchronous_replicas > 0)
-}
-
-fn select_read_target(
-    state: &State,
-    node: &Node,
-    context: &StatementContext<'_>,
-    position: Option<Position>,
-    has_validity_lease: bool,
-    tried: &[InstanceName],
-) -> Result<Target, NoTarget> {
-    let primary = state.primary(&context.route.database);
-    let is_primary =
-        |instance: &Rc<Instance>| primary.is_some_and(|primary| primary.name == instance.name);
-    let usable = |instance: &&Rc<Instance>| {
-        let consistent = position.is_some() || (is_primary(instance) && has_validity_lease);
-        let serving = instance.state == InstanceState::Serving || is_primary(instance);
-        let reachable = node.health_verdict(&instance.name) != Verdict::Unreachable;
-        consistent && serving && reachable && !tried.contains(&instance.name)
-    };
-    let instances: Vec<_> = state
-        .directory
-        .in_database(&context.route.database)
-        .filter(usable)
-        .collect();
-    let candidates: Vec<_> = instances
-        .iter()
-        .map(|instance| candidate(node, context, instance, is_primary(instance)))
-        .collect();
-    let Some(index) = choose(position, &candidates) else {
-        return Err(match (tried.is_empty(), position) {
-            (true, None) if !has_validity_lease => NoTarget::NoValidityLease,
-            (true, _) => NoTarget::PrimaryUnavailable,
-            (false, _) => NoTarget::AllTried,
-        });
-    };
-    let is_primary = candidates[index].is_primary;
-    Ok(Target {
-        instance: Rc::clone(instances[index]),
-        min_position: if is_primary && has_validity_lease {
-            None
-        } else {
-            position
-        },
-        is_primary,
-    })
-}
-
-fn candidate(
-    node: &Node,
-    context: &StatementContext<'_>,
-    instance: &Rc<Instance>,
-    is_primary: bool,
-) -> Candidate {
-    let pool = node.pool(instance);
-    Candidate {
-        is_primary,
-        is_same_zone: instance.availability_zone == node.settings.availability_zone,
-        load: pool.load(),
-        connection: pool.availability(context.workspace),
-        latency: pool.latency(),
-        position: pool.position(),
-    }
-}
-
-/// Returns whether a target that was selected before a wait may still be used.
-fn is_still_valid(node: &Node, context: &StatementContext<'_>, target: &Target) -> bool {
-    let state = node.state.borrow();
-    let has_validity_lease = state.has_validity_lease(clock::now());
-    if !target.is_primary {
-        return true;
-    }
-    let same = primary(&state, context).is_some_and(|primary| primary.name == target.instance.name);
-    same && (has_validity_lease
-        || target.min_position.is_some()
-        || is_safe_without_lease(&state, context))
-}
-
 fn record_connect_failure(
     node: &Node,
     context: &StatementContext<'_>,
--- /dev/null
+++ b/src/entry/target.rs
@@ -0,0 +1,179 @@
+//! Selects the instance that a statement runs on.
+
+use std::rc::Rc;
+
+use super::clock;
+use super::execution::StatementContext;
+use super::health::Verdict;
+use super::instance::{Instance, InstanceState};
+use super::node::Node;
+use super::placement::{Candidate, choose};
+use super::position::Position;
+use super::state::State;
+use super::statement::Access;
+use crate::name::InstanceName;
+
+/// Result of selecting an instance.
+pub type Result<T, E = NoTarget> = std::result::Result<T, E>;
+
+/// Instance chosen for a statement.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// The instance.
+    pub instance: Rc<Instance>,
+    /// Position that the instance must have reached; `None` if it needn't be checked.
+    pub min_position: Option<Position>,
+    /// Whether the instance is the recorded primary.
+    pub is_primary: bool,
+}
+
+/// Why no instance could be selected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoTarget {
+    /// The primary is being replaced or unknown.
+    PrimaryUnavailable,
+    /// This VM has no validity lease and can't rely on the records it has read.
+    NoValidityLease,
+    /// Every eligible instance has been tried.
+    AllTried,
+}
+
+/// Selects an instance that hasn't been tried yet.
+///
+/// # Errors
+///
+/// Fails with the reason why no instance can run the statement now.
+pub fn select(
+    state: &State,
+    node: &Node,
+    context: &StatementContext<'_>,
+    tried: &[InstanceName],
+) -> Result<Target> {
+    let now = clock::now();
+    let has_validity_lease = state.has_validity_lease(now);
+    let staleness = context.route.consistency.staleness();
+    let known = state.databases.get(&context.route.database);
+    let bound = known
+        .zip(staleness)
+        .and_then(|(known, staleness)| known.freshness.bound(now, staleness));
+    let position = bound.map(|bound| context.mark.map_or(bound, |mark| mark.max(bound)));
+    if context.access == Access::Read && staleness.is_some() {
+        return select_read_target(state, node, context, position, has_validity_lease, tried);
+    }
+    let instance = primary(state, context).ok_or(NoTarget::PrimaryUnavailable)?;
+    let min_position = if has_validity_lease || is_safe_without_lease(state, context) {
+        None
+    } else {
+        Some(position.ok_or(NoTarget::NoValidityLease)?)
+    };
+    if tried.contains(&instance.name) {
+        return Err(NoTarget::AllTried);
+    }
+    Ok(Target {
+        instance: Rc::clone(instance),
+        min_position,
+        is_primary: true,
+    })
+}
+
+/// Returns the primary if it accepts statements of this kind.
+fn primary<'a>(state: &'a State, context: &StatementContext<'_>) -> Option<&'a Rc<Instance>> {
+    match context.access {
+        Access::Read => state.readable_primary(&context.route.database),
+        Access::Write => state.primary(&context.route.database),
+    }
+}
+
+/// Returns whether a statement is safe on an instance that has been replaced as the primary: it
+/// reads nothing, and its save is acknowledged only if a replica still follows the instance.
+fn is_safe_without_lease(state: &State, context: &StatementContext<'_>) -> bool {
+    context.access == Access::Write && !context.starts_transaction && is_synchronous(state, context)
+}
+
+fn is_synchronous(state: &State, context: &StatementContext<'_>) -> bool {
+    let catalog = state.catalog.as_ref();
+    let database = catalog.and_then(|catalog| catalog.databases.get(&context.route.database));
+    database.is_some_and(|database| database.synchronous_replicas > 0)
+}
+
+fn select_read_target(
+    state: &State,
+    node: &Node,
+    context: &StatementContext<'_>,
+    position: Option<Position>,
+    has_validity_lease: bool,
+    tried: &[InstanceName],
+) -> Result<Target> {
+    let primary = state.primary(&context.route.database);
+    let is_primary =
+        |instance: &Rc<Instance>| primary.is_some_and(|primary| primary.name == instance.name);
+    let usable = |instance: &&Rc<Instance>| {
+        let consistent = position.is_some() || (is_primary(instance) && has_validity_lease);
+        let serving = instance.state == InstanceState::Serving || is_primary(instance);
+        let reachable = node.health_verdict(&instance.name) != Verdict::Unreachable;
+        consistent && serving && reachable && !tried.contains(&instance.name)
+    };
+    let instances: Vec<_> = state
+        .directory
+        .in_database(&context.route.database)
+        .filter(usable)
+        .collect();
+    let candidates: Vec<_> = instances
+        .iter()
+        .map(|instance| candidate(node, context, instance, is_primary(instance)))
+        .collect();
+    let Some(index) = choose(position, &candidates) else {
+        return Err(match (tried.is_empty(), position) {
+            (true, None) if !has_validity_lease => NoTarget::NoValidityLease,
+            (true, _) => NoTarget::PrimaryUnavailable,
+            (false, _) => NoTarget::AllTried,
+        });
+    };
+    let is_primary = candidates[index].is_primary;
+    Ok(Target {
+        instance: Rc::clone(instances[index]),
+        min_position: if is_primary && has_validity_lease {
+            None
+        } else {
+            position
+        },
+        is_primary,
+    })
+}
+
+fn candidate(
+    node: &Node,
+    context: &StatementContext<'_>,
+    instance: &Rc<Instance>,
+    is_primary: bool,
+) -> Candidate {
+    let pool = node.pool(instance);
+    Candidate {
+        is_primary,
+        is_same_zone: instance.availability_zone == node.settings.availability_zone,
+        load: pool.load(),
+        connection: pool.availability(context.workspace),
+        latency: pool.latency(),
+        position: pool.position(),
+    }
+}
+
+/// Returns whether a target that was selected before a wait may still be used.
+pub fn is_still_valid(node: &Node, context: &StatementContext<'_>, target: &Target) -> bool {
+    let state = node.state.borrow();
+    let has_validity_lease = state.has_validity_lease(clock::now());
+    if !target.is_primary {
+        return true;
+    }
+    let same = primary(&state, context).is_some_and(|primary| primary.name == target.instance.name);
+    same && (has_validity_lease
+        || target.min_position.is_some()
+        || is_safe_without_lease(&state, context))
+}
+
+/// Returns whether another instance may run the statement. Only then is an instance without capacity
+/// left out of the next attempt.
+pub fn may_leave(context: &StatementContext<'_>, target: &Target) -> bool {
+    let may_be_stale = context.route.consistency.staleness().is_some();
+    !target.is_primary || (context.access == Access::Read && may_be_stale)
+}
