--- a/src/admin/write/tests.rs
+++ b/src/admin/write/tests.rs
@@ -3,9 +3,10 @@
 
 use arc_swap::ArcSwap;
 use futures::FutureExt;
+use tokio::sync::watch;
 
 use super::*;
-use crate::configuration::{PresetInForce, Route, RouteClass, RoutePolicy};
+use crate::configuration::{PresetInForce, Route, RouteClass, RoutePolicy, Timeline};
 use crate::control::blackboard::{Blackboard, Incarnation, LocalVm};
 use crate::settings::ControlSettings;
 use crate::time::Timestamp;
@@ -124,6 +125,7 @@
             async move { response }.boxed()
         }),
         watch: Arc::new(|_, _, _| async {}.boxed()),
+        timelines: watch::channel(Timeline::default()).1,
     };
     Writer::new(platform, snapshot)
 }
--- a/src/configuration/validate.rs
+++ b/src/configuration/validate.rs
@@ -7,7 +7,8 @@
 use super::record::{
     DatabaseGroup, InstanceState, Limits, Preset, PresetInForce, Record, RecordPath, Workspace,
 };
-use super::view::{Configuration, Revision};
+use super::revision::Revision;
+use super::view::Configuration;
 use crate::name::{DatabaseName, InstanceName};
 
 /// Minimum SCRAM iteration count of a workspace; RFC 7677 recommends at least 4,096.
--- a/src/configuration/view.rs
+++ b/src/configuration/view.rs
@@ -8,14 +8,9 @@
 use super::record::{
     DatabaseGroup, Limits, Preset, PresetInForce, Record, RecordPath, Route, RoutePolicy, Workspace,
 };
+use super::revision::Revision;
 use crate::name::{DatabaseName, InstanceName, PresetName, RouteName, WorkspaceName};
 
-/// Revision of the platform's service. Revisions order all changes and never decrease.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-pub struct Revision(pub u64);
-
 /// One record written or removed.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ConfigurationChange {
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -92,6 +92,12 @@
             };
             (self.replace)(keys, revision);
             self.progress.record_own(known_before);
+            log::info!(
+                "event=watch_started prefix={:?} after={} timeline={}",
+                self.prefix,
+                revision.0,
+                node.adapter.store.timeline().0
+            );
             tokio::select! {
                 () = self.watch(node, Revision(revision.0 + 1)) => {
                     log::info!("event=watch_ended prefix={:?}", self.prefix);
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -11,7 +11,7 @@
 use super::failover::FailoverMonitor;
 use super::node::Node;
 use super::peers::Peers;
-use super::{directory, discovery, listener, registration, relay, synchronization};
+use super::{directory, discovery, listener, registration, relay, restoration, synchronization};
 
 /// Result of starting an entry.
 pub type Result<T, E = StartError> = std::result::Result<T, E>;
@@ -42,6 +42,7 @@
     let address = node.settings.peer_address;
     let bound = Peers::bind(Rc::clone(node)).await;
     let (peers, requests) = bound.context(BindSnafu { address })?;
+    spawn_local(restoration::run(Rc::clone(node)));
     spawn_local(registration::run(Rc::clone(node)));
     spawn_local(synchronization::run(Rc::clone(node)));
     spawn_local(discovery::run(Rc::clone(node)));
--- a/src/store.rs
+++ b/src/store.rs
@@ -8,9 +8,9 @@
 use std::sync::Arc;
 
 use futures::future::BoxFuture;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
-use crate::configuration::Revision;
+use crate::configuration::{Revision, Timeline};
 use crate::control::command::PlatformRequest;
 use crate::control::event::{KeyValue, PlatformFailure, PlatformResponse};
 
@@ -38,6 +38,24 @@
     /// Watches a prefix from a revision on. Completes when the watch fails or its receiver is
     /// dropped.
     pub watch: Arc<Watch>,
+    /// Latest timeline that a response has named.
+    pub timelines: watch::Receiver<Timeline>,
+}
+
+impl Platform {
+    /// Returns the latest timeline that a response has named; the first one before any response.
+    pub fn timeline(&self) -> Timeline {
+        *self.timelines.borrow()
+    }
+
+    /// Waits until a response names a later timeline than `known`. Never completes if the service
+    /// names none.
+    pub async fn wait_for_timeline_after(&self, known: Timeline) {
+        let mut timelines = self.timelines.clone();
+        if timelines.wait_for(|latest| *latest > known).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
 }
 
 impl fmt::Debug for Platform {
--- a/src/store/etcd.rs
+++ b/src/store/etcd.rs
@@ -8,7 +8,7 @@
 use reqwest::{Client, Response};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use super::gateway::{
     Base64, Compare, Int64, Kv, LeaseGrantRequest, LeaseRequest, LeaseResponse, PutRequest,
@@ -16,7 +16,7 @@
     WatchEvent, WatchEventKind, WatchRequest, WatchResponse, prefix_end,
 };
 use super::{Platform, Result, WatchBatch};
-use crate::configuration::Revision;
+use crate::configuration::{Revision, Timeline};
 use crate::control::command::PlatformRequest;
 use crate::control::event::{KeyValue, PlatformFailure, PlatformResponse};
 use crate::control::membership::VM_LIST_PREFIX;
@@ -62,6 +62,7 @@
             let gateway = Arc::clone(&watching);
             async move { gateway.watch(&prefix, from, batches).await }.boxed()
         }),
+        timelines: watch::channel(Timeline::default()).1,
     })
 }
 
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -52,6 +52,7 @@
     refusals: Counter<u64>,
     moves: Counter<u64>,
     store_calls: Counter<u64>,
+    store_timelines: Counter<u64>,
     takeovers: Counter<u64>,
     sessions: Gauge<u64>,
     connections: Gauge<u64>,
@@ -211,6 +212,11 @@
         self.entry.store_calls.add(1, &labels);
     }
 
+    /// Counts a timeline of the store that this VM has seen for the first time.
+    pub fn count_store_timeline(&self) {
+        self.entry.store_timelines.add(1, &[]);
+    }
+
     /// Counts an attempt of this VM to replace a primary, and whether it was completed.
     pub fn count_takeover(&self, reason: String, done: bool) {
         let labels = [KeyValue::new("reason", reason), KeyValue::new("done", done)];
@@ -258,6 +264,11 @@
                 "currantlb.entry.store_calls",
                 "Calls to the store, by kind",
             ),
+            store_timelines: counter(
+                meter,
+                "currantlb.entry.store_timelines",
+                "Timelines of the store seen: one at the start, one more for each restoration",
+            ),
             takeovers: counter(
                 meter,
                 "currantlb.entry.takeovers",
