Order revisions by timeline, and read everything again after a restoration

Callers saw: a configuration that the store had acknowledged was not in force, for as long as the store's revisions stayed below those of before the restoration.

Cause: a revision was one number, compared with numbers of before the restoration. A watch that stood at revision 45 skipped what was written at 7 to 44, and follow::Progress, by which VMs find that a watch lags, never falls, so that nobody counted as behind. All gateways are hit at once; one gateway that has the version would have passed it on to the others by datagram.

Evidence: a_configuration_acknowledged_after_a_restoration_of_the_store_is_not_missed failed before ("version 3 isn't in force on VM 0") with one VM, and passes now with one and three VMs, whether their watches end or outlive the restoration. Ruled out: the version of a configuration, which a running VM never lowers.

Fix: a revision consists of the timeline, which each response names, and the number within it, and compares by timeline first. A VM that sees a later timeline reads the keys again and watches from there; a watch delivers nothing of another timeline than the one it began in.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -92,11 +92,12 @@
             };
             (self.replace)(keys, revision);
             self.progress.record_own(known_before);
+            let timeline = revision.timeline();
             log::info!(
                 "event=watch_started prefix={:?} after={} timeline={}",
                 self.prefix,
-                revision.0,
-                node.adapter.store.timeline().0
+                revision.number(),
+                timeline.0
             );
             tokio::select! {
                 () = self.watch(node, Revision(revision.0 + 1)) => {
@@ -105,6 +106,10 @@
                 () = self.progress.wait_until_lagging() => {
                     log::info!("event=watch_behind prefix={:?}", self.prefix);
                 }
+                // Changes of the new timeline may have revisions that the watch is already past.
+                () = node.adapter.store.wait_for_timeline_after(timeline) => {
+                    log::info!("event=watch_outdated prefix={:?}", self.prefix);
+                }
             }
         }
     }
