Register again after the store was restored

Callers would see reads that miss acknowledged saves: a gateway whose registration was lost goes on renewing its validity lease if the lease's identifier was granted again to another VM, and nobody who replaces a primary waits for it.

Cause: a renewal that the store accepts was taken as proof that the registration is still there. Evidence: a_lost_registration_is_replaced_although_its_lease_was_granted_again failed before (no registration within 3 s), passes now. Without the second grant the store answers that the lease is gone, and the VM registered again already.

Fix: a registration remembers the timeline of its lease, and ends with it. A lease of an earlier timeline is never renewed or revoked.

--- a/src/entry/registration.rs
+++ b/src/entry/registration.rs
@@ -13,7 +13,7 @@
 use super::role;
 use super::state::StopPhase;
 use super::synchronization;
-use crate::configuration::Revision;
+use crate::configuration::{Revision, Timeline};
 use crate::control::command::PlatformRequest;
 use crate::control::event::{PlatformFailure, PlatformResponse};
 use crate::time::Timestamp;
@@ -32,6 +32,8 @@
 struct Registration {
     lease: u64,
     ttl: Duration,
+    /// Timeline of the store in which the lease was granted.
+    timeline: Timeline,
 }
 
 /// Why a registration ended.
@@ -39,6 +41,8 @@
 enum Ended {
     /// The store let the lease lapse.
     Lapsed,
+    /// The store was restored from a copy that may lack the lease.
+    Restored,
     /// Enough other VMs are gateways.
     NotNeeded,
 }
@@ -47,7 +51,7 @@
 pub async fn run(node: Rc<Node>) {
     loop {
         await_need(&node).await;
-        while register_and_renew(&node).await == Ended::Lapsed {}
+        while register_and_renew(&node).await != Ended::NotNeeded {}
     }
 }
 
@@ -103,8 +107,10 @@
     }
 }
 
-/// Registers this VM. Returns `None` when a call to the store failed.
+/// Registers this VM. Returns `None` when a call to the store failed, or the store was restored
+/// meanwhile.
 async fn register(node: &Rc<Node>) -> Option<Registration> {
+    let timeline = node.adapter.store.timeline();
     let sent_at = clock::now();
     let ttl = node.settings.gateway_ttl;
     let response = node.call(PlatformRequest::GrantLease { ttl }).await;
@@ -115,7 +121,7 @@
     write_record(node, lease).await?;
     // Read after the registration is written: a replacement that began earlier is visible now, and
     // one that begins later waits for this VM's confirmation.
-    if !synchronization::refresh(node).await {
+    if !synchronization::refresh(node).await || node.adapter.store.timeline() != timeline {
         return None;
     }
     let mut state = node.state.borrow_mut();
@@ -130,7 +136,11 @@
         node.settings.vm,
         ttl.as_millis()
     );
-    Some(Registration { lease, ttl })
+    Some(Registration {
+        lease,
+        ttl,
+        timeline,
+    })
 }
 
 /// Returns whether this VM should be a gateway. A VM that is stopping keeps its role.
@@ -182,6 +192,9 @@
     loop {
         let wake_at = next.min(Instant::now() + ROLE_CHECK_INTERVAL);
         tokio::time::sleep_until(wake_at).await;
+        if is_outdated(node, &registration) {
+            return Ended::Restored;
+        }
         if should_be_gateway(node) {
             unneeded_since = None;
         } else {
@@ -195,7 +208,11 @@
             continue;
         }
         let sent_at = clock::now();
-        match node.call(PlatformRequest::KeepAlive { lease }).await {
+        let response = node.call(PlatformRequest::KeepAlive { lease }).await;
+        if is_outdated(node, &registration) {
+            return Ended::Restored;
+        }
+        match response {
             Ok(PlatformResponse::Lease { .. }) => {
                 record_renewal(node, sent_at, registration.ttl);
                 next = Instant::now() + renewal;
@@ -213,6 +230,22 @@
     }
 }
 
+/// Returns whether the store was restored since the lease was granted. The lease may then be lost,
+/// and its identifier granted to another VM.
+fn is_outdated(node: &Node, registration: &Registration) -> bool {
+    let timeline = node.adapter.store.timeline();
+    let is_outdated = timeline != registration.timeline;
+    if is_outdated {
+        log::warn!(
+            "event=registration_outdated lease={} timeline={} current_timeline={}",
+            registration.lease,
+            registration.timeline.0,
+            timeline.0
+        );
+    }
+    is_outdated
+}
+
 /// Ends the registration of a gateway that is no longer needed.
 async fn leave_role(node: &Rc<Node>, lease: u64) {
     {
--- a/src/entry/restoration.rs
+++ b/src/entry/restoration.rs
@@ -1,11 +1,14 @@
 //! Detects that the store was restored from an older copy.
+//!
+//! What was written since that copy is lost, including leases, whose identifiers may be granted
+//! again.
 
 use std::rc::Rc;
 
 use super::node::Node;
 use crate::telemetry::metrics::metrics;
 
-/// Logs and counts each restoration of the store until the process ends.
+/// Logs and counts each restoration of the store, until the process ends.
 pub async fn run(node: Rc<Node>) {
     let store = &node.adapter.store;
     loop {
@@ -21,5 +24,7 @@
             node.directory_progress.own().0
         );
         metrics().count_store_timeline();
+        // Revoking this lease could revoke that of another VM.
+        node.state.borrow_mut().lease = None;
     }
 }
