Don't rely on records that a restoration of the store brought back

Callers would see: reads of primary routes that miss acknowledged saves, and a database without saves for as long as the store's revisions stayed low.

Cause: the record of a primary was trusted because the store has it. After a restoration the store may hold the record of a former primary, or none. A VM that read it used the former primary; a compare-and-swap could take an unrelated record of the same number for the expected one; a record that was lost was never written again.

Before VMs that had seen the later record ignored the restored one, and those started since used it.

Fix: a record names the timeline in which it was written, and is relied on only if it was read in that timeline or known from before. A gateway that finds the store's record outdated asks all instances under the failover lease; if all confirm the recorded primary it writes the record again, otherwise it replaces the primary as after an unfinished replacement, but counts an acknowledged save as held by any two instances, not by the recorded primary.

--- a/src/entry/failover.rs
+++ b/src/entry/failover.rs
@@ -178,6 +178,7 @@
             .directory
             .in_database(&primary.database)
             .count(),
+        timeline: node.adapter.store.timeline(),
     };
     records::write(node, &primary.database, Revision(0), record).await;
 }
@@ -207,7 +208,11 @@
     database: &DatabaseName,
     known: &DatabaseState,
 ) -> Option<Reason> {
-    let record = &known.record.as_ref()?.record;
+    let record = known.record.as_ref()?;
+    if record.is_outdated() {
+        return Some(Reason::Restored);
+    }
+    let record = &record.record;
     if record.phase != Phase::Steady {
         return Some(Reason::Unfinished);
     }
--- a/src/entry/promotion.rs
+++ b/src/entry/promotion.rs
@@ -30,23 +30,56 @@
     Unheard,
 }
 
-/// Decides the next step from the reports of the paused replicas, and of the former primary if
+/// What is known about the primary that is being replaced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Knowledge {
+    /// The recorded primary was the primary until now, and has failed or must leave.
+    Former,
+    /// As `Former`, but nothing may be wrong with it: it remains the primary if it still leads.
+    Unfinished,
+    /// A restoration of the store brought the record back: there may have been a later primary.
+    Restored,
+}
+
+/// Primary that is being replaced.
+#[derive(Debug, Clone, Copy)]
+pub struct Replaced<'a> {
+    /// Primary that the record names.
+    pub primary: &'a InstanceName,
+    /// Term that the record names.
+    pub term: u64,
+    /// Number of instances that may hold an acknowledged save.
+    pub instances: usize,
+    /// What is known about the primary.
+    pub knowledge: Knowledge,
+}
+
+/// Decides the next step from the reports of the paused replicas, and of the recorded primary if
 /// it responded.
 ///
-/// `term` is the term that is being replaced; `instances` is the number of instances that may hold
-/// an acknowledged save. A save is acknowledged once the primary and one replica have it, so the
-/// reports of all replicas, or the report of the primary, are enough. With `keep_leader`, a former
-/// primary that still leads remains the primary.
-pub fn decide(
-    former_primary: &InstanceName,
-    term: u64,
-    reports: &[MemberReport],
-    instances: usize,
-    keep_leader: bool,
-) -> Decision {
+/// A save is acknowledged once the primary and one replica have it, so the reports of all replicas,
+/// or the report of the primary, are enough. If the record was restored, any two instances may hold
+/// the last save, and all instances but one must report.
+pub fn decide(replaced: &Replaced<'_>, reports: &[MemberReport]) -> Decision {
+    let Replaced {
+        primary: former_primary,
+        term,
+        instances,
+        knowledge,
+    } = *replaced;
+    let newest_term = reports.iter().map(|member| member.report.term).max();
+    if knowledge == Knowledge::Restored && reports.len() + 1 < instances {
+        return Decision::Unheard;
+    }
     let leader = reports.iter().find(|member| {
         let newer = member.report.term > term && member.instance != *former_primary;
-        let kept = keep_leader && member.report.term >= term && member.instance == *former_primary;
+        let kept = member.report.term >= term
+            && member.instance == *former_primary
+            && match knowledge {
+                Knowledge::Former => false,
+                Knowledge::Unfinished => true,
+                Knowledge::Restored => Some(member.report.term) == newest_term,
+            };
         member.report.is_primary && (newer || kept)
     });
     if let Some(leader) = leader {
@@ -81,5 +114,22 @@
     Decision::Promote(best.instance.clone())
 }
 
+/// Returns whether every instance has reported, and the recorded primary leads in the recorded
+/// term without a later one. The record then holds although the store was restored.
+pub fn is_confirmed(replaced: &Replaced<'_>, reports: &[MemberReport]) -> bool {
+    let leads = |member: &MemberReport| {
+        member.instance == *replaced.primary
+            && member.report.is_primary
+            && member.report.term == replaced.term
+    };
+    let follows =
+        |member: &MemberReport| !member.report.is_primary && member.report.term <= replaced.term;
+    reports.len() >= replaced.instances
+        && reports.iter().any(leads)
+        && reports
+            .iter()
+            .all(|member| leads(member) || follows(member))
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/entry/promotion/tests.rs
+++ b/src/entry/promotion/tests.rs
@@ -1,4 +1,4 @@
-use super::{Decision, MemberReport, decide};
+use super::{Decision, Knowledge, MemberReport, Replaced, decide, is_confirmed};
 use crate::entry::position::Position;
 use crate::entry::statement::InstanceReport;
 use crate::name::InstanceName;
@@ -36,6 +36,15 @@
     leading
 }
 
+fn replaced(primary: &InstanceName, term: u64, knowledge: Knowledge) -> Replaced<'_> {
+    Replaced {
+        primary,
+        term,
+        instances: 3,
+        knowledge,
+    }
+}
+
 struct Case {
     name: &'static str,
     reports: Vec<MemberReport>,
@@ -103,7 +112,8 @@
 #[test]
 fn decide_never_promotes_an_instance_that_lacks_an_acknowledged_save() {
     for case in cases() {
-        let decision = decide(&InstanceName::from("p"), 3, &case.reports, 3, false);
+        let primary = InstanceName::from("p");
+        let decision = decide(&replaced(&primary, 3, Knowledge::Former), &case.reports);
         assert_eq!(decision, case.expected, "{}", case.name);
     }
 }
@@ -112,8 +122,75 @@
 fn with_keep_leader_a_primary_that_leads_the_recorded_term_stays() {
     let reports = [member_report("p", 30), member_report("a", 30)];
     let primary = InstanceName::from("p");
-    let kept = decide(&primary, 3, &reports, 3, true);
+    let kept = decide(&replaced(&primary, 3, Knowledge::Unfinished), &reports);
     assert_eq!(kept, Decision::AlreadyLeads(primary.clone()));
-    let replaced = decide(&primary, 4, &reports, 3, true);
-    assert_eq!(replaced, Decision::Promote(InstanceName::from("a")));
+    let promoted = decide(&replaced(&primary, 4, Knowledge::Unfinished), &reports);
+    assert_eq!(promoted, Decision::Promote(InstanceName::from("a")));
+}
+
+fn with_term(member: MemberReport, term: u64) -> MemberReport {
+    let mut member = member;
+    member.report.term = term;
+    member.report.received.term = term;
+    member
+}
+
+#[test]
+fn a_restored_record_is_not_trusted_where_a_later_primary_may_have_led() {
+    struct Case {
+        name: &'static str,
+        reports: Vec<MemberReport>,
+        expected: Decision,
+        is_confirmed: bool,
+    }
+    let [p, a, b] = ["p", "a", "b"].map(InstanceName::from);
+    let cases = [
+        Case {
+            name: "the recorded primary leads",
+            reports: vec![
+                member_report("p", 30),
+                member_report("a", 30),
+                member_report("b", 20),
+            ],
+            expected: Decision::AlreadyLeads(p.clone()),
+            is_confirmed: true,
+        },
+        Case {
+            name: "one instance is missing, none knows a later term",
+            reports: vec![member_report("p", 30), member_report("a", 30)],
+            expected: Decision::AlreadyLeads(p.clone()),
+            is_confirmed: false,
+        },
+        Case {
+            name: "the other two may hold saves of a later term",
+            reports: vec![member_report("p", 30)],
+            expected: Decision::Unheard,
+            is_confirmed: false,
+        },
+        Case {
+            name: "the recorded primary was deposed, and may lack saves",
+            reports: vec![deposed("p", 30)],
+            expected: Decision::Unheard,
+            is_confirmed: false,
+        },
+        Case {
+            name: "a replica has saves of a later primary that is gone",
+            reports: vec![member_report("p", 30), with_term(member_report("a", 7), 4)],
+            expected: Decision::Promote(a),
+            is_confirmed: false,
+        },
+        Case {
+            name: "a later primary leads",
+            reports: vec![deposed("p", 30), leading("b", 31)],
+            expected: Decision::AlreadyLeads(b),
+            is_confirmed: false,
+        },
+    ];
+    for case in cases {
+        let replaced = replaced(&p, 3, Knowledge::Restored);
+        let decision = decide(&replaced, &case.reports);
+        assert_eq!(decision, case.expected, "{}", case.name);
+        let is_confirmed = is_confirmed(&replaced, &case.reports);
+        assert_eq!(is_confirmed, case.is_confirmed, "{}", case.name);
+    }
 }
--- a/src/entry/record.rs
+++ b/src/entry/record.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use strum::Display;
 
-use crate::configuration::Revision;
+use crate::configuration::{Revision, Timeline};
 use crate::name::{InstanceName, VmName, ZoneName};
 
 /// Progress of the replacement of a database's primary.
@@ -55,6 +55,9 @@
     /// Number of instances of the database when the record was written. Includes missing instances
     /// that may hold acknowledged saves.
     pub instances: usize,
+    /// Timeline of the store in which the record was written.
+    #[serde(default)]
+    pub timeline: Timeline,
 }
 
 /// Record of a primary with the store revision at which it was written.
@@ -62,8 +65,46 @@
 pub struct VersionedRecord {
     /// Content of the record.
     pub record: PrimaryRecord,
-    /// Store revision of its last write.
+    /// Store revision of the record.
     pub revision: Revision,
+    /// Revision of the record that the store holds. Later than `revision` if the store was restored
+    /// and holds an older record, or none.
+    pub stored: Revision,
+}
+
+impl VersionedRecord {
+    /// Builds the record that the store holds at `revision`.
+    pub fn new(record: PrimaryRecord, revision: Revision) -> Self {
+        Self {
+            record,
+            revision,
+            stored: revision,
+        }
+    }
+
+    /// Returns whether the record was written in the timeline in which it was read. Otherwise a
+    /// restoration of the store has brought it back, and it may name a former primary.
+    pub fn is_reliable(&self) -> bool {
+        self.record.timeline == self.revision.timeline()
+    }
+
+    /// Returns whether the record must be written again because the store was restored.
+    pub fn is_outdated(&self) -> bool {
+        self.stored != self.revision || !self.is_reliable()
+    }
+
+    /// Takes over a record that was received; returns whether it replaces the known one. One that a
+    /// restoration has brought back doesn't replace one that is reliable.
+    pub fn update(&mut self, received: Self) -> bool {
+        let stored = self.stored.max(received.stored);
+        let is_newer = received.revision > self.revision;
+        let is_replaced = is_newer && (received.is_reliable() || !self.is_reliable());
+        if is_replaced {
+            *self = received;
+        }
+        self.stored = stored;
+        is_replaced
+    }
 }
 
 /// Registration of a VM; the store deletes it when the VM's lease lapses.
@@ -97,3 +138,6 @@
     /// the same VM.
     pub lease: u64,
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/entry/records.rs
+++ b/src/entry/records.rs
@@ -18,14 +18,24 @@
 /// Delay between two attempts at a write.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Writes a record if the current one still has the expected revision. Returns the record with its
-/// new revision; `None` when another VM wrote first or the store didn't respond.
+/// Writes a record of the current timeline if the store's one still has the expected revision.
+/// Returns the record with its new revision; `None` when another VM wrote first, the store was
+/// restored or didn't respond.
 pub async fn write(
     node: &Rc<Node>,
     database: &DatabaseName,
     expected: Revision,
     record: PrimaryRecord,
 ) -> Option<VersionedRecord> {
+    // In another timeline, another record may have the number that is expected.
+    if expected.number() > 0 && expected.timeline() != record.timeline {
+        log::warn!(
+            "event=record_outdated database={database} expected_timeline={} timeline={}",
+            expected.timeline().0,
+            record.timeline.0
+        );
+        return None;
+    }
     let value = serde_json::to_vec(&record).ok()?;
     for _ in 0..MAX_ATTEMPTS {
         let key = keys::database(database);
@@ -68,7 +78,8 @@
                 revision,
             },
         );
-        return Some(VersionedRecord { record, revision });
+        let written = VersionedRecord::new(record, revision);
+        return Some(written).filter(VersionedRecord::is_reliable);
     }
     None
 }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -11,7 +11,7 @@
 use super::quota::Quota;
 use super::record::{GatewayList, Phase, PrimaryRecord, VersionedRecord, VmRecord};
 use super::validity::ValidityLease;
-use crate::configuration::Revision;
+use crate::configuration::{Revision, Timeline};
 use crate::name::{DatabaseName, InstanceName, VmName};
 use crate::time::Timestamp;
 
@@ -91,6 +91,16 @@
     pub group_size: usize,
 }
 
+impl DatabaseState {
+    /// Records that the store holds no record of the database, which a restoration has caused if
+    /// `timeline` is later than that of the record.
+    pub fn record_lost(&mut self, timeline: Timeline) {
+        if let Some(record) = &mut self.record {
+            record.stored = record.stored.max(Revision::new(timeline, 0));
+        }
+    }
+}
+
 impl State {
     /// Returns whether the records may be relied on, by this VM's own lease or a sublease.
     pub fn has_validity_lease(&self, now: Timestamp) -> bool {
@@ -151,7 +161,7 @@
 
     fn record(&self, database: &DatabaseName) -> Option<&PrimaryRecord> {
         let record = self.databases.get(database)?.record.as_ref()?;
-        Some(&record.record)
+        Some(&record.record).filter(|_| record.is_reliable())
     }
 
     /// Returns the local view of a database for modification; creates it if it is missing.
--- a/src/entry/synchronization.rs
+++ b/src/entry/synchronization.rs
@@ -107,6 +107,11 @@
     if !present(keys::FAILOVER_LEASE) {
         state.failover_holder = None;
     }
+    for (database, known) in &mut state.databases {
+        if !present(&keys::database(database)) {
+            known.record_lost(revision.timeline());
+        }
+    }
     drop(state);
     for key in found {
         apply(node, key);
@@ -188,8 +193,8 @@
     state.gateways_revision = state.gateways_revision.max(revision);
 }
 
-/// Stores a record if it is newer than the known one. If the record names a replacement, this VM
-/// confirms that it has stopped using the former primary.
+/// Stores a record if it is newer than the known one. If it may be relied on and names a
+/// replacement, this VM confirms that it has stopped using the former primary.
 pub fn apply_record(
     node: &Rc<Node>,
     database: DatabaseName,
@@ -238,15 +243,15 @@
     revision: Revision,
 ) -> bool {
     let known = state.database(database);
-    let previous = known.record.as_ref();
-    if previous.is_some_and(|previous| previous.revision >= revision) {
-        return false;
-    }
     // A VM that has just started may know fewer instances than hold acknowledged saves.
     known.group_size = known.group_size.max(record.instances);
-    known.record = Some(VersionedRecord {
-        record: record.clone(),
-        revision,
-    });
-    true
+    let received = VersionedRecord::new(record.clone(), revision);
+    let is_reliable = received.is_reliable();
+    match &mut known.record {
+        Some(known) => known.update(received) && is_reliable,
+        None => {
+            known.record = Some(received);
+            is_reliable
+        }
+    }
 }
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -15,7 +15,7 @@
 use super::instance::{Instance, InstanceState};
 use super::node::Node;
 use super::position::Position;
-use super::promotion::{Decision, MemberReport, decide};
+use super::promotion::{Decision, Knowledge, MemberReport, Replaced, decide, is_confirmed};
 use super::record::{Phase, PrimaryRecord, VersionedRecord};
 use super::records;
 use super::statement::{InstanceCommand, InstanceReport};
@@ -62,6 +62,8 @@
     Deposed,
     /// A former holder of the failover lease began a replacement and didn't finish it.
     Unfinished,
+    /// The store was restored from a copy that lacks the record or holds an older one.
+    Restored,
 }
 
 impl Reason {
@@ -69,6 +71,14 @@
     pub const fn is_planned(self) -> bool {
         matches!(self, Self::Leaving)
     }
+
+    const fn knowledge(self) -> Knowledge {
+        match self {
+            Self::Unfinished => Knowledge::Unfinished,
+            Self::Restored => Knowledge::Restored,
+            _ => Knowledge::Former,
+        }
+    }
 }
 
 /// Replacement of one database's primary.
@@ -78,6 +88,8 @@
     database: DatabaseName,
     generation: u64,
     record: VersionedRecord,
+    /// Newest term that an instance has reported before the replicas are paused.
+    reported_term: u64,
 }
 
 impl Takeover {
@@ -95,6 +107,7 @@
             node,
             database,
             generation,
+            reported_term: record.record.term,
             record,
         };
         let started = Instant::now();
@@ -122,6 +135,9 @@
         if !self.is_suspicion_confirmed(reason).await {
             return true;
         }
+        if reason == Reason::Restored && self.restore_record().await {
+            return true;
+        }
         let moving = Phase::Moving {
             holder: self.node.settings.vm.clone(),
             generation: self.generation,
@@ -149,8 +165,7 @@
             confirmation_task.join_next().await;
             sleep(STATEMENT_GRACE_PERIOD).await;
         }
-        let keep_leader = reason == Reason::Unfinished;
-        let Some((instance, term)) = self.promote(keep_leader).await else {
+        let Some((instance, term)) = self.promote(reason.knowledge()).await else {
             return false;
         };
         let former = self.record.record.primary.clone();
@@ -221,26 +236,20 @@
     }
 
     /// Promotes an instance that holds every acknowledged save. Returns its name and the new term.
-    async fn promote(&self, keep_leader: bool) -> Option<(InstanceName, u64)> {
+    async fn promote(&self, knowledge: Knowledge) -> Option<(InstanceName, u64)> {
         let end = Instant::now() + PROMOTION_TIMEOUT;
         let mut attempt = 0;
         while Instant::now() < end {
             attempt += 1;
             let reports = self.collect_reports().await;
-            let instances = self.members().len().max(self.group_size());
-            let primary = &self.record.record.primary;
-            let decision = decide(
-                primary,
-                self.record.record.term,
-                &reports,
-                instances,
-                keep_leader,
-            );
+            let replaced = self.replaced(knowledge);
+            let decision = decide(&replaced, &reports);
             log::info!(
-                "event=takeover_decided database={} attempt={attempt} heard={} of={instances} \
+                "event=takeover_decided database={} attempt={attempt} heard={} of={} \
                  decision=\"{decision:?}\"",
                 self.database,
-                reports.len()
+                reports.len(),
+                replaced.instances
             );
             let chosen = match decision {
                 Decision::AlreadyLeads(instance) => self.await_leadership(&instance).await,
@@ -262,6 +271,54 @@
         None
     }
 
+    fn replaced(&self, knowledge: Knowledge) -> Replaced<'_> {
+        Replaced {
+            primary: &self.record.record.primary,
+            term: self.record.record.term,
+            instances: self.members().len().max(self.group_size()),
+            knowledge,
+        }
+    }
+
+    /// Writes the record again if the reports of all instances confirm it. Returns whether it is
+    /// written. No VM has to confirm this, because none can know another primary.
+    async fn restore_record(&mut self) -> bool {
+        let reports = self.collect_reports_without_pause().await;
+        let newest_term = reports.iter().map(|member| member.report.term).max();
+        self.reported_term = self.reported_term.max(newest_term.unwrap_or_default());
+        let is_steady = self.record.record.phase == Phase::Steady;
+        let is_confirmed = is_confirmed(&self.replaced(Knowledge::Restored), &reports);
+        log::info!(
+            "event=record_checked database={} heard={} confirmed={is_confirmed} \
+             newest_term={newest_term:?}",
+            self.database,
+            reports.len()
+        );
+        if !is_steady || !is_confirmed {
+            return false;
+        }
+        let (primary, term) = (self.record.record.primary.clone(), self.record.record.term);
+        if !self.write(primary.clone(), term, Phase::Steady).await {
+            return false;
+        }
+        self.send_record_to_all();
+        // A replacement that the restoration ended may have paused the replicas.
+        self.notify_instances(&primary, &primary, term);
+        true
+    }
+
+    async fn collect_reports_without_pause(&self) -> Vec<MemberReport> {
+        let requests = self.members().into_iter().map(|instance| {
+            let mut link = ControlLink::new(Rc::clone(&self.node), instance);
+            async move {
+                let report = link.request(&InstanceCommand::Report, REPORT_TIMEOUT);
+                let report = report.await?;
+                Some(member_report(link.instance(), report))
+            }
+        });
+        join_all(requests).await.into_iter().flatten().collect()
+    }
+
     /// Promotes an instance. If the former primary still leads, it is deposed first: otherwise a
     /// replica that this VM doesn't know could acknowledge its saves in the meantime.
     async fn depose_and_promote(
@@ -298,7 +355,7 @@
 
     /// Pauses the replicas and collects a report of every instance that responds in time.
     async fn collect_reports(&self) -> Vec<MemberReport> {
-        let term = self.record.record.term;
+        let term = self.record.record.term.max(self.reported_term);
         let requests = self.members().into_iter().map(|instance| {
             let is_former = instance.name == self.record.record.primary;
             let command = if is_former {
@@ -391,8 +448,9 @@
             term,
             phase,
             instances: self.members().len().max(self.group_size()),
+            timeline: self.node.adapter.store.timeline(),
         };
-        let expected = self.record.revision;
+        let expected = self.record.stored;
         let written = records::write(&self.node, &self.database, expected, record).await;
         match written {
             Some(record) => {
