--- /dev/null
+++ b/src/entry/reports.rs
@@ -0,0 +1,67 @@
+//! Collects reports of the instances of a database.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::future::join_all;
+
+use super::control::ControlLink;
+use super::instance::{Instance, InstanceState};
+use super::node::Node;
+use super::promotion::MemberReport;
+use super::statement::{InstanceCommand, InstanceReport};
+use crate::name::InstanceName;
+
+/// Time limit for one instance to report.
+pub const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Collects a report of every instance that responds in time.
+pub async fn collect(node: &Rc<Node>, members: Vec<Rc<Instance>>) -> Vec<MemberReport> {
+    let requests = members.into_iter().map(|instance| {
+        let mut link = ControlLink::new(Rc::clone(node), instance);
+        async move {
+            let report = link.request(&InstanceCommand::Report, REPORT_TIMEOUT);
+            let report = report.await?;
+            Some(member_report(link.instance(), report))
+        }
+    });
+    join_all(requests).await.into_iter().flatten().collect()
+}
+
+/// Pauses the replicas under `term` and collects a report of every instance that responds in time.
+pub async fn pause_replicas(
+    node: &Rc<Node>,
+    members: Vec<Rc<Instance>>,
+    primary: &InstanceName,
+    term: u64,
+) -> Vec<MemberReport> {
+    let requests = members.into_iter().map(|instance| {
+        let is_former = instance.name == *primary;
+        let command = if is_former {
+            InstanceCommand::Report
+        } else {
+            InstanceCommand::Pause { term }
+        };
+        let mut link = ControlLink::new(Rc::clone(node), instance);
+        async move {
+            let mut report = link.request(&command, REPORT_TIMEOUT).await;
+            if report.is_none() && !is_former {
+                // An instance that is the primary in a newer term refuses to pause.
+                report = link
+                    .request(&InstanceCommand::Report, REPORT_TIMEOUT / 4)
+                    .await;
+                report = report.filter(|report| report.is_primary);
+            }
+            report.map(|report| member_report(link.instance(), report))
+        }
+    });
+    join_all(requests).await.into_iter().flatten().collect()
+}
+
+fn member_report(instance: &Instance, report: InstanceReport) -> MemberReport {
+    MemberReport {
+        instance: instance.name.clone(),
+        report,
+        may_lead: instance.state == InstanceState::Serving,
+    }
+}
--- a/src/entry/synchronization.rs
+++ b/src/entry/synchronization.rs
@@ -247,11 +247,11 @@
     known.group_size = known.group_size.max(record.instances);
     let received = VersionedRecord::new(record.clone(), revision);
     let is_reliable = received.is_reliable();
-    match &mut known.record {
-        Some(known) => known.update(received) && is_reliable,
-        None => {
-            known.record = Some(received);
-            is_reliable
-        }
-    }
+    let is_new = if let Some(known) = &mut known.record {
+        known.update(received)
+    } else {
+        known.record = Some(received);
+        true
+    };
+    is_new && is_reliable
 }
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures::future::join_all;
 use strum::Display;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
@@ -12,19 +11,17 @@
 use super::confirmation;
 use super::control::ControlLink;
 use super::datagram::{Datagram, RecordUpdate};
-use super::instance::{Instance, InstanceState};
+use super::instance::Instance;
 use super::node::Node;
 use super::position::Position;
 use super::promotion::{Decision, Knowledge, MemberReport, Replaced, decide, is_confirmed};
 use super::record::{Phase, PrimaryRecord, VersionedRecord};
 use super::records;
-use super::statement::{InstanceCommand, InstanceReport};
+use super::reports::{self, REPORT_TIMEOUT};
+use super::statement::InstanceCommand;
 use crate::name::{DatabaseName, InstanceName};
 use crate::telemetry::metrics::metrics;
 
-/// Time limit for one instance to report.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Time that running statements get to end before a planned replacement pauses the replicas.
 const STATEMENT_GRACE_PERIOD: Duration = Duration::from_millis(60);
 
@@ -138,20 +135,7 @@
         if reason == Reason::Restored && self.restore_record().await {
             return true;
         }
-        let moving = Phase::Moving {
-            holder: self.node.settings.vm.clone(),
-            generation: self.generation,
-        };
-        let replacement = (self.database.clone(), self.generation);
-        self.node.confirmations.begin(replacement);
-        if !self
-            .write(
-                self.record.record.primary.clone(),
-                self.record.record.term,
-                moving,
-            )
-            .await
-        {
+        if !self.begin().await {
             return false;
         }
         let (node, record) = (Rc::clone(&self.node), self.record_update());
@@ -188,6 +172,18 @@
         recorded
     }
 
+    /// Records that the primary is being replaced; returns whether it is recorded.
+    async fn begin(&mut self) -> bool {
+        let moving = Phase::Moving {
+            holder: self.node.settings.vm.clone(),
+            generation: self.generation,
+        };
+        let replacement = (self.database.clone(), self.generation);
+        self.node.confirmations.begin(replacement);
+        let (primary, term) = (self.record.record.primary.clone(), self.record.record.term);
+        self.write(primary, term, moving).await
+    }
+
     /// Returns the record in the form that is sent to other VMs.
     fn record_update(&self) -> RecordUpdate {
         RecordUpdate {
@@ -241,8 +237,11 @@
         let mut attempt = 0;
         while Instant::now() < end {
             attempt += 1;
-            let reports = self.collect_reports().await;
             let replaced = self.replaced(knowledge);
+            let term = replaced.term.max(self.reported_term) + 1;
+            let pausing =
+                reports::pause_replicas(&self.node, self.members(), replaced.primary, term);
+            let reports = pausing.await;
             let decision = decide(&replaced, &reports);
             log::info!(
                 "event=takeover_decided database={} attempt={attempt} heard={} of={} \
@@ -283,7 +282,7 @@
     /// Writes the record again if the reports of all instances confirm it. Returns whether it is
     /// written. No VM has to confirm this, because none can know another primary.
     async fn restore_record(&mut self) -> bool {
-        let reports = self.collect_reports_without_pause().await;
+        let reports = reports::collect(&self.node, self.members()).await;
         let newest_term = reports.iter().map(|member| member.report.term).max();
         self.reported_term = self.reported_term.max(newest_term.unwrap_or_default());
         let is_steady = self.record.record.phase == Phase::Steady;
@@ -307,18 +306,6 @@
         true
     }
 
-    async fn collect_reports_without_pause(&self) -> Vec<MemberReport> {
-        let requests = self.members().into_iter().map(|instance| {
-            let mut link = ControlLink::new(Rc::clone(&self.node), instance);
-            async move {
-                let report = link.request(&InstanceCommand::Report, REPORT_TIMEOUT);
-                let report = report.await?;
-                Some(member_report(link.instance(), report))
-            }
-        });
-        join_all(requests).await.into_iter().flatten().collect()
-    }
-
     /// Promotes an instance. If the former primary still leads, it is deposed first: otherwise a
     /// replica that this VM doesn't know could acknowledge its saves in the meantime.
     async fn depose_and_promote(
@@ -353,32 +340,6 @@
         None
     }
 
-    /// Pauses the replicas and collects a report of every instance that responds in time.
-    async fn collect_reports(&self) -> Vec<MemberReport> {
-        let term = self.record.record.term.max(self.reported_term);
-        let requests = self.members().into_iter().map(|instance| {
-            let is_former = instance.name == self.record.record.primary;
-            let command = if is_former {
-                InstanceCommand::Report
-            } else {
-                InstanceCommand::Pause { term: term + 1 }
-            };
-            let mut link = ControlLink::new(Rc::clone(&self.node), instance);
-            async move {
-                let mut report = link.request(&command, REPORT_TIMEOUT).await;
-                if report.is_none() && !is_former {
-                    // An instance that is the primary in a newer term refuses to pause.
-                    report = link
-                        .request(&InstanceCommand::Report, REPORT_TIMEOUT / 4)
-                        .await;
-                    report = report.filter(|report| report.is_primary);
-                }
-                report.map(|report| member_report(link.instance(), report))
-            }
-        });
-        join_all(requests).await.into_iter().flatten().collect()
-    }
-
     async fn catch_up(&self, name: &InstanceName, to: Position) -> bool {
         let Some(instance) = self.instance(name) else {
             return false;
@@ -497,11 +458,3 @@
         state.database(&self.database).group_size
     }
 }
-
-fn member_report(instance: &Instance, report: InstanceReport) -> MemberReport {
-    MemberReport {
-        instance: instance.name.clone(),
-        report,
-        may_lead: instance.state == InstanceState::Serving,
-    }
-}
