Give up the failover lease when the store was restored

Callers would see saves acknowledged by a primary that another VM replaces at the same moment.

Ruled out: a lower generation after the restoration, since generations are revisions and rise by timeline.

Fix: the tenure ends when a response names a later timeline, the lease isn't revoked then, and a VM claims the failover lease only once it has known the timeline for one time-to-live.

--- a/src/entry/failover.rs
+++ b/src/entry/failover.rs
@@ -77,7 +77,9 @@
                 due.extend(reason.map(|reason| (database.clone(), reason)));
             }
         }
-        let free = state.failover_holder.is_none() && !self.holding.get();
+        // A holder of the failover lease of before a restoration may still act.
+        let is_restoring = node.timeline_age() < node.settings.failover_lease_ttl;
+        let free = state.failover_holder.is_none() && !self.holding.get() && !is_restoring;
         drop(state);
         if !due.is_empty() && free {
             self.holding.set(true);
@@ -243,6 +245,7 @@
 /// Acquires the failover lease, replaces the primaries that are due, and releases the lease.
 async fn hold_failover_lease(node: &Rc<Node>, due: Vec<(DatabaseName, Reason)>) {
     let ttl = node.settings.failover_lease_ttl;
+    let timeline = node.adapter.store.timeline();
     let granted = node.call(PlatformRequest::GrantLease { ttl }).await;
     let Ok(PlatformResponse::Lease { lease, .. }) = granted else {
         log::warn!("event=duty_lease_not_granted answer={granted:?}");
@@ -260,8 +263,16 @@
         tokio::select! {
             _ = replacing => {}
             () = renew(node, lease) => log::warn!("event=duty_lost generation={}", generation.0),
+            // The lease may be lost, and its identifier granted to another VM.
+            () = node.adapter.store.wait_for_timeline_after(timeline) => {
+                log::warn!("event=duty_outdated generation={}", generation.0);
+                return;
+            }
         }
     }
+    if node.adapter.store.timeline() != timeline {
+        return;
+    }
     if let Err(error) = node.call(PlatformRequest::Revoke { lease }).await {
         log::warn!("event=duty_not_released lease={lease} error=\"{error}\"");
     }
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -20,6 +20,7 @@
 use super::pool::{Limits, Pool};
 use super::settings::EntrySettings;
 use super::state::{State, StopPhase};
+use crate::configuration::Timeline;
 use crate::control::command::PlatformRequest;
 use crate::control::event::PlatformResponse;
 use crate::name::{DatabaseName, InstanceName};
@@ -176,6 +177,20 @@
         self.state.borrow().catalog.clone()
     }
 
+    /// Returns for how long this VM has known the store's timeline. Unlimited in the first timeline,
+    /// which no restoration has begun.
+    pub fn timeline_age(&self) -> Duration {
+        let timeline = self.adapter.store.timeline();
+        if timeline == Timeline::default() {
+            return Duration::MAX;
+        }
+        let state = self.state.borrow();
+        if state.timeline != timeline {
+            return Duration::ZERO;
+        }
+        clock::now().since(state.timeline_seen_at)
+    }
+
     /// Calls the store and counts the call.
     ///
     /// # Errors
--- a/src/entry/record/tests.rs
+++ b/src/entry/record/tests.rs
@@ -17,17 +17,17 @@
     VersionedRecord::new(record(primary, written_in), revision)
 }
 
-#[test]
-fn a_record_that_a_restoration_brought_back_does_not_replace_a_known_one() {
-    struct Case {
-        name: &'static str,
-        known: VersionedRecord,
-        received: Vec<VersionedRecord>,
-        primary: &'static str,
-        is_reliable: bool,
-        is_outdated: bool,
-    }
-    let cases = [
+struct Case {
+    name: &'static str,
+    known: VersionedRecord,
+    received: Vec<VersionedRecord>,
+    primary: &'static str,
+    is_reliable: bool,
+    is_outdated: bool,
+}
+
+fn cases_without_restoration() -> [Case; 2] {
+    [
         Case {
             name: "a newer record of the same timeline",
             known: read("p", 4, 4, 100),
@@ -44,6 +44,11 @@
             is_reliable: true,
             is_outdated: false,
         },
+    ]
+}
+
+fn cases_with_restoration() -> [Case; 6] {
+    [
         Case {
             name: "an older record of the copy",
             known: read("a", 4, 4, 110),
@@ -92,20 +97,22 @@
             is_reliable: true,
             is_outdated: true,
         },
-    ];
-    for case in cases {
+    ]
+}
+
+#[test]
+fn a_record_that_a_restoration_brought_back_does_not_replace_a_known_one() {
+    let cases = cases_without_restoration().into_iter();
+    for case in cases.chain(cases_with_restoration()) {
         let mut known = case.known;
-        let latest = case
-            .received
-            .last()
-            .map_or(known.stored, |last| last.stored);
-        let expected_stored = latest.max(known.stored);
+        let received = case.received.iter().map(|received| received.stored);
+        let latest = received.max().unwrap_or_default().max(known.stored);
         for received in case.received {
             known.update(received);
         }
         assert_eq!(*known.record.primary, *case.primary, "{}", case.name);
         assert_eq!(known.is_reliable(), case.is_reliable, "{}", case.name);
         assert_eq!(known.is_outdated(), case.is_outdated, "{}", case.name);
-        assert_eq!(known.stored, expected_stored, "{}", case.name);
+        assert_eq!(known.stored, latest, "{}", case.name);
     }
 }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -59,6 +59,10 @@
     pub failover_holder: Option<VmName>,
     /// This VM's share of the workspaces' limits.
     pub quota: Quota,
+    /// Timeline of the store that `timeline_seen_at` refers to.
+    pub timeline: Timeline,
+    /// Time at which this VM first saw the timeline.
+    pub timeline_seen_at: Timestamp,
     /// Phase of a planned stop.
     pub stop: StopPhase,
     /// Time since when this VM hasn't been ready; `None` while it is ready or stopping.
