Wait for validity leases whose registrations a restoration has lost

Callers would see reads that miss acknowledged saves: a gateway registered within the lost seconds isn't listed in the restored store, and relies on its validity lease until it notices.

Cause: whoever replaces a primary waited for the registrations that the store lists. Evidence: a_replacement_waits_for_validity_leases_whose_registrations_were_lost failed before (the new primary was recorded earlier than one time-to-live after the restoration was seen), passes now.

Fix: a replacement isn't completed before its VM has known the timeline for one time-to-live of a registration.

--- a/src/entry/confirmation.rs
+++ b/src/entry/confirmation.rs
@@ -120,13 +120,16 @@
 }
 
 /// Waits until every gateway has confirmed, is known to be stopped or has no validity lease left.
+///
+/// A restoration of the store may have lost registrations whose VMs still hold a validity lease.
+/// Such a lease was renewed before the restoration, so it has ended after one time-to-live.
 pub async fn await_all(node: &Rc<Node>, record: &RecordUpdate, generation: u64) {
     let replacement = (record.database.clone(), generation);
     let started = Instant::now();
     let mut store_read_at = started;
     let mut pending = registered_gateways(node).await;
     loop {
-        if store_read_at.elapsed() >= STORE_READ_INTERVAL {
+        if !pending.is_empty() && store_read_at.elapsed() >= STORE_READ_INTERVAL {
             store_read_at = Instant::now();
             read(node, &replacement).await;
         }
@@ -134,7 +137,7 @@
         if started.elapsed() >= CONFIRMATION_TIMEOUT {
             revoke_registrations(node, &record.database, &mut pending).await;
         }
-        if pending.is_empty() {
+        if pending.is_empty() && node.timeline_age() >= node.settings.gateway_ttl {
             node.confirmations.end(&replacement);
             return;
         }
