Ignore announcements older than the known one

Callers would see statements cut off: an instance that is leaving counts as serving again for as long as it takes to write its announcement once more, up to two seconds, and gets new work.

Cause: the store's announcement replaced the known one whatever its age. Evidence: a_restored_announcement_does_not_make_a_draining_instance_serve_again failed before, passes now.

Fix: an announcement counts the instance's writes since its start; one of the same start with a lower count is ignored. Starts aren't compared: the time of day of an instance may step back.

--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -37,6 +37,15 @@
     pub is_primary: bool,
     /// Start of the instance's process in Unix time, in milliseconds. Changes with a restart.
     pub started_at_ms: u64,
+    /// Number of the announcement since that start; grows with each one that is written.
+    pub sequence: u64,
+}
+
+impl Instance {
+    /// Returns whether the instance's process wrote this announcement before `other`.
+    fn precedes(&self, other: &Self) -> bool {
+        self.started_at_ms == other.started_at_ms && self.sequence < other.sequence
+    }
 }
 
 /// Known instances by name.
@@ -67,10 +76,10 @@
     }
 
     /// Stores an announcement. Returns the change, or `None` when the announcement is the same as
-    /// the previous one.
+    /// the previous one, or older: a restoration of the store brings older ones back.
     pub fn update(&mut self, instance: Instance) -> Option<Change> {
         let previous = self.by_name.get(&instance.name);
-        if previous.is_some_and(|previous| **previous == instance) {
+        if previous.is_some_and(|previous| **previous == instance || instance.precedes(previous)) {
             return None;
         }
         let previous = previous.cloned();
