Record in the store that no lease of an earlier timeline is left

A VM that starts can't tell when the current timeline began, so it waited for lost leases although the restoration may be hours old: a primary that it replaced within 5 s of its own start took no saves until then, and it claimed the failover lease 1.5 s late.

A gateway that has known a timeline for one time-to-live writes fleet/timeline; whoever reads that record in the timeline that it names doesn't wait. A record of another timeline, brought back or written late, means nothing.

--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -21,6 +21,9 @@
 /// Key of the failover lease: the right to replace primaries.
 pub const FAILOVER_LEASE: &str = "fleet/duty";
 
+/// Key of the timeline that the fleet has known for long enough.
+pub const SETTLED_TIMELINE: &str = "fleet/timeline";
+
 /// Prefix of the keys that every gateway watches: the configuration and the keys under [`FLEET`].
 /// Although the prefix is empty, the adapter's store leaves out announcements and confirmations,
 /// because they change often; they are read separately.
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -178,13 +178,16 @@
     }
 
     /// Returns for how long this VM has known the store's timeline. Unlimited in the first timeline,
-    /// which no restoration has begun.
+    /// which no restoration has begun, and in one that another VM has known for long enough.
     pub fn timeline_age(&self) -> Duration {
         let timeline = self.adapter.store.timeline();
         if timeline == Timeline::default() {
             return Duration::MAX;
         }
         let state = self.state.borrow();
+        if state.settled.timeline == timeline {
+            return Duration::MAX;
+        }
         if state.timeline != timeline {
             return Duration::ZERO;
         }
--- a/src/entry/record.rs
+++ b/src/entry/record.rs
@@ -129,6 +129,14 @@
     pub gateways: BTreeMap<VmName, VmRecord>,
 }
 
+/// Timeline of the store that a gateway has known for the time-to-live of a registration, so that
+/// no lease of an earlier timeline is left.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SettledTimelineRecord {
+    /// Timeline without leases of an earlier one.
+    pub timeline: Timeline,
+}
+
 /// Holder of the failover lease: the right to replace primaries, which one VM has at a time.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FailoverLeaseRecord {
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -43,6 +43,7 @@
     let bound = Peers::bind(Rc::clone(node)).await;
     let (peers, requests) = bound.context(BindSnafu { address })?;
     spawn_local(restoration::run(Rc::clone(node)));
+    spawn_local(restoration::record_settled(Rc::clone(node)));
     spawn_local(registration::run(Rc::clone(node)));
     spawn_local(synchronization::run(Rc::clone(node)));
     spawn_local(discovery::run(Rc::clone(node)));
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -9,7 +9,9 @@
 use super::freshness::Freshness;
 use super::instance::{Directory, Instance};
 use super::quota::Quota;
-use super::record::{GatewayList, Phase, PrimaryRecord, VersionedRecord, VmRecord};
+use super::record::{
+    GatewayList, Phase, PrimaryRecord, SettledTimelineRecord, VersionedRecord, VmRecord,
+};
 use super::validity::ValidityLease;
 use crate::configuration::{Revision, Timeline};
 use crate::name::{DatabaseName, InstanceName, VmName};
@@ -63,6 +65,10 @@
     pub timeline: Timeline,
     /// Time at which this VM first saw the timeline.
     pub timeline_seen_at: Timestamp,
+    /// Timeline that the store records as settled.
+    pub settled: SettledTimelineRecord,
+    /// Store revision of `settled`; zero when there is none.
+    pub settled_revision: Revision,
     /// Phase of a planned stop.
     pub stop: StopPhase,
     /// Time since when this VM hasn't been ready; `None` while it is ready or stopping.
--- a/src/entry/synchronization.rs
+++ b/src/entry/synchronization.rs
@@ -10,7 +10,8 @@
 use super::keys;
 use super::node::Node;
 use super::record::{
-    FailoverLeaseRecord, GatewayList, Phase, PrimaryRecord, VersionedRecord, VmRecord,
+    FailoverLeaseRecord, GatewayList, Phase, PrimaryRecord, SettledTimelineRecord, VersionedRecord,
+    VmRecord,
 };
 use super::state::State;
 use crate::configuration::Revision;
@@ -104,6 +105,10 @@
     let present = |key: &str| found.iter().any(|found| found.key == key);
     state.gateways.retain(|vm, _| present(&keys::gateway(vm)));
     state.gateways_revision = state.gateways_revision.max(revision);
+    if !present(keys::SETTLED_TIMELINE) {
+        state.settled = SettledTimelineRecord::default();
+        state.settled_revision = Revision(0);
+    }
     if !present(keys::FAILOVER_LEASE) {
         state.failover_holder = None;
     }
@@ -132,6 +137,11 @@
         let record =
             value.and_then(|value| serde_json::from_slice::<FailoverLeaseRecord>(&value).ok());
         node.state.borrow_mut().failover_holder = record.map(|record| record.holder);
+    } else if key == keys::SETTLED_TIMELINE {
+        let record = value.and_then(|value| serde_json::from_slice(&value).ok());
+        let mut state = node.state.borrow_mut();
+        state.settled = record.unwrap_or_default();
+        state.settled_revision = revision;
     } else if let Some(vm) = key.strip_prefix(keys::GATEWAYS) {
         apply_gateway(&mut node.state.borrow_mut(), vm, revision, value);
     } else if let Some(database) = key.strip_prefix(keys::DATABASES) {
