Wait for silent instances before a restored record is replaced

Callers saw saves refused ("the primary is being replaced") for up to 5 s after a restoration, if one replica didn't report: the check of the record then counted as failed, and the primary was replaced by itself, which waits for lost leases.

Evidence: saves_and_reads_go_on_while_the_store_is_restored with a crashed replica failed before (refused 2.18 s after the restoration), passes now.

Fix: a gateway that relies on the record from before the restoration checks it again every half second while instances are silent and none refutes it, until no lost lease is left. A record of a replacement that the restoration interrupted before its promotion needs no replacement either if all instances confirm the primary.

--- a/src/entry/failover.rs
+++ b/src/entry/failover.rs
@@ -38,6 +38,9 @@
 /// Time after which an unfinished replacement is resumed when nobody holds the failover lease.
 const RESUME_DELAY: Duration = Duration::from_millis(300);
 
+/// Delay before a record is checked after a restoration of the store, and before it is checked again.
+const CHECK_DELAY: Duration = Duration::from_millis(500);
+
 /// Time limit for an instance to report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -83,6 +86,9 @@
         drop(state);
         if !due.is_empty() && free {
             self.holding.set(true);
+            let mut reasons = self.reasons.borrow_mut();
+            reasons.retain(|_, (reason, _)| *reason != Reason::Restored);
+            drop(reasons);
             let (monitor, node) = (Rc::clone(self), Rc::clone(node));
             tokio::task::spawn_local(async move {
                 hold_failover_lease(&node, due).await;
@@ -113,6 +119,7 @@
         let delay = match reason {
             Reason::Gone => MISSING_TIMEOUT,
             Reason::Unfinished => RESUME_DELAY,
+            Reason::Restored => CHECK_DELAY,
             _ => Duration::ZERO,
         };
         now.since(since) >= delay + DELAY_PER_RANK * rank(node, state, database)
--- a/src/entry/promotion.rs
+++ b/src/entry/promotion.rs
@@ -1,5 +1,7 @@
 //! Chooses the instance that replaces a primary.
 
+use strum::Display;
+
 use super::position::Position;
 use super::statement::InstanceReport;
 use crate::name::InstanceName;
@@ -114,9 +116,20 @@
     Decision::Promote(best.instance.clone())
 }
 
-/// Returns whether every instance has reported, and the recorded primary leads in the recorded
-/// term without a later one. The record then holds although the store was restored.
-pub fn is_confirmed(replaced: &Replaced<'_>, reports: &[MemberReport]) -> bool {
+/// Whether the record of a primary holds although the store was restored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum RecordCheck {
+    /// Every instance has reported, and the recorded primary leads in the recorded term.
+    Confirmed,
+    /// As `Confirmed`, but some instances didn't report. They may know a later term.
+    Incomplete,
+    /// The recorded primary didn't report that it leads in that term, or there is a later term.
+    Refuted,
+}
+
+/// Checks the record of a primary against the reports of the instances.
+pub fn check_record(replaced: &Replaced<'_>, reports: &[MemberReport]) -> RecordCheck {
     let leads = |member: &MemberReport| {
         member.instance == *replaced.primary
             && member.report.is_primary
@@ -124,11 +137,14 @@
     };
     let follows =
         |member: &MemberReport| !member.report.is_primary && member.report.term <= replaced.term;
-    reports.len() >= replaced.instances
-        && reports.iter().any(leads)
-        && reports
-            .iter()
-            .all(|member| leads(member) || follows(member))
+    let is_consistent = |member: &MemberReport| leads(member) || follows(member);
+    if !reports.iter().any(leads) || !reports.iter().all(is_consistent) {
+        RecordCheck::Refuted
+    } else if reports.len() < replaced.instances {
+        RecordCheck::Incomplete
+    } else {
+        RecordCheck::Confirmed
+    }
 }
 
 #[cfg(test)]
--- a/src/entry/promotion/tests.rs
+++ b/src/entry/promotion/tests.rs
@@ -1,4 +1,4 @@
-use super::{Decision, Knowledge, MemberReport, Replaced, decide, is_confirmed};
+use super::{Decision, Knowledge, MemberReport, RecordCheck, Replaced, check_record, decide};
 use crate::entry::position::Position;
 use crate::entry::statement::InstanceReport;
 use crate::name::InstanceName;
@@ -141,7 +141,7 @@
         name: &'static str,
         reports: Vec<MemberReport>,
         expected: Decision,
-        is_confirmed: bool,
+        check: RecordCheck,
     }
     let [p, a, b] = ["p", "a", "b"].map(InstanceName::from);
     let cases = [
@@ -153,44 +153,44 @@
                 member_report("b", 20),
             ],
             expected: Decision::AlreadyLeads(p.clone()),
-            is_confirmed: true,
+            check: RecordCheck::Confirmed,
         },
         Case {
             name: "one instance is missing, none knows a later term",
             reports: vec![member_report("p", 30), member_report("a", 30)],
             expected: Decision::AlreadyLeads(p.clone()),
-            is_confirmed: false,
+            check: RecordCheck::Incomplete,
         },
         Case {
             name: "the other two may hold saves of a later term",
             reports: vec![member_report("p", 30)],
             expected: Decision::Unheard,
-            is_confirmed: false,
+            check: RecordCheck::Incomplete,
         },
         Case {
             name: "the recorded primary was deposed, and may lack saves",
             reports: vec![deposed("p", 30)],
             expected: Decision::Unheard,
-            is_confirmed: false,
+            check: RecordCheck::Refuted,
         },
         Case {
             name: "a replica has saves of a later primary that is gone",
             reports: vec![member_report("p", 30), with_term(member_report("a", 7), 4)],
             expected: Decision::Promote(a),
-            is_confirmed: false,
+            check: RecordCheck::Refuted,
         },
         Case {
             name: "a later primary leads",
             reports: vec![deposed("p", 30), leading("b", 31)],
             expected: Decision::AlreadyLeads(b),
-            is_confirmed: false,
+            check: RecordCheck::Refuted,
         },
     ];
     for case in cases {
         let replaced = replaced(&p, 3, Knowledge::Restored);
         let decision = decide(&replaced, &case.reports);
         assert_eq!(decision, case.expected, "{}", case.name);
-        let is_confirmed = is_confirmed(&replaced, &case.reports);
-        assert_eq!(is_confirmed, case.is_confirmed, "{}", case.name);
+        let check = check_record(&replaced, &case.reports);
+        assert_eq!(check, case.check, "{}", case.name);
     }
 }
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -14,7 +14,9 @@
 use super::instance::Instance;
 use super::node::Node;
 use super::position::Position;
-use super::promotion::{Decision, Knowledge, MemberReport, Replaced, decide, is_confirmed};
+use super::promotion::{
+    Decision, Knowledge, MemberReport, RecordCheck, Replaced, check_record, decide,
+};
 use super::record::{Phase, PrimaryRecord, VersionedRecord};
 use super::records;
 use super::reports::{self, REPORT_TIMEOUT};
@@ -132,8 +134,10 @@
         if !self.is_suspicion_confirmed(reason).await {
             return true;
         }
-        if reason == Reason::Restored && self.restore_record().await {
-            return true;
+        if reason == Reason::Restored
+            && let Some(done) = self.restore_record().await
+        {
+            return done;
         }
         if !self.begin().await {
             return false;
@@ -279,31 +283,40 @@
         }
     }
 
-    /// Writes the record again if the reports of all instances confirm it. Returns whether it is
-    /// written. No VM has to confirm this, because none can know another primary.
-    async fn restore_record(&mut self) -> bool {
+    /// Writes the record again if the reports of all instances confirm it. No VM has to confirm
+    /// this, because none can know another primary.
+    ///
+    /// Returns whether the record is written, or `None` if the primary must be replaced. While only
+    /// some instances confirm a record that this VM relies on, it waits for the others.
+    async fn restore_record(&mut self) -> Option<bool> {
         let reports = reports::collect(&self.node, self.members()).await;
         let newest_term = reports.iter().map(|member| member.report.term).max();
         self.reported_term = self.reported_term.max(newest_term.unwrap_or_default());
-        let is_steady = self.record.record.phase == Phase::Steady;
-        let is_confirmed = is_confirmed(&self.replaced(Knowledge::Restored), &reports);
+        let check = check_record(&self.replaced(Knowledge::Restored), &reports);
         log::info!(
-            "event=record_checked database={} heard={} confirmed={is_confirmed} \
-             newest_term={newest_term:?}",
+            "event=record_checked database={} heard={} check={check} newest_term={newest_term:?}",
             self.database,
             reports.len()
         );
-        if !is_steady || !is_confirmed {
-            return false;
+        // Some VMs may still use the primary before the recorded one.
+        let is_settling = matches!(self.record.record.phase, Phase::Settling { .. });
+        let may_wait = self.node.timeline_age() < self.node.settings.gateway_ttl;
+        match check {
+            RecordCheck::Confirmed if !is_settling => Some(self.rewrite_record().await),
+            RecordCheck::Incomplete if self.record.is_reliable() && may_wait => Some(false),
+            _ => None,
         }
+    }
+
+    async fn rewrite_record(&mut self) -> bool {
         let (primary, term) = (self.record.record.primary.clone(), self.record.record.term);
-        if !self.write(primary.clone(), term, Phase::Steady).await {
-            return false;
+        let is_written = self.write(primary.clone(), term, Phase::Steady).await;
+        if is_written {
+            self.send_record_to_all();
+            // A replacement that the restoration ended may have paused the replicas.
+            self.notify_instances(&primary, &primary, term);
         }
-        self.send_record_to_all();
-        // A replacement that the restoration ended may have paused the replicas.
-        self.notify_instances(&primary, &primary, term);
-        true
+        is_written
     }
 
     /// Promotes an instance. If the former primary still leads, it is deposed first: otherwise a
