Watch again after the store's connections fell silent at all VMs

Callers saw, or could: a configuration that was acknowledged isn't in force for up to 26 s.

Cause: a watch on a connection that has fallen silent ends only at the time limit of its call. VMs find such a watch by what others have seen, so it goes unnoticed if the watches of all gateways fall silent at once, as when the store's connections are lost without a reset.

Fix: the first renewal that the store answers after one it didn't makes the VM read the keys and watch again, over new connections.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -106,6 +106,10 @@
                 () = self.progress.wait_until_lagging() => {
                     log::info!("event=watch_behind prefix={:?}", self.prefix);
                 }
+                // The connection of the watch may have fallen silent with that of the renewal.
+                () = node.store_regained.notified() => {
+                    log::info!("event=watch_doubtful prefix={:?}", self.prefix);
+                }
                 // Changes of the new timeline may have revisions that the watch is already past.
                 () = node.adapter.store.wait_for_timeline_after(timeline) => {
                     log::info!("event=watch_outdated prefix={:?}", self.prefix);
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -39,6 +39,8 @@
     /// Signals that the local view has changed: a record, an instance, the list of gateways, the
     /// validity lease, the role or the configuration.
     pub changed: Notify,
+    /// Signals that the store responds again after a renewal without a response.
+    pub store_regained: Notify,
     /// Latest change of the shared keys seen here, and by other VMs.
     pub shared_progress: Progress,
     /// Latest change of the instances' announcements seen here, and by other VMs.
@@ -68,6 +70,7 @@
             adapter,
             state: RefCell::default(),
             changed: Notify::new(),
+            store_regained: Notify::new(),
             shared_progress: Progress::default(),
             directory_progress: Progress::default(),
             confirmations: ConfirmationTracker::default(),
--- a/src/entry/registration.rs
+++ b/src/entry/registration.rs
@@ -189,6 +189,7 @@
     let renewal = node.settings.gateway_renewal;
     let mut next = Instant::now() + renewal;
     let mut unneeded_since = None;
+    let mut is_store_silent = false;
     loop {
         let wake_at = next.min(Instant::now() + ROLE_CHECK_INTERVAL);
         tokio::time::sleep_until(wake_at).await;
@@ -215,6 +216,9 @@
         match response {
             Ok(PlatformResponse::Lease { .. }) => {
                 record_renewal(node, sent_at, registration.ttl);
+                if std::mem::take(&mut is_store_silent) {
+                    node.store_regained.notify_waiters();
+                }
                 next = Instant::now() + renewal;
             }
             Ok(PlatformResponse::LeaseLapsed) => {
@@ -224,6 +228,7 @@
             }
             response => {
                 log_renewal_failure(node, &response);
+                is_store_silent = true;
                 next = Instant::now() + RETRY_DELAY;
             }
         }
