--- a/platform/tests/entry/store.rs
+++ b/lab/src/entry_store.rs
@@ -1,4 +1,4 @@
-//! In-memory stand-in for the store, with keys, revisions, leases and watches.
+//! In-memory stand-in for the store of entries, with keys, revisions, leases and watches.
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -13,7 +13,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 struct Item {
     value: Vec<u8>,
     revision: u64,
@@ -21,7 +21,7 @@
 }
 
 /// Content of the store at one time.
-#[derive(Clone, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Content {
     items: BTreeMap<String, Item>,
     /// Every change since the start.
@@ -38,7 +38,7 @@
 }
 
 /// Store that every VM of a test shares.
-#[derive(Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Store {
     content: Arc<Mutex<Content>>,
     /// Wakes watches after every call.
@@ -46,11 +46,9 @@
 }
 
 impl Store {
+    /// Builds an empty store.
     pub fn new() -> Self {
-        Self {
-            content: Arc::default(),
-            changed: Arc::new(watch::channel(0).0),
-        }
+        Self::default()
     }
 
     /// Returns the interface that a VM uses, with its counter of calls and watches. Its watches
@@ -78,17 +76,20 @@
         }
     }
 
+    /// Writes a key without a lease and notifies the watches.
     pub fn put(&self, key: &str, value: &str) {
         self.content()
             .write(key, Some(value.as_bytes().to_vec()), None);
         self.notify_watches();
     }
 
+    /// Deletes a key and notifies the watches.
     pub fn delete(&self, key: &str) {
         self.content().write(key, None, None);
         self.notify_watches();
     }
 
+    /// Returns the value of a key; `None` if the key doesn't exist or its value isn't text.
     pub fn get(&self, key: &str) -> Option<String> {
         let content = self.content();
         let item = content.items.get(key)?;
--- a/platform/tests/soak/proxy.rs
+++ b/lab/src/proxy.rs
@@ -25,14 +25,20 @@
     Reset,
 }
 
-#[derive(Clone)]
+/// Proxy in front of one address.
+#[derive(Debug, Clone)]
 pub struct Proxy {
+    /// Address that the proxy listens on.
     pub address: SocketAddr,
     fault: Arc<watch::Sender<ProxyFault>>,
 }
 
 impl Proxy {
     /// Starts a proxy in front of an address.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no loopback address can be bound.
     pub async fn start(target: SocketAddr) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -11,7 +11,7 @@
 use super::health::Health;
 use super::link::{LinkError, Setup};
 use super::node::Node;
-use super::pool::{Pool, PooledLink};
+use super::pool::{Answer, Pool, PooledLink};
 use super::position::Position;
 use super::slots::{self, Slot, SlotRequest};
 use super::statement::{Access, Failure, FailureKind, InstanceCommand, Outcome, StatementResponse};
@@ -126,7 +126,7 @@
         };
         record_response(node, context, &target, &response, sent_at);
         let elapsed = clock::now().since(sent_at);
-        pool.statement_answered(elapsed, response.position);
+        pool.statement_answered(&answer(context, &target, &response, elapsed));
         metrics().record_step(route, Step::Run, elapsed);
         let Outcome::Failed(failure) = &response.outcome else {
             return Ok(Executed { response, pooled });
@@ -139,6 +139,26 @@
     }
 }
 
+fn answer<'a>(
+    context: &'a StatementContext<'_>,
+    target: &Target,
+    response: &StatementResponse,
+    taken: Duration,
+) -> Answer<'a> {
+    let failure = match &response.outcome {
+        Outcome::Done(_) => None,
+        Outcome::Failed(failure) => Some(failure.kind),
+    };
+    Answer {
+        route: &context.route.name,
+        workspace: context.workspace,
+        taken,
+        position: response.position,
+        min_position: target.min_position,
+        failure,
+    }
+}
+
 /// Prepares the next attempt after a retryable failure: waits, or excludes the instance.
 async fn prepare_retry(
     context: &StatementContext<'_>,
@@ -191,6 +211,9 @@
                 continue;
             }
         };
+        if !target.delay.is_zero() {
+            sleep(target.delay).await;
+        }
         let pool = node.pool(&target.instance);
         let request = slot_request(node, context);
         let slot = match take_slot(&pool, &request).await {
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -16,7 +16,7 @@
 use super::position::Position;
 use super::slots::Slots;
 use super::statement::{FailureKind, Protocol};
-use crate::name::WorkspaceName;
+use crate::name::{RouteName, WorkspaceName};
 use crate::time::Timestamp;
 
 /// Result of taking a connection.
@@ -76,6 +76,23 @@
     became_unreachable: Notify,
 }
 
+/// Response to a statement, as evidence about the instance that sent it.
+#[derive(Debug, Clone, Copy)]
+pub struct Answer<'a> {
+    /// Route of the statement.
+    pub route: &'a RouteName,
+    /// Workspace of the statement.
+    pub workspace: &'a WorkspaceName,
+    /// Time from sending the statement to its response.
+    pub taken: Duration,
+    /// Position that the instance reported.
+    pub position: Option<Position>,
+    /// Position that the statement required; `None` if it required none.
+    pub min_position: Option<Position>,
+    /// Why the statement failed; `None` if it succeeded.
+    pub failure: Option<FailureKind>,
+}
+
 /// Connection that was taken from a pool. When dropped, it is returned to the pool if it is still
 /// usable, and closed otherwise.
 #[derive(Debug)]
@@ -223,15 +240,15 @@
         self.record_health(Health::on_sent);
     }
 
-    /// Records the response to a statement, with its duration and the instance's position.
-    pub fn statement_answered(&self, taken: Duration, position: Option<Position>) {
+    /// Records the response to a statement.
+    pub fn statement_answered(&self, answer: &Answer<'_>) {
         self.in_flight.set(self.in_flight.get().saturating_sub(1));
         self.record_health(Health::on_statement_response);
         let mut latency = self.latency.get();
-        latency.record(taken);
+        latency.record(answer.taken);
         self.latency.set(latency);
-        if position.is_some() {
-            self.position.set(position);
+        if answer.position.is_some() {
+            self.position.set(answer.position);
         }
     }
 
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -1,6 +1,7 @@
 //! Selects the instance that a statement runs on.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use super::clock;
 use super::execution::StatementContext;
@@ -25,6 +26,9 @@
     pub min_position: Option<Position>,
     /// Whether the instance is the recorded primary.
     pub is_primary: bool,
+    /// Time to wait before the statement is sent, until the instance is expected to have reached
+    /// `min_position`.
+    pub delay: Duration,
 }
 
 /// Why no instance could be selected.
@@ -73,6 +77,7 @@
         instance: Rc::clone(instance),
         min_position,
         is_primary: true,
+        delay: Duration::ZERO,
     })
 }
 
@@ -138,6 +143,7 @@
             position
         },
         is_primary,
+        delay: Duration::ZERO,
     })
 }
 
