End planned replacements of a primary that used to wait for seconds

Causes, from the lines of all VMs: - A VM learned of the replacement 6 ms before it was registered as a gateway. The holder waited for its confirmation, which a VM that isn't a gateway doesn't send, then ended its registration and waited for its lease. - After the restart of all VMs the next holder paused the replicas, the leaving primary accepted one more save, was demoted, and nobody could send that save to a replica: six rounds of 1.6 s until the instance was gone, and the save with it. Ruled out: the store (it answered), unreachable instances (4 of 4 reported). Change: a VM that registers confirms the replacements it already knows of. A planned replacement demotes the primary while its replicas still receive, and pauses them afterwards. If nobody leads and the furthest log is at an instance that must leave, that one is promoted; the next replacement moves the primary on.

--- a/src/entry/promotion.rs
+++ b/src/entry/promotion.rs
@@ -116,6 +116,16 @@
     Decision::Promote(best.instance.clone())
 }
 
+/// Returns the instance with the furthest log if no instance leads: then nobody can send its log to
+/// the others, and only its promotion keeps every acknowledged save. It may have to leave.
+pub fn furthest_without_leader(reports: &[MemberReport]) -> Option<InstanceName> {
+    if reports.iter().any(|member| member.report.is_primary) {
+        return None;
+    }
+    let furthest = reports.iter().max_by_key(|member| member.report.received);
+    furthest.map(|member| member.instance.clone())
+}
+
 /// Whether the record of a primary holds although the store was restored.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[strum(serialize_all = "snake_case")]
--- a/src/entry/promotion/tests.rs
+++ b/src/entry/promotion/tests.rs
@@ -1,4 +1,7 @@
-use super::{Decision, Knowledge, MemberReport, RecordCheck, Replaced, check_record, decide};
+use super::{
+    Decision, Knowledge, MemberReport, RecordCheck, Replaced, check_record, decide,
+    furthest_without_leader,
+};
 use crate::entry::position::Position;
 use crate::entry::statement::InstanceReport;
 use crate::name::InstanceName;
@@ -118,6 +121,46 @@
     }
 }
 
+/// A leaving instance that alone holds the last save used to be waited for until it was gone, and
+/// the save with it.
+#[test]
+fn the_furthest_log_is_promoted_where_nobody_leads() {
+    struct Case {
+        name: &'static str,
+        reports: Vec<MemberReport>,
+        expected: Option<&'static str>,
+    }
+    let cases = [
+        Case {
+            name: "the deposed primary, which leaves, accepted one more save",
+            reports: vec![
+                MemberReport {
+                    may_lead: false,
+                    ..deposed("p", 31)
+                },
+                member_report("a", 30),
+                member_report("b", 30),
+            ],
+            expected: Some("p"),
+        },
+        Case {
+            name: "the primary is gone, a leaving replica holds the last save",
+            reports: vec![member_report("a", 20), draining("b", 30)],
+            expected: Some("b"),
+        },
+        Case {
+            name: "the primary still leads and sends its log",
+            reports: vec![member_report("p", 30), member_report("a", 20)],
+            expected: None,
+        },
+    ];
+    for case in cases {
+        let holder = furthest_without_leader(&case.reports);
+        let expected = case.expected.map(InstanceName::from);
+        assert_eq!(holder, expected, "{}", case.name);
+    }
+}
+
 #[test]
 fn with_keep_leader_a_primary_that_leads_the_recorded_term_stays() {
     let reports = [member_report("p", 30), member_report("a", 30)];
--- a/src/entry/registration.rs
+++ b/src/entry/registration.rs
@@ -130,6 +130,7 @@
     state.validity_lease.renew(sent_at, ttl);
     state.store_responded_at = clock::now();
     drop(state);
+    synchronization::confirm_replacements(node);
     node.changed.notify_waiters();
     log::info!(
         "event=registered vm={} lease={lease} ttl_ms={}",
--- a/src/entry/synchronization.rs
+++ b/src/entry/synchronization.rs
@@ -230,8 +230,25 @@
         record.phase,
         revision.0
     );
-    let confirms = node.state.borrow().confirms(clock::now());
-    if let Some((holder, generation)) = record.phase.replacement().filter(|_| confirms) {
+    if node.state.borrow().confirms(clock::now()) {
+        confirm(node, database, &record);
+    }
+}
+
+/// Confirms the replacements under way that this VM learned of before it was registered. Their
+/// holders wait for every registered VM.
+pub fn confirm_replacements(node: &Rc<Node>) {
+    let state = node.state.borrow();
+    for (database, known) in &state.databases {
+        if let Some(record) = known.record.as_ref().filter(|record| record.is_reliable()) {
+            confirm(node, database.clone(), &record.record);
+        }
+    }
+}
+
+/// Confirms the replacement that a record names, if any, in the background.
+fn confirm(node: &Rc<Node>, database: DatabaseName, record: &PrimaryRecord) {
+    if let Some((holder, generation)) = record.phase.replacement() {
         let replacement = (database, generation);
         let confirming = confirmation::send(Rc::clone(node), holder.clone(), replacement);
         tokio::task::spawn_local(confirming);
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -16,11 +16,12 @@
 use super::position::Position;
 use super::promotion::{
     Decision, Knowledge, MemberReport, RecordCheck, Replaced, check_record, decide,
+    furthest_without_leader,
 };
 use super::record::{Phase, PrimaryRecord, VersionedRecord};
 use super::records;
 use super::reports::{self, REPORT_TIMEOUT};
-use super::statement::InstanceCommand;
+use super::statement::{InstanceCommand, InstanceReport};
 use crate::name::{DatabaseName, InstanceName};
 use crate::telemetry::metrics::metrics;
 
@@ -152,6 +153,7 @@
         if reason.is_planned() {
             confirmation_task.join_next().await;
             sleep(STATEMENT_GRACE_PERIOD).await;
+            self.depose_serving_primary().await;
         }
         let Some((instance, term)) = self.promote(reason.knowledge()).await else {
             return false;
@@ -260,6 +262,8 @@
                 Decision::CatchUp(instance, position) => {
                     if self.catch_up(&instance, position).await {
                         self.depose_and_promote(&instance, &reports).await
+                    } else if let Some(holder) = furthest_without_leader(&reports) {
+                        self.call_promotion(&holder).await
                     } else {
                         None
                     }
@@ -319,6 +323,35 @@
         is_written
     }
 
+    /// Demotes a primary that still serves, before its replicas are paused. They would miss a save
+    /// that an open transaction commits after the pause, and a demoted primary sends nothing more.
+    async fn depose_serving_primary(&self) -> Option<()> {
+        let former = self.instance(&self.record.record.primary)?;
+        let reports = reports::collect(&self.node, self.members()).await;
+        let newest_term = reports.iter().map(|member| member.report.term).max()?;
+        let successors = reports
+            .iter()
+            .filter(|member| member.may_lead && member.instance != former.name);
+        let successor = successors.max_by_key(|member| member.report.received)?;
+        let mut link = ControlLink::new(Rc::clone(&self.node), former);
+        let last_report = self.demote(&mut link, newest_term + 1).await?;
+        self.await_position(&successor.instance, last_report.received, DELIVERY_TIMEOUT)
+            .await;
+        Some(())
+    }
+
+    async fn demote(&self, link: &mut ControlLink, term: u64) -> Option<InstanceReport> {
+        let demote = InstanceCommand::Demote { term };
+        let last_report = link.request(&demote, REPORT_TIMEOUT).await?;
+        log::info!(
+            "event=primary_deposed database={} instance={} received={}",
+            self.database,
+            link.instance().name,
+            last_report.received
+        );
+        Some(last_report)
+    }
+
     /// Promotes an instance. If the former primary still leads, it is deposed first: otherwise a
     /// replica that this VM doesn't know could acknowledge its saves in the meantime.
     async fn depose_and_promote(
@@ -332,16 +365,7 @@
             return self.call_promotion(name).await;
         };
         let mut link = ControlLink::new(Rc::clone(&self.node), self.instance(&former.instance)?);
-        let demote = InstanceCommand::Demote {
-            term: former.report.term + 1,
-        };
-        let last_report = link.request(&demote, REPORT_TIMEOUT).await?;
-        log::info!(
-            "event=primary_deposed database={} instance={} received={}",
-            self.database,
-            former.instance,
-            last_report.received
-        );
+        let last_report = self.demote(&mut link, former.report.term + 1).await?;
         // Saves that the former primary accepted after its report may still be in transit to the
         // chosen replica. If they don't arrive in time, the next attempt decides again.
         if self
