Keep most of a gateway's share of connections for reuse

Cause: a gateway kept half of its share of an instance's connections idle, however large the share was (3 of 7 at 56 connections and 8 gateways). Change: each gateway leaves two connections of its share closed for the return after a power failure and keeps the rest, counting those in use. After the instance reported that it has none left, only two stay idle for 3 s. At a primary, a quarter of the connections is left to statements that can't run on a replica. Result: 5 of 7, 7 of 9 and 8 of 10 are kept in place of 3, 4 and 5; shares up to 3 keep what they kept (table in entry::pool::tests).

--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -11,7 +11,7 @@
 use super::health::Health;
 use super::link::{LinkError, Setup};
 use super::node::Node;
-use super::pool::{Answer, Pool, PooledLink};
+use super::pool::{Answer, LinkRequest, Pool, PooledLink};
 use super::position::Position;
 use super::slots::{self, Slot, SlotRequest};
 use super::statement::{Access, Failure, FailureKind, InstanceCommand, Outcome, StatementResponse};
@@ -227,10 +227,13 @@
                 return Err(refusal(node, context, reason, after));
             }
         };
-        let connect_timeout = node.settings.connect_timeout;
-        let taken = pool
-            .take(context.workspace, connect_timeout, selection_deadline)
-            .await;
+        let link_request = LinkRequest {
+            workspace: context.workspace,
+            claim: target::claim(context, target.is_primary),
+            connect_timeout: node.settings.connect_timeout,
+            deadline: selection_deadline,
+        };
+        let taken = pool.take(&link_request).await;
         match taken {
             Ok(pooled) if target::is_still_valid(node, context, &target) => {
                 return Ok((target, slot, pooled));
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -34,29 +34,88 @@
 /// Decayed number of uses below which a workspace is no longer tracked.
 const MIN_TRACKED_USES: f64 = 0.01;
 
+/// Number of an instance's connections for each VM that are left free while nothing fails. After a
+/// power failure an instance still counts the lost connections for 3 s, and each VM needs others in
+/// this time.
+const RETURN_CONNECTIONS: usize = 2;
+
+/// Time for which a pool keeps few idle connections after the instance reported that it has none
+/// left: as long as the instance counts lost connections.
+const CROWDED_PERIOD: Duration = Duration::from_secs(3);
+
+/// Fraction of the connections to a primary that is reserved for statements that need the primary:
+/// one in `RESERVED_DIVISOR`.
+const RESERVED_DIVISOR: usize = 4;
+
 /// Limits on the connections of a VM to one instance.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Limits {
     /// Maximum number of open connections.
     pub max_open: usize,
-    /// Maximum number of idle connections.
-    pub max_idle: usize,
+    /// Number of open connections above which a returned connection isn't kept, if `min_idle` others
+    /// are idle.
+    pub max_kept: usize,
+    /// Number of idle connections that are kept whatever the number in use.
+    pub min_idle: usize,
 }
 
 impl Limits {
     /// Divides an instance's connections among VMs. A VM may open more than its share, because the
-    /// others rarely use all of theirs, but keeps at most half of its share idle: after a power
-    /// failure an instance still counts the lost connections for seconds, and the VMs need others
-    /// in the meantime.
+    /// others rarely use all of theirs, but keeps [`RETURN_CONNECTIONS`] of its share closed. What
+    /// the VMs need after a power failure depends on their number and not on the size of the share,
+    /// so that a larger share is kept almost whole.
     pub fn divide(max_connections: usize, vms: usize) -> Self {
         let share = max_connections / vms.max(1);
+        let min_idle = (share / 2).max(1);
         Self {
             max_open: (share * 2).clamp(1, max_connections.max(1)),
-            max_idle: (share / 2).max(1),
+            max_kept: share.saturating_sub(RETURN_CONNECTIONS).max(min_idle),
+            min_idle,
+        }
+    }
+
+    /// Returns the number of idle connections to keep beside `in_use` others. While the instance is
+    /// `crowded`, only as many are kept as it has for every VM.
+    fn max_idle(&self, in_use: usize, crowded: bool) -> usize {
+        if crowded {
+            return self.min_idle.min(RETURN_CONNECTIONS);
+        }
+        self.max_kept.saturating_sub(in_use).max(self.min_idle)
+    }
+
+    /// Returns the number of connections that may be open when one is opened for a statement. A
+    /// part is reserved at a primary for statements that can't run elsewhere.
+    fn max_open_for(&self, claim: Claim) -> usize {
+        match claim {
+            Claim::Full => self.max_open,
+            Claim::Unreserved => self.max_open - self.max_open / RESERVED_DIVISOR,
         }
     }
 }
 
+/// Part of an instance's connections that a statement may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Claim {
+    /// All of them.
+    Full,
+    /// Those that aren't reserved for statements that need the primary: the statement runs on the
+    /// primary, but may run on a replica.
+    Unreserved,
+}
+
+/// Statement that needs a connection.
+#[derive(Debug, Clone, Copy)]
+pub struct LinkRequest<'a> {
+    /// Workspace of the statement.
+    pub workspace: &'a WorkspaceName,
+    /// Part of the connections that it may use.
+    pub claim: Claim,
+    /// Time limit for opening a connection.
+    pub connect_timeout: Duration,
+    /// Time until which the statement waits for a connection.
+    pub deadline: Instant,
+}
+
 /// Connections to one instance, with its health and the measurements used for its selection.
 #[derive(Debug)]
 pub struct Pool {
@@ -67,7 +126,7 @@
     idle: RefCell<Vec<Link>>,
     uses: RefCell<HashMap<WorkspaceName, f64>>,
     open: Cell<usize>,
-    full_until: Cell<Option<Instant>>,
+    full_at: Cell<Option<Instant>>,
     released: Notify,
     latency: Cell<Latency>,
     position: Cell<Option<Position>>,
@@ -112,7 +171,7 @@
             idle: RefCell::default(),
             uses: RefCell::default(),
             open: Cell::new(0),
-            full_until: Cell::new(None),
+            full_at: Cell::new(None),
             released: Notify::new(),
             latency: Cell::default(),
             position: Cell::new(None),
@@ -166,11 +225,11 @@
     }
 
     /// Returns whether a connection for the workspace is idle, can be opened or must be awaited.
-    pub fn availability(&self, workspace: &WorkspaceName) -> Availability {
+    pub fn availability(&self, workspace: &WorkspaceName, claim: Claim) -> Availability {
         let idle = self.idle.borrow();
         if idle.iter().any(|link| link.workspace == *workspace) {
             Availability::Idle
-        } else if idle.is_empty() && !self.may_open() {
+        } else if idle.is_empty() && !self.may_open(claim) {
             Availability::Exhausted
         } else {
             Availability::NotOpen
@@ -263,27 +322,25 @@
     /// # Errors
     ///
     /// Fails when opening a connection fails, or when none becomes available before the deadline.
-    pub async fn take(
-        self: &Rc<Self>,
-        workspace: &WorkspaceName,
-        connect_timeout: Duration,
-        deadline: Instant,
-    ) -> Result<PooledLink> {
+    pub async fn take(self: &Rc<Self>, request: &LinkRequest<'_>) -> Result<PooledLink> {
+        let workspace = request.workspace;
         *self.uses.borrow_mut().entry(workspace.clone()).or_default() += 1.0;
         loop {
             if let Some(link) = self.take_idle(workspace) {
                 return Ok(self.pooled(link));
             }
-            if self.may_open() || self.evict_idle() {
-                let until = deadline.min(Instant::now() + connect_timeout);
+            if self.may_open(request.claim) || self.evict_idle() {
+                let until = request
+                    .deadline
+                    .min(Instant::now() + request.connect_timeout);
                 match self.connect(workspace, until).await {
                     Err(error) if rejection(&error) == Some(FailureKind::TooManyConnections) => {
-                        self.full_until.set(Some(Instant::now() + FULL_RETRY_DELAY));
+                        self.full_at.set(Some(Instant::now()));
                     }
                     opened => return opened,
                 }
             }
-            self.wait_for_release(deadline).await?;
+            self.wait_for_release(request.deadline).await?;
         }
     }
 
@@ -344,12 +401,29 @@
         None
     }
 
-    fn may_open(&self) -> bool {
-        let full = self
-            .full_until
-            .get()
-            .is_some_and(|until| Instant::now() < until);
-        self.open.get() < self.limits.get().max_open && !full
+    fn may_open(&self, claim: Claim) -> bool {
+        let max_open = self.limits.get().max_open_for(claim);
+        self.open.get() < max_open && !self.was_full_within(FULL_RETRY_DELAY)
+    }
+
+    /// Returns whether the instance reported within the last `period` that it has no connection
+    /// left.
+    fn was_full_within(&self, period: Duration) -> bool {
+        let full_at = self.full_at.get();
+        full_at.is_some_and(|at| at.elapsed() < period)
+    }
+
+    /// Closes the idle connections beyond the limits.
+    fn trim_idle(&self) {
+        let crowded = self.was_full_within(CROWDED_PERIOD);
+        loop {
+            let idle = self.idle.borrow().len();
+            let in_use = self.open.get() - idle;
+            if idle <= self.limits.get().max_idle(in_use, crowded) {
+                return;
+            }
+            self.evict_idle();
+        }
     }
 
     /// Closes the idle connection whose workspace uses the instance least. Returns whether there
@@ -373,9 +447,7 @@
             Some(link) if self.accepts(&link) => self.idle.borrow_mut().push(link),
             _ => self.open.set(self.open.get() - 1),
         }
-        while self.idle.borrow().len() > self.limits.get().max_idle {
-            self.evict_idle();
-        }
+        self.trim_idle();
         self.released.notify_one();
     }
 
@@ -416,3 +488,6 @@
         self.pool.release(link);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -9,6 +9,7 @@
 use super::instance::{Instance, InstanceState};
 use super::node::Node;
 use super::placement::{Candidate, choose};
+use super::pool::Claim;
 use super::position::Position;
 use super::state::State;
 use super::statement::Access;
@@ -158,7 +159,7 @@
         is_primary,
         is_same_zone: instance.availability_zone == node.settings.availability_zone,
         load: pool.load(),
-        connection: pool.availability(context.workspace),
+        connection: pool.availability(context.workspace, claim(context, is_primary)),
         latency: pool.latency(),
         position: pool.position(),
     }
@@ -180,6 +181,19 @@
 /// Returns whether another instance may run the statement. Only then is an instance without capacity
 /// left out of the next attempt.
 pub fn may_leave(context: &StatementContext<'_>, target: &Target) -> bool {
+    !target.is_primary || may_run_on_replica(context)
+}
+
+/// Returns which part of an instance's connections the statement may use.
+pub fn claim(context: &StatementContext<'_>, is_primary: bool) -> Claim {
+    if is_primary && may_run_on_replica(context) {
+        Claim::Unreserved
+    } else {
+        Claim::Full
+    }
+}
+
+fn may_run_on_replica(context: &StatementContext<'_>) -> bool {
     let may_be_stale = context.route.consistency.staleness().is_some();
-    !target.is_primary || (context.access == Access::Read && may_be_stale)
+    context.access == Access::Read && may_be_stale
 }
