Send tasks that need the primary to gateways in its zone, share connections by zone

Cause: every VM sent all tasks of a workspace to a gateway of its own zone, so that each workspace needed a connection to the primary at one gateway of every zone, and every gateway had the same small share of each instance's connections, also of instances that its tasks rarely use. Change: a gateway's reply names the zone of the primary if it is another one, and later tasks that need the primary go to the gateways there. They cross zones once, as before. The hash by workspace stays the same in every zone, so that a workspace's limit is divided among no more gateways.

--- a/src/entry/channel.rs
+++ b/src/entry/channel.rs
@@ -16,6 +16,7 @@
 use super::encoded::EncodedConfiguration;
 use super::record::GatewayList;
 use super::task::{Reply, Task};
+use crate::name::ZoneName;
 
 /// Result of using a channel.
 pub type Result<T, E = ChannelError> = std::result::Result<T, E>;
@@ -80,7 +81,13 @@
     /// The VM is alive.
     Pong,
     /// The task was run.
-    Done(Box<Reply>),
+    Done {
+        /// Reply for the caller.
+        reply: Box<Reply>,
+        /// Availability zone of the primary that the task needed; `None` if it needed none or the
+        /// primary is in the zone of the VM that ran it.
+        primary_zone: Option<ZoneName>,
+    },
     /// The task was not run, because another VM can serve it better.
     Declined,
 }
--- a/src/entry/forwarding.rs
+++ b/src/entry/forwarding.rs
@@ -12,6 +12,7 @@
 use super::statement::{Failure, FailureKind, SessionState};
 use super::task::{Reply, Task};
 use super::worker::Worker;
+use crate::name::ZoneName;
 use crate::telemetry::metrics::metrics;
 
 /// Maximum number of gateways tried for one task: those of the availability zone and one more.
@@ -33,6 +34,13 @@
     Remote(PooledChannel),
 }
 
+/// Outcome of a task that a gateway ran.
+#[derive(Debug)]
+struct Finished {
+    reply: Reply,
+    primary_zone: Option<ZoneName>,
+}
+
 /// Runs a task of a session without an open transaction. Returns the reply and the VM that runs the
 /// following tasks if the task opened a transaction.
 pub async fn start(node: &Rc<Node>, task: Task) -> (Reply, Option<Executor>) {
@@ -42,10 +50,10 @@
         return (reply, Some(Executor::Local(worker)));
     }
     let deadline = deadline(&task);
-    let mut gateways = node.gateways.ranked(node, &task.workspace);
+    let mut gateways = node.gateways.ranked(node, &task);
     gateways.truncate(MAX_TRIED);
     for gateway in gateways.iter().filter(|gateway| gateway.accepts_tasks()) {
-        if let Some((reply, pooled)) = try_gateway(&task, gateway, false, deadline).await {
+        if let Some((reply, pooled)) = try_gateway(node, &task, gateway, false, deadline).await {
             return (reply, pooled.map(Executor::Remote));
         }
         if Instant::now() >= deadline {
@@ -60,7 +68,7 @@
     }
     // No gateway took the task: force it on the best-ranked one that has recently declined tasks.
     if let Some(gateway) = gateways.iter().find(|gateway| !gateway.accepts_tasks())
-        && let Some((reply, pooled)) = try_gateway(&task, gateway, true, deadline).await
+        && let Some((reply, pooled)) = try_gateway(node, &task, gateway, true, deadline).await
     {
         return (reply, pooled.map(Executor::Remote));
     }
@@ -70,6 +78,7 @@
 /// Runs a task at a gateway; `None` if it may be retried on another gateway, because it didn't run
 /// or writes nothing.
 async fn try_gateway(
+    node: &Node,
     task: &Task,
     gateway: &Rc<Gateway>,
     force: bool,
@@ -88,7 +97,11 @@
         }
     };
     match run_on(&mut pooled, task, force, deadline).await {
-        Ok(Some(reply)) => Some((reply, Some(pooled))),
+        Ok(Some(finished)) => {
+            node.gateways
+                .record_primary_zone(&task.route.database, finished.primary_zone);
+            Some((finished.reply, Some(pooled)))
+        }
         Ok(None) => None,
         Err(error) => {
             log_gateway_loss(task, gateway, &error);
@@ -103,7 +116,7 @@
     task: &Task,
     force: bool,
     deadline: Instant,
-) -> Result<Option<Reply>, ChannelError> {
+) -> Result<Option<Finished>, ChannelError> {
     let gateway = Rc::clone(pooled.gateway());
     let request = PeerRequest::Run {
         task: Box::new(task.clone()),
@@ -121,13 +134,20 @@
     match result {
         Ok(response) => {
             gateway.record_health(Health::on_statement_response);
-            let PeerResponse::Done(reply) = response else {
+            let PeerResponse::Done {
+                reply,
+                primary_zone,
+            } = response
+            else {
                 pooled.set_reusable(true);
                 gateway.record_decline();
                 return Ok(None);
             };
             pooled.set_reusable(reply.response.state == SessionState::Idle);
-            Ok(Some(*reply))
+            Ok(Some(Finished {
+                reply: *reply,
+                primary_zone,
+            }))
         }
         Err(error) => {
             gateway.record_health(Health::on_statement_failed);
@@ -142,7 +162,7 @@
         match self {
             Self::Local(worker) => worker.run(task).await,
             Self::Remote(pooled) => match run_on(pooled, task, true, deadline(task)).await {
-                Ok(Some(reply)) => reply,
+                Ok(Some(finished)) => finished.reply,
                 Ok(None) => task.lost_reply(),
                 Err(error) => {
                     log_gateway_loss(task, pooled.gateway(), &error);
--- a/src/entry/gateways/tests.rs
+++ b/src/entry/gateways/tests.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use super::{nearest_addresses, rendezvous_score};
+use super::{Ranked, nearest_addresses, rank, rendezvous_score};
 use crate::entry::record::VmRecord;
 use crate::entry::settings::EntrySettings;
 use crate::entry::state::State;
@@ -60,3 +60,62 @@
         assert_eq!(nearest_addresses(&state, &own), expected, "zone {zone}");
     }
 }
+
+struct RankCase {
+    name: &'static str,
+    primary_zone: Option<&'static str>,
+    /// Zone of each gateway in the order of their hashes, and whether it accepts tasks.
+    gateways: Vec<(&'static str, bool)>,
+    expected: Vec<usize>,
+}
+
+/// Guards against every gateway opening connections to every primary for the same workspaces: with
+/// the own zone first, the callers of each zone used another gateway.
+#[test]
+fn tasks_that_need_the_primary_go_to_the_gateways_in_its_zone() {
+    let cases = [
+        RankCase {
+            name: "without a primary's zone, the own zone is first",
+            primary_zone: None,
+            gateways: vec![("b", true), ("a", true), ("c", true)],
+            expected: vec![1, 0, 2],
+        },
+        RankCase {
+            name: "the primary's zone is first, then the own one",
+            primary_zone: Some("c"),
+            gateways: vec![("b", true), ("a", true), ("c", true)],
+            expected: vec![2, 1, 0],
+        },
+        RankCase {
+            name: "at most two in the primary's zone come before the own one",
+            primary_zone: Some("c"),
+            gateways: vec![("c", true), ("c", true), ("c", true), ("a", true)],
+            expected: vec![0, 1, 3, 2],
+        },
+        RankCase {
+            name: "one that declines is last",
+            primary_zone: Some("c"),
+            gateways: vec![("c", false), ("b", true), ("a", true)],
+            expected: vec![2, 1, 0],
+        },
+        RankCase {
+            name: "a zone without gateways changes nothing",
+            primary_zone: Some("d"),
+            gateways: vec![("b", true), ("a", true)],
+            expected: vec![1, 0],
+        },
+    ];
+    for case in cases {
+        let gateways = case.gateways.iter().enumerate();
+        let gateways = gateways.map(|(index, (zone, accepts_tasks))| Ranked {
+            accepts_tasks: *accepts_tasks,
+            availability_zone: ZoneName::from(*zone),
+            score: index as f64,
+            gateway: index,
+        });
+        let primary_zone = case.primary_zone.map(ZoneName::from);
+        let own_zone = ZoneName::from("a");
+        let ranked = rank(gateways.collect(), &own_zone, primary_zone.as_ref());
+        assert_eq!(ranked, case.expected, "{}", case.name);
+    }
+}
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -17,13 +17,13 @@
 use super::gateways::Gateways;
 use super::health::Verdict;
 use super::instance::{Change, Instance};
-use super::pool::{Limits, Pool};
+use super::pool::{Limits, Pool, Sharing};
 use super::settings::EntrySettings;
 use super::state::{State, StopPhase};
 use crate::configuration::Timeline;
 use crate::control::command::PlatformRequest;
 use crate::control::event::PlatformResponse;
-use crate::name::{DatabaseName, InstanceName};
+use crate::name::InstanceName;
 use crate::store;
 use crate::telemetry::metrics::metrics;
 
@@ -217,7 +217,7 @@
     pub fn pool(&self, instance: &Rc<Instance>) -> Rc<Pool> {
         let mut pools = self.pools.borrow_mut();
         let pool = pools.entry(instance.name.clone()).or_insert_with(|| {
-            let limits = self.limits(&instance.database);
+            let limits = self.limits(instance);
             Pool::new(Rc::clone(instance), self.adapter.protocol, limits)
         });
         Rc::clone(pool)
@@ -264,19 +264,28 @@
     pub fn maintain_pools(&self, elapsed: Duration) {
         let mut connections = 0;
         for pool in self.pools() {
-            pool.set_limits(self.limits(&pool.instance().database));
+            pool.set_limits(self.limits(&pool.instance()));
             pool.maintain(elapsed);
             connections += pool.open();
         }
         metrics().set_open_counts(self.sessions.get(), connections);
     }
 
-    fn limits(&self, database: &DatabaseName) -> Limits {
+    fn limits(&self, instance: &Instance) -> Limits {
         let state = self.state.borrow();
         let catalog = state.catalog.as_ref();
-        let known = catalog.and_then(|catalog| catalog.databases.get(database));
+        let known = catalog.and_then(|catalog| catalog.databases.get(&instance.database));
         let max_connections = known.map_or(1, |database| database.max_connections);
-        Limits::divide(max_connections, state.gateways.len())
+        let gateways = state.gateways.values();
+        let near =
+            gateways.filter(|gateway| gateway.availability_zone == instance.availability_zone);
+        let near = near.count();
+        let sharing = Sharing {
+            near,
+            far: state.gateways.len() - near,
+            is_near: self.settings.availability_zone == instance.availability_zone,
+        };
+        Limits::divide(max_connections, sharing)
     }
 }
 
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -19,6 +19,10 @@
 use crate::name::{RouteName, WorkspaceName};
 use crate::time::Timestamp;
 
+mod limits;
+
+pub use limits::{Claim, Limits, Sharing};
+
 /// Result of taking a connection.
 pub type Result<T, E = LinkError> = std::result::Result<T, E>;
 
@@ -28,80 +32,15 @@
 /// Idle time after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Half-life of the uses counted for a workspace.
-const USES_HALF_LIFE: Duration = Duration::from_secs(5);
-
-/// Decayed number of uses below which a workspace is no longer tracked.
-const MIN_TRACKED_USES: f64 = 0.01;
-
-/// Number of an instance's connections for each VM that are left free while nothing fails. After a
-/// power failure an instance still counts the lost connections for 3 s, and each VM needs others in
-/// this time.
-const RETURN_CONNECTIONS: usize = 2;
-
 /// Time for which a pool keeps few idle connections after the instance reported that it has none
 /// left: as long as the instance counts lost connections.
 const CROWDED_PERIOD: Duration = Duration::from_secs(3);
 
-/// Fraction of the connections to a primary that is reserved for statements that need the primary:
-/// one in `RESERVED_DIVISOR`.
-const RESERVED_DIVISOR: usize = 4;
-
-/// Limits on the connections of a VM to one instance.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Limits {
-    /// Maximum number of open connections.
-    pub max_open: usize,
-    /// Number of open connections above which a returned connection isn't kept, if `min_idle` others
-    /// are idle.
-    pub max_kept: usize,
-    /// Number of idle connections that are kept whatever the number in use.
-    pub min_idle: usize,
-}
-
-impl Limits {
-    /// Divides an instance's connections among VMs. A VM may open more than its share, because the
-    /// others rarely use all of theirs, but keeps [`RETURN_CONNECTIONS`] of its share closed. What
-    /// the VMs need after a power failure depends on their number and not on the size of the share,
-    /// so that a larger share is kept almost whole.
-    pub fn divide(max_connections: usize, vms: usize) -> Self {
-        let share = max_connections / vms.max(1);
-        let min_idle = (share / 2).max(1);
-        Self {
-            max_open: (share * 2).clamp(1, max_connections.max(1)),
-            max_kept: share.saturating_sub(RETURN_CONNECTIONS).max(min_idle),
-            min_idle,
-        }
-    }
-
-    /// Returns the number of idle connections to keep beside `in_use` others. While the instance is
-    /// `crowded`, only as many are kept as it has for every VM.
-    fn max_idle(&self, in_use: usize, crowded: bool) -> usize {
-        if crowded {
-            return self.min_idle.min(RETURN_CONNECTIONS);
-        }
-        self.max_kept.saturating_sub(in_use).max(self.min_idle)
-    }
-
-    /// Returns the number of connections that may be open when one is opened for a statement. A
-    /// part is reserved at a primary for statements that can't run elsewhere.
-    fn max_open_for(&self, claim: Claim) -> usize {
-        match claim {
-            Claim::Full => self.max_open,
-            Claim::Unreserved => self.max_open - self.max_open / RESERVED_DIVISOR,
-        }
-    }
-}
+/// Half-life of the uses counted for a workspace.
+const USES_HALF_LIFE: Duration = Duration::from_secs(5);
 
-/// Part of an instance's connections that a statement may use.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Claim {
-    /// All of them.
-    Full,
-    /// Those that aren't reserved for statements that need the primary: the statement runs on the
-    /// primary, but may run on a replica.
-    Unreserved,
-}
+/// Decayed number of uses below which a workspace is no longer tracked.
+const MIN_TRACKED_USES: f64 = 0.01;
 
 /// Statement that needs a connection.
 #[derive(Debug, Clone, Copy)]
@@ -488,6 +427,3 @@
         self.pool.release(link);
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -8,6 +8,7 @@
 
 use super::channel::{Channel, PeerRequest, PeerResponse, Result};
 use super::clock;
+use super::gateways;
 use super::node::Node;
 use super::record::GatewayList;
 use super::state::StopPhase;
@@ -91,7 +92,10 @@
     node.tasks.set(node.tasks.get() + 1);
     let reply = worker.run(task).await;
     node.tasks.set(node.tasks.get() - 1);
-    PeerResponse::Done(Box::new(reply))
+    PeerResponse::Done {
+        reply: Box::new(reply),
+        primary_zone: gateways::other_primary_zone(node, task),
+    }
 }
 
 /// Returns whether this VM accepts tasks of other VMs: it is a gateway, isn't stopping, and knows
