Operators' reports: requests at a stop, lost reads, departed instances, absurd time limits

A stopping gateway ended although other VMs had transactions open at it, or a reply not yet written. What still arrived when the stop's time was over was cut off. - A read whose response was lost, and that no other instance or gateway took, was reported as not run. - A VM that became a gateway again used an instance that had left meanwhile for 2.5 s. - A task of another VM with a time limit beyond the range of the clock ended the connection's task by an overflow, and the count of running tasks stayed wrong.

Change: a stopping VM closes a session once its caller has paused for 20 ms. In the last quarter of the stop's time (phase Closing) it answers each request with a refusal, or with the end of its transaction. A lost read is reported as lost. A VM that leaves the role of gateway forgets the instances. Time limits are capped at one hour, and sessions and tasks are counted by guards.

--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -32,8 +32,27 @@
             () = follow_announcements(&node) => {}
             () = node.wait_until(|state| !state.gateway) => {}
         }
-        node.state.borrow_mut().directory_known = false;
-        node.pools().iter().for_each(|pool| pool.close_idle());
+        forget(&node);
+    }
+}
+
+/// Forgets the instances when this VM is no longer a gateway: it doesn't see which of them leave
+/// until it is one again.
+fn forget(node: &Rc<Node>) {
+    let gone: Vec<Change> = {
+        let mut state = node.state.borrow_mut();
+        state.directory_known = false;
+        state.missing.clear();
+        let names: Vec<_> = state
+            .directory
+            .all()
+            .map(|known| known.name.clone())
+            .collect();
+        let removed = names.iter().filter_map(|name| state.directory.remove(name));
+        removed.collect()
+    };
+    for change in gone {
+        publish_change(node, &change);
     }
 }
 
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -91,9 +91,14 @@
         .deadline
         .min(Instant::now() + wait_limit.min(node.settings.target_wait_limit));
     let started_at = clock::now();
+    // Failure of an attempt that may have run: the statement can't be reported as not run any more.
+    let mut possibly_run = None;
     loop {
         let (target, slot, mut pooled) =
-            acquire(node, context, &mut tried, selection_deadline).await?;
+            match acquire(node, context, &mut tried, selection_deadline).await {
+                Ok(acquired) => acquired,
+                Err(refused) => return Err(possibly_run.unwrap_or(refused)),
+            };
         let sent_at = clock::now();
         let route = &context.route.name;
         metrics().record_step(route, Step::Connect, sent_at.since(started_at));
@@ -117,11 +122,16 @@
                 pool.statement_lost();
                 pooled.close();
                 record_missing_response(node, context, &target, &error);
+                let failure = missing_response_failure(context, command, &error);
                 if repeatable && Instant::now() < selection_deadline {
                     tried.push(target.instance.name.clone());
+                    // The start of a transaction runs nothing of the caller.
+                    if !context.starts_transaction {
+                        possibly_run = Some(failure);
+                    }
                     continue;
                 }
-                return Err(missing_response_failure(context, command, &error));
+                return Err(failure);
             }
         };
         record_response(node, context, &target, &response, sent_at);
@@ -133,7 +143,13 @@
         };
         let retryable = is_retryable(context, failure, tried.len());
         if !retryable || Instant::now() >= selection_deadline {
-            return Ok(Executed { response, pooled });
+            return match possibly_run.filter(|_| failure.not_run()) {
+                Some(failure) => Err(failure),
+                None => Ok(Executed { response, pooled }),
+            };
+        }
+        if !failure.not_run() {
+            possibly_run = Some(failure.clone());
         }
         prepare_retry(context, &target, failure.kind, &mut pooled, &mut tried).await;
     }
--- a/src/entry/forwarding.rs
+++ b/src/entry/forwarding.rs
@@ -9,8 +9,8 @@
 use super::gateway::{Gateway, PooledChannel};
 use super::health::Health;
 use super::node::Node;
-use super::statement::{Failure, FailureKind, SessionState};
-use super::task::{Reply, Task};
+use super::statement::{Failure, FailureKind, Outcome, SessionState};
+use super::task::{Action, Reply, Task};
 use super::worker::Worker;
 use crate::telemetry::metrics::metrics;
 
@@ -33,6 +33,16 @@
     Remote(PooledChannel),
 }
 
+/// Outcome of handing a task to a gateway.
+enum Attempt {
+    /// The reply for the caller, with the connection to the gateway if it is still open.
+    Replied(Reply, Option<PooledChannel>),
+    /// The task didn't run.
+    NotRun,
+    /// The task writes nothing and may have run; its reply is lost.
+    Lost,
+}
+
 /// Runs a task of a session without an open transaction. Returns the reply and the VM that runs the
 /// following tasks if the task opened a transaction.
 pub async fn start(node: &Rc<Node>, task: Task) -> (Reply, Option<Executor>) {
@@ -44,9 +54,12 @@
     let deadline = deadline(&task);
     let mut gateways = node.gateways.ranked(node, &task.workspace);
     gateways.truncate(MAX_TRIED);
+    let mut is_lost = false;
     for gateway in gateways.iter().filter(|gateway| gateway.accepts_tasks()) {
-        if let Some((reply, pooled)) = try_gateway(&task, gateway, false, deadline).await {
-            return (reply, pooled.map(Executor::Remote));
+        match try_gateway(&task, gateway, false, deadline).await {
+            Attempt::Replied(reply, pooled) => return replied(&task, reply, pooled, is_lost),
+            Attempt::NotRun => {}
+            Attempt::Lost => is_lost = true,
         }
         if Instant::now() >= deadline {
             return (task.lost_reply(), None);
@@ -59,22 +72,44 @@
         metrics().count_retry("forward");
     }
     // No gateway took the task: force it on the best-ranked one that has recently declined tasks.
-    if let Some(gateway) = gateways.iter().find(|gateway| !gateway.accepts_tasks())
-        && let Some((reply, pooled)) = try_gateway(&task, gateway, true, deadline).await
-    {
-        return (reply, pooled.map(Executor::Remote));
+    if let Some(gateway) = gateways.iter().find(|gateway| !gateway.accepts_tasks()) {
+        match try_gateway(&task, gateway, true, deadline).await {
+            Attempt::Replied(reply, pooled) => return replied(&task, reply, pooled, is_lost),
+            Attempt::NotRun => {}
+            Attempt::Lost => is_lost = true,
+        }
+    }
+    if is_lost {
+        return (task.lost_reply(), None);
     }
     (no_gateway_reply(node, &task), None)
 }
 
-/// Runs a task at a gateway; `None` if it may be retried on another gateway, because it didn't run
-/// or writes nothing.
+/// Returns the reply of a gateway. After an attempt whose reply was lost, the task can't be reported
+/// as not run any more.
+fn replied(
+    task: &Task,
+    reply: Reply,
+    pooled: Option<PooledChannel>,
+    is_lost: bool,
+) -> (Reply, Option<Executor>) {
+    let is_refused = matches!(
+        &reply.response.outcome,
+        Outcome::Failed(failure) if failure.not_run()
+    );
+    if is_lost && is_refused {
+        return (task.lost_reply(), None);
+    }
+    (reply, pooled.map(Executor::Remote))
+}
+
+/// Runs a task at a gateway.
 async fn try_gateway(
     task: &Task,
     gateway: &Rc<Gateway>,
     force: bool,
     deadline: Instant,
-) -> Option<(Reply, Option<PooledChannel>)> {
+) -> Attempt {
     let mut pooled = match gateway.take().await {
         Ok(pooled) => pooled,
         Err(error) => {
@@ -84,15 +119,19 @@
                 gateway.vm()
             );
             gateway.record_health(Health::on_failed);
-            return None;
+            return Attempt::NotRun;
         }
     };
     match run_on(&mut pooled, task, force, deadline).await {
-        Ok(Some(reply)) => Some((reply, Some(pooled))),
-        Ok(None) => None,
+        Ok(Some(reply)) => Attempt::Replied(reply, Some(pooled)),
+        Ok(None) => Attempt::NotRun,
         Err(error) => {
             log_gateway_loss(task, gateway, &error);
-            (!task.is_repeatable()).then(|| (task.lost_reply(), None))
+            match &task.action {
+                Action::Admit => Attempt::NotRun,
+                _ if task.is_repeatable() => Attempt::Lost,
+                _ => Attempt::Replied(task.lost_reply(), None),
+            }
         }
     }
 }
@@ -154,7 +193,7 @@
 }
 
 fn deadline(task: &Task) -> Instant {
-    Instant::now() + task.route.statement_timeout + REPLY_MARGIN
+    Instant::now() + task.time_limit() + REPLY_MARGIN
 }
 
 fn log_gateway_loss(task: &Task, gateway: &Gateway, error: &ChannelError) {
--- a/src/entry/listener.rs
+++ b/src/entry/listener.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::clock;
-use super::node::Node;
+use super::node::{Counted, Node};
 use super::session::Session;
 use super::state::StopPhase;
 use super::statement::{CallerMessage, SessionState, StatementResponse};
@@ -26,6 +26,11 @@
 /// Time limit for writing a response, reached when the caller doesn't read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time without a byte of the caller after which a session is closed because this VM stops or can't
+/// serve it. Several times the way to the callers (3 ms), so that a request that is already on its
+/// way, or follows a response at once, is answered.
+const PAUSE_BEFORE_CLOSE: Duration = Duration::from_millis(20);
+
 /// Delay after a connection could not be accepted, which happens when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -69,9 +74,9 @@
 }
 
 async fn serve(node: Rc<Node>, stream: TcpStream) {
-    node.sessions.set(node.sessions.get() + 1);
+    let _counted = Counted::new(Rc::clone(&node), |node| &node.sessions);
     let mut connection = Connection {
-        node: Rc::clone(&node),
+        node,
         stream,
         opened_at: clock::now(),
         input: BytesMut::with_capacity(INPUT_BYTES),
@@ -80,7 +85,6 @@
     if let Err(error) = connection.serve().await {
         log::debug!("event=caller_lost error=\"{error}\"");
     }
-    node.sessions.set(node.sessions.get() - 1);
 }
 
 /// What ended the wait for a caller's message.
@@ -146,7 +150,12 @@
         while !session.has_ended() {
             match self.receive(session).await? {
                 Received::Message(CallerMessage::Request(request)) => {
-                    let response = session.respond(request).await;
+                    let stop = self.node.state.borrow().stop;
+                    let response = if stop == StopPhase::Closing {
+                        session.end_for_stop().await
+                    } else {
+                        session.respond(request).await
+                    };
                     self.send(&response).await?;
                 }
                 Received::Message(_) | Received::Closed | Received::MustMove => return Ok(()),
@@ -169,7 +178,7 @@
             let must_move = node.sessions_must_move.notified();
             if self.should_close() && session.state() == SessionState::Idle && self.input.is_empty()
             {
-                return Ok(Received::MustMove);
+                return self.receive_before_close().await;
             }
             let expired = async {
                 match idle_until {
@@ -188,12 +197,26 @@
         }
     }
 
+    /// Waits for a request that is on its way while the session is to be closed.
+    async fn receive_before_close(&mut self) -> Result<Received> {
+        let receiving = timeout(PAUSE_BEFORE_CLOSE, self.read_message()).await;
+        match receiving {
+            Ok(message) => Ok(message?.map_or(Received::Closed, Received::Message)),
+            Err(_) if self.input.is_empty() => Ok(Received::MustMove),
+            // A part of a request has arrived.
+            Err(_) => {
+                let message = self.read_message().await?;
+                Ok(message.map_or(Received::Closed, Received::Message))
+            }
+        }
+    }
+
     /// Returns whether the session should be closed so that the caller reconnects to another VM:
     /// this VM is stopping, or it signalled sessions to move after this one was opened.
     fn should_close(&self) -> bool {
         let state = self.node.state.borrow();
         let shed = state.shed_at.is_some_and(|at| self.opened_at < at);
-        state.stop == StopPhase::Draining || shed
+        state.stop >= StopPhase::Draining || shed
     }
 
     /// Reads one message; `None` if the caller has closed the connection.
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -57,7 +57,7 @@
     pub gateways: Gateways,
     /// Number of connected callers.
     pub sessions: Cell<usize>,
-    /// Number of tasks running for other VMs.
+    /// Number of connections of other VMs that have a running task or an open transaction.
     pub tasks: Cell<usize>,
     pools: RefCell<HashMap<InstanceName, Rc<Pool>>>,
 }
@@ -280,6 +280,29 @@
     }
 }
 
+/// Counts a session or the work of another VM for as long as it exists, also when a fault ends it.
+#[derive(Debug)]
+pub struct Counted {
+    node: Rc<Node>,
+    counter: fn(&Node) -> &Cell<usize>,
+}
+
+impl Counted {
+    /// Counts one more.
+    pub fn new(node: Rc<Node>, counter: fn(&Node) -> &Cell<usize>) -> Self {
+        let count = counter(&node);
+        count.set(count.get() + 1);
+        Self { node, counter }
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        let count = (self.counter)(&self.node);
+        count.set(count.get().saturating_sub(1));
+    }
+}
+
 fn kind(request: &PlatformRequest) -> &'static str {
     match request {
         PlatformRequest::Get { .. } => "get",
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -8,10 +8,11 @@
 
 use super::channel::{Channel, PeerRequest, PeerResponse, Result};
 use super::clock;
-use super::node::Node;
+use super::node::{Counted, Node};
 use super::record::GatewayList;
+use super::shutdown;
 use super::state::StopPhase;
-use super::task::{Action, Task};
+use super::task::{Action, Reply, Task};
 use super::worker::Worker;
 
 /// Idle time after which a connection is closed. It is longer than the idle time limit at the other
@@ -51,6 +52,8 @@
 
 async fn serve_requests(node: &Rc<Node>, worker: &mut Worker, stream: TcpStream) -> Result<()> {
     let mut channel = Channel::new(stream)?;
+    // A planned stop waits for a reply until it is sent, and for an open transaction.
+    let mut counted = None;
     loop {
         let idle_timeout = idle_timeout(node, worker);
         let Ok(received) = timeout(idle_timeout, channel.receive()).await else {
@@ -77,21 +80,28 @@
                 })
             }
             PeerRequest::Ping => PeerResponse::Pong,
-            PeerRequest::Run { task, force } => run_task(node, worker, &task, force).await,
+            PeerRequest::Run { task, force } => {
+                counted.get_or_insert_with(|| Counted::new(Rc::clone(node), |node| &node.tasks));
+                run_task(node, worker, &task, force).await
+            }
         };
         channel.send(&response).await?;
+        counted = counted.filter(|_| worker.is_open());
     }
 }
 
 async fn run_task(node: &Rc<Node>, worker: &mut Worker, task: &Task, force: bool) -> PeerResponse {
     let in_transaction = worker.is_open() || matches!(task.action, Action::InTransaction(_));
-    if !in_transaction && !force && !accepts_tasks(node) {
+    let is_closing = node.state.borrow().stop == StopPhase::Closing;
+    if !in_transaction && (is_closing || !force && !accepts_tasks(node)) {
         return PeerResponse::Declined;
     }
-    node.tasks.set(node.tasks.get() + 1);
-    let reply = worker.run(task).await;
-    node.tasks.set(node.tasks.get() - 1);
-    PeerResponse::Done(Box::new(reply))
+    if is_closing {
+        worker.roll_back().await;
+        let reply = Reply::failed(shutdown::transaction_ended(), task.failed_state());
+        return PeerResponse::Done(Box::new(reply));
+    }
+    PeerResponse::Done(Box::new(worker.run(task).await))
 }
 
 /// Returns whether this VM accepts tasks of other VMs: it is a gateway, isn't stopping, and knows
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -10,6 +10,7 @@
 use super::link::{SessionValues, shared_name};
 use super::node::Node;
 use super::position::Position;
+use super::shutdown;
 use super::statement::{
     Access, Failure, FailureKind, InstanceCommand, Outcome, Prepared, Request, SessionState,
     Statement, StatementResponse,
@@ -200,6 +201,18 @@
         );
     }
 
+    /// Ends the session because this VM stops. Returns the response to the request that has just
+    /// arrived, which isn't run.
+    pub async fn end_for_stop(&mut self) -> StatementResponse {
+        let failure = match self.state() {
+            SessionState::Idle => shutdown::refusal(),
+            SessionState::Open | SessionState::Failed => shutdown::transaction_ended(),
+        };
+        self.roll_back_open_transaction().await;
+        self.ended = true;
+        self.fail(failure)
+    }
+
     /// Rolls back the transaction that is open on an instance, if any.
     pub async fn roll_back_open_transaction(&mut self) {
         if let Transaction::Open {
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -85,8 +85,10 @@
     Running,
     /// Reports itself as not ready, but still serves.
     Leaving,
-    /// Closes idle sessions and accepts no new operations.
+    /// Closes sessions as soon as their callers pause between two transactions.
     Draining,
+    /// Refuses what still arrives, with a response, because the process is about to end.
+    Closing,
 }
 
 /// Local view of one database.
--- a/src/entry/task.rs
+++ b/src/entry/task.rs
@@ -1,6 +1,7 @@
 //! Tasks that a session sends to the VM which runs its statements.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -79,7 +80,16 @@
     pub mark: Option<Position>,
 }
 
+/// Longest time limit of a task. A longer one in a message of another VM is malformed: added to the
+/// current time, it could overflow.
+const MAX_TIME_LIMIT: Duration = Duration::from_hours(1);
+
 impl Task {
+    /// Returns the time limit of the task's statement.
+    pub fn time_limit(&self) -> Duration {
+        self.route.statement_timeout.min(MAX_TIME_LIMIT)
+    }
+
     /// Returns whether the task may be retried on another VM after its reply was lost, because it
     /// writes nothing.
     pub const fn is_repeatable(&self) -> bool {
--- a/src/entry/worker.rs
+++ b/src/entry/worker.rs
@@ -120,7 +120,7 @@
         let Some(mut open) = self.open.take() else {
             return Reply::failed(transaction_closed(), SessionState::Failed);
         };
-        let deadline = Instant::now() + task.route.statement_timeout;
+        let deadline = Instant::now() + task.time_limit();
         let step = TransactionStep {
             command: &runnable.command,
             access: runnable.access,
@@ -156,7 +156,7 @@
         let Some(open) = self.open.take() else {
             return Reply::failed(transaction_closed(), SessionState::Idle);
         };
-        let deadline = Instant::now() + task.route.statement_timeout;
+        let deadline = Instant::now() + task.time_limit();
         let (response, mark) = open.commit(command, &task.values, deadline).await;
         Reply { response, mark }
     }
@@ -176,7 +176,7 @@
             prepared: None,
             in_transaction: false,
         },
-        deadline: Instant::now() + task.route.statement_timeout,
+        deadline: Instant::now() + task.time_limit(),
     }
 }
 
