--- a/src/entry.rs
+++ b/src/entry.rs
@@ -54,6 +54,7 @@
 pub mod slots;
 pub mod state;
 pub mod statement;
+pub mod supervision;
 pub mod synchronization;
 pub mod takeover;
 pub mod target;
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -81,24 +81,37 @@
     node: &Rc<Node>,
     context: &StatementContext<'_>,
     command: &InstanceCommand,
+) -> Result<Executed, Failure> {
+    let mut possibly_run = None;
+    let result = attempt(node, context, command, &mut possibly_run).await;
+    let failure = match &result {
+        Ok(executed) => match &executed.response.outcome {
+            Outcome::Done(_) => None,
+            Outcome::Failed(failure) => Some(failure),
+        },
+        Err(failure) => Some(failure),
+    };
+    let is_refused = failure.is_some_and(Failure::not_run);
+    match possibly_run.filter(|_| is_refused) {
+        Some(failure) => Err(failure),
+        None => result,
+    }
+}
+
+/// Attempts to run a command, on one instance after the other. Stores the failure of an attempt that
+/// may have run in `possibly_run`: the statement can't be reported as not run any more.
+async fn attempt(
+    node: &Rc<Node>,
+    context: &StatementContext<'_>,
+    command: &InstanceCommand,
+    possibly_run: &mut Option<Failure>,
 ) -> Result<Executed, Failure> {
     let mut tried = Vec::new();
-    let wait_limit = context
-        .route
-        .statement_timeout
-        .mul_f64(TARGET_WAIT_FRACTION);
-    let selection_deadline = context
-        .deadline
-        .min(Instant::now() + wait_limit.min(node.settings.target_wait_limit));
+    let selection_deadline = selection_deadline(node, context);
     let started_at = clock::now();
-    // Failure of an attempt that may have run: the statement can't be reported as not run any more.
-    let mut possibly_run = None;
     loop {
         let (target, slot, mut pooled) =
-            match acquire(node, context, &mut tried, selection_deadline).await {
-                Ok(acquired) => acquired,
-                Err(refused) => return Err(possibly_run.unwrap_or(refused)),
-            };
+            acquire(node, context, &mut tried, selection_deadline).await?;
         let sent_at = clock::now();
         let route = &context.route.name;
         metrics().record_step(route, Step::Connect, sent_at.since(started_at));
@@ -126,9 +139,7 @@
                 if repeatable && Instant::now() < selection_deadline {
                     tried.push(target.instance.name.clone());
                     // The start of a transaction runs nothing of the caller.
-                    if !context.starts_transaction {
-                        possibly_run = Some(failure);
-                    }
+                    *possibly_run = Some(failure).filter(|_| !context.starts_transaction);
                     continue;
                 }
                 return Err(failure);
@@ -143,18 +154,23 @@
         };
         let retryable = is_retryable(context, failure, tried.len());
         if !retryable || Instant::now() >= selection_deadline {
-            return match possibly_run.filter(|_| failure.not_run()) {
-                Some(failure) => Err(failure),
-                None => Ok(Executed { response, pooled }),
-            };
+            return Ok(Executed { response, pooled });
         }
         if !failure.not_run() {
-            possibly_run = Some(failure.clone());
+            *possibly_run = Some(failure.clone());
         }
         prepare_retry(context, &target, failure.kind, &mut pooled, &mut tried).await;
     }
 }
 
+/// Returns the time until which instances are selected for a statement.
+fn selection_deadline(node: &Node, context: &StatementContext<'_>) -> Instant {
+    let timeout = context.route.statement_timeout;
+    let wait_limit = timeout.mul_f64(TARGET_WAIT_FRACTION);
+    let wait_limit = wait_limit.min(node.settings.target_wait_limit);
+    context.deadline.min(Instant::now() + wait_limit)
+}
+
 fn answer<'a>(
     context: &'a StatementContext<'_>,
     target: &Target,
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -100,7 +100,7 @@
                 timeline.0
             );
             tokio::select! {
-                () = self.watch(node, Revision(revision.0 + 1)) => {
+                () = self.watch(node, Revision(revision.0.saturating_add(1))) => {
                     log::info!("event=watch_ended prefix={:?}", self.prefix);
                 }
                 () = self.progress.wait_until_lagging() => {
--- a/src/entry/forwarding.rs
+++ b/src/entry/forwarding.rs
@@ -36,7 +36,7 @@
 /// Outcome of handing a task to a gateway.
 enum Attempt {
     /// The reply for the caller, with the connection to the gateway if it is still open.
-    Replied(Reply, Option<PooledChannel>),
+    Replied(Box<(Reply, Option<PooledChannel>)>),
     /// The task didn't run.
     NotRun,
     /// The task writes nothing and may have run; its reply is lost.
@@ -57,7 +57,7 @@
     let mut is_lost = false;
     for gateway in gateways.iter().filter(|gateway| gateway.accepts_tasks()) {
         match try_gateway(&task, gateway, false, deadline).await {
-            Attempt::Replied(reply, pooled) => return replied(&task, reply, pooled, is_lost),
+            Attempt::Replied(reply) => return replied(&task, *reply, is_lost),
             Attempt::NotRun => {}
             Attempt::Lost => is_lost = true,
         }
@@ -74,7 +74,7 @@
     // No gateway took the task: force it on the best-ranked one that has recently declined tasks.
     if let Some(gateway) = gateways.iter().find(|gateway| !gateway.accepts_tasks()) {
         match try_gateway(&task, gateway, true, deadline).await {
-            Attempt::Replied(reply, pooled) => return replied(&task, reply, pooled, is_lost),
+            Attempt::Replied(reply) => return replied(&task, *reply, is_lost),
             Attempt::NotRun => {}
             Attempt::Lost => is_lost = true,
         }
@@ -89,8 +89,7 @@
 /// as not run any more.
 fn replied(
     task: &Task,
-    reply: Reply,
-    pooled: Option<PooledChannel>,
+    (reply, pooled): (Reply, Option<PooledChannel>),
     is_lost: bool,
 ) -> (Reply, Option<Executor>) {
     let is_refused = matches!(
@@ -123,14 +122,14 @@
         }
     };
     match run_on(&mut pooled, task, force, deadline).await {
-        Ok(Some(reply)) => Attempt::Replied(reply, Some(pooled)),
+        Ok(Some(reply)) => Attempt::Replied(Box::new((reply, Some(pooled)))),
         Ok(None) => Attempt::NotRun,
         Err(error) => {
             log_gateway_loss(task, gateway, &error);
             match &task.action {
                 Action::Admit => Attempt::NotRun,
                 _ if task.is_repeatable() => Attempt::Lost,
-                _ => Attempt::Replied(task.lost_reply(), None),
+                _ => Attempt::Replied(Box::new((task.lost_reply(), None))),
             }
         }
     }
--- a/src/entry/listener.rs
+++ b/src/entry/listener.rs
@@ -58,7 +58,7 @@
 }
 
 /// Accepts callers until the process ends.
-pub async fn run(node: Rc<Node>, listener: TcpListener) {
+pub async fn run(node: Rc<Node>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -27,7 +27,7 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Accepts connections of other VMs and serves them until the process ends.
-pub async fn run(node: Rc<Node>, listener: TcpListener) {
+pub async fn run(node: Rc<Node>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -3,15 +3,18 @@
 use std::io;
 use std::rc::Rc;
 
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
-use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use super::failover::FailoverMonitor;
 use super::node::Node;
 use super::peers::Peers;
-use super::{directory, discovery, listener, registration, relay, restoration, synchronization};
+use super::{
+    directory, discovery, listener, registration, relay, restoration, supervision, synchronization,
+};
 
 /// Result of starting an entry.
 pub type Result<T, E = StartError> = std::result::Result<T, E>;
@@ -42,19 +45,17 @@
     let address = node.settings.peer_address;
     let bound = Peers::bind(Rc::clone(node)).await;
     let (peers, requests) = bound.context(BindSnafu { address })?;
-    spawn_local(restoration::run(Rc::clone(node)));
-    spawn_local(restoration::record_settled(Rc::clone(node)));
-    spawn_local(registration::run(Rc::clone(node)));
-    spawn_local(synchronization::run(Rc::clone(node)));
-    spawn_local(discovery::run(Rc::clone(node)));
-    spawn_local(directory::run(Rc::clone(node)));
-    spawn_local(Rc::clone(&peers).announce());
-    spawn_local(Rc::clone(&peers).request_subleases());
-    spawn_local(Rc::clone(&peers).send_queued());
-    spawn_local(peers.listen());
-    spawn_local(relay::run(Rc::clone(node), requests));
-    spawn_local(tick(Rc::clone(node)));
-    spawn_local(listener::run(Rc::clone(node), callers));
+    let (callers, requests) = (Rc::new(callers), Rc::new(requests));
+    spawn_tasks(node);
+    spawn_peer_tasks(&peers);
+    let shared = Rc::clone(node);
+    supervision::spawn("relay", move || {
+        relay::run(Rc::clone(&shared), Rc::clone(&requests))
+    });
+    let shared = Rc::clone(node);
+    supervision::spawn("listener", move || {
+        listener::run(Rc::clone(&shared), Rc::clone(&callers))
+    });
     log::info!(
         "event=started vm={} availability_zone={} callers={} peers={}",
         node.settings.vm,
@@ -65,6 +66,35 @@
     Ok(())
 }
 
+fn spawn_tasks(node: &Rc<Node>) {
+    let spawn = |name, run: fn(Rc<Node>) -> LocalBoxFuture<'static, ()>| {
+        let node = Rc::clone(node);
+        supervision::spawn(name, move || run(Rc::clone(&node)));
+    };
+    spawn("restoration", |node| restoration::run(node).boxed_local());
+    spawn("settled_timeline", |node| {
+        restoration::record_settled(node).boxed_local()
+    });
+    spawn("registration", |node| registration::run(node).boxed_local());
+    spawn("synchronization", |node| {
+        synchronization::run(node).boxed_local()
+    });
+    spawn("discovery", |node| discovery::run(node).boxed_local());
+    spawn("directory", |node| directory::run(node).boxed_local());
+    spawn("tick", |node| tick(node).boxed_local());
+}
+
+fn spawn_peer_tasks(peers: &Rc<Peers>) {
+    let spawn = |name, run: fn(Rc<Peers>) -> LocalBoxFuture<'static, ()>| {
+        let peers = Rc::clone(peers);
+        supervision::spawn(name, move || run(Rc::clone(&peers)));
+    };
+    spawn("announce", |peers| peers.announce().boxed_local());
+    spawn("subleases", |peers| peers.request_subleases().boxed_local());
+    spawn("send_datagrams", |peers| peers.send_queued().boxed_local());
+    spawn("receive_datagrams", |peers| peers.listen().boxed_local());
+}
+
 /// Checks instances, failovers, limits and readiness periodically, until the process ends.
 async fn tick(node: Rc<Node>) {
     let monitor = Rc::new(FailoverMonitor::default());
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -171,6 +171,13 @@
         is_newer
     }
 
+    /// Returns whether no record of a database is known that was written after `revision`.
+    pub fn is_latest(&self, database: &DatabaseName, revision: Revision) -> bool {
+        let known = self.databases.get(database);
+        let record = known.and_then(|known| known.record.as_ref());
+        record.is_none_or(|record| record.revision <= revision)
+    }
+
     fn record(&self, database: &DatabaseName) -> Option<&PrimaryRecord> {
         let record = self.databases.get(database)?.record.as_ref()?;
         Some(&record.record).filter(|_| record.is_reliable())
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -436,7 +436,8 @@
     }
 
     /// Notifies the other instances of the replacement: the former primary steps down, the replicas
-    /// resume. Without this, the new primary notifies them, but later.
+    /// resume. Without this, the new primary notifies them, but later. It ends when the next
+    /// replacement begins, whose holder counts on the replicas that it has paused.
     fn notify_instances(&self, former: &InstanceName, current: &InstanceName, term: u64) {
         for instance in self.members() {
             if instance.name == *current {
@@ -447,8 +448,15 @@
             } else {
                 InstanceCommand::Resume
             };
-            let mut link = ControlLink::new(Rc::clone(&self.node), instance);
-            tokio::task::spawn_local(async move { link.request(&command, NOTIFY_TIMEOUT).await });
+            let (node, database) = (Rc::clone(&self.node), self.database.clone());
+            let revision = self.record.revision;
+            tokio::task::spawn_local(async move {
+                let mut link = ControlLink::new(Rc::clone(&node), instance);
+                tokio::select! {
+                    _ = link.request(&command, NOTIFY_TIMEOUT) => {}
+                    () = node.wait_until(|state| !state.is_latest(&database, revision)) => {}
+                }
+            });
         }
     }
 
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -54,6 +54,7 @@
     store_calls: Counter<u64>,
     store_timelines: Counter<u64>,
     takeovers: Counter<u64>,
+    task_failures: Counter<u64>,
     sessions: Gauge<u64>,
     connections: Gauge<u64>,
 }
@@ -223,6 +224,12 @@
         self.entry.takeovers.add(1, &labels);
     }
 
+    /// Counts a panic of a background task, which is then started anew.
+    pub fn count_task_failure(&self, task: &'static str) {
+        let labels = [KeyValue::new("task", task)];
+        self.entry.task_failures.add(1, &labels);
+    }
+
     /// Sets the number of connected callers and of open connections to instances.
     pub fn set_open_counts(&self, sessions: usize, connections: usize) {
         self.entry.sessions.record(sessions as u64, &[]);
@@ -274,6 +281,11 @@
                 "currantlb.entry.takeovers",
                 "Replacements of primaries by this VM, by reason",
             ),
+            task_failures: counter(
+                meter,
+                "currantlb.entry.task_failures",
+                "Background tasks that panicked and were started anew, by task",
+            ),
             sessions: meter
                 .u64_gauge("currantlb.entry.sessions")
                 .with_description("Callers connected")
