--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -81,15 +81,33 @@
     node: &Rc<Node>,
     context: &StatementContext<'_>,
     command: &InstanceCommand,
+) -> Result<Executed, Failure> {
+    let mut possibly_run = None;
+    let result = attempt(node, context, command, &mut possibly_run).await;
+    let failure = match &result {
+        Ok(executed) => match &executed.response.outcome {
+            Outcome::Done(_) => None,
+            Outcome::Failed(failure) => Some(failure),
+        },
+        Err(failure) => Some(failure),
+    };
+    let is_refused = failure.is_some_and(Failure::not_run);
+    match possibly_run.filter(|_| is_refused) {
+        Some(failure) => Err(failure),
+        None => result,
+    }
+}
+
+/// Attempts to run a command, on one instance after the other. Stores the failure of an attempt that
+/// may have run in `possibly_run`: the statement can't be reported as not run any more.
+async fn attempt(
+    node: &Rc<Node>,
+    context: &StatementContext<'_>,
+    command: &InstanceCommand,
+    possibly_run: &mut Option<Failure>,
 ) -> Result<Executed, Failure> {
     let mut tried = Vec::new();
-    let wait_limit = context
-        .route
-        .statement_timeout
-        .mul_f64(TARGET_WAIT_FRACTION);
-    let selection_deadline = context
-        .deadline
-        .min(Instant::now() + wait_limit.min(node.settings.target_wait_limit));
+    let selection_deadline = selection_deadline(node, context);
     let started_at = clock::now();
     loop {
         let (target, slot, mut pooled) =
@@ -117,11 +135,14 @@
                 pool.statement_lost();
                 pooled.close();
                 record_missing_response(node, context, &target, &error);
+                let failure = missing_response_failure(context, command, &error);
                 if repeatable && Instant::now() < selection_deadline {
                     tried.push(target.instance.name.clone());
+                    // The start of a transaction runs nothing of the caller.
+                    *possibly_run = Some(failure).filter(|_| !context.starts_transaction);
                     continue;
                 }
-                return Err(missing_response_failure(context, command, &error));
+                return Err(failure);
             }
         };
         record_response(node, context, &target, &response, sent_at);
@@ -135,10 +156,21 @@
         if !retryable || Instant::now() >= selection_deadline {
             return Ok(Executed { response, pooled });
         }
+        if !failure.not_run() {
+            *possibly_run = Some(failure.clone());
+        }
         prepare_retry(context, &target, failure.kind, &mut pooled, &mut tried).await;
     }
 }
 
+/// Returns the time until which instances are selected for a statement.
+fn selection_deadline(node: &Node, context: &StatementContext<'_>) -> Instant {
+    let timeout = context.route.statement_timeout;
+    let wait_limit = timeout.mul_f64(TARGET_WAIT_FRACTION);
+    let wait_limit = wait_limit.min(node.settings.target_wait_limit);
+    context.deadline.min(Instant::now() + wait_limit)
+}
+
 fn answer<'a>(
     context: &'a StatementContext<'_>,
     target: &Target,
