Evacuate an availability zone at the operators' request

Cause: the operators' request to evacuate a zone wasn't read. Statements ran in the zone for as long as its instances were announced.

Change: gateways follow the key of the request (evacuations/ZONE). Reads leave the zone at once. A primary there is replaced by an instance of another zone, as a leaving one. A request whose age a VM can't know, because it has just started or its watch was silent, takes effect at once. A VM that can't reach the store hears of evacuations with its subleases.

--- a/src/entry/datagram.rs
+++ b/src/entry/datagram.rs
@@ -8,7 +8,7 @@
 use tokio::sync::Notify;
 
 use super::record::PrimaryRecord;
-use crate::name::{DatabaseName, VmName, WorkspaceName};
+use crate::name::{DatabaseName, VmName, WorkspaceName, ZoneName};
 
 /// Largest datagram: fits one packet on common links, with room for the headers of tunnels.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -92,6 +92,13 @@
         /// Records that the receiver may rely on.
         records: Vec<RecordUpdate>,
     },
+    /// Names the evacuated zones to a VM that was granted a sublease.
+    EvacuatedZones {
+        /// Store revision up to which the sender knows every change of them.
+        revision: u64,
+        /// Zones, with the milliseconds after which the sender sends nothing more there.
+        zones: Vec<(ZoneName, u32)>,
+    },
 }
 
 /// Record of a database's primary, as sent to other VMs.
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -37,6 +37,10 @@
 /// Retry delay suggested to a refused caller, after which there may be capacity.
 const RETRY_AFTER_BUSY: Duration = Duration::from_millis(100);
 
+/// Retry delay suggested to a refused caller whose primary is in an evacuated zone: the usual time in
+/// which another instance is promoted.
+const RETRY_AFTER_EVACUATION: Duration = Duration::from_secs(1);
+
 /// Fraction of a statement's time limit for which it waits for an instance that accepts it: less
 /// than half, so that a refused caller has time to try another VM.
 const TARGET_WAIT_FRACTION: f64 = 0.2;
@@ -263,8 +267,12 @@
     let reason = match cause {
         NoTarget::NoValidityLease => "this VM can't tell which instance is the primary",
         NoTarget::PrimaryUnavailable => "the primary is being replaced",
+        NoTarget::Evacuated => "the primary's zone is evacuated",
         NoTarget::AllTried => "no instance has capacity",
     };
+    if cause == NoTarget::Evacuated {
+        return Err(refusal(node, context, reason, RETRY_AFTER_EVACUATION));
+    }
     if cause == NoTarget::NoValidityLease
         || Instant::now() + TARGET_POLL_INTERVAL >= selection_deadline
     {
--- a/src/entry/failover.rs
+++ b/src/entry/failover.rs
@@ -75,7 +75,7 @@
                 self.record_first(node, &state, database, now);
                 continue;
             }
-            let reason = reason(node, &state, database, known);
+            let reason = reason(node, &state, known);
             if self.is_due(node, &state, database, reason, now) {
                 due.extend(reason.map(|reason| (database.clone(), reason)));
             }
@@ -211,12 +211,7 @@
     });
 }
 
-fn reason(
-    node: &Node,
-    state: &State,
-    database: &DatabaseName,
-    known: &DatabaseState,
-) -> Option<Reason> {
+fn reason(node: &Node, state: &State, known: &DatabaseState) -> Option<Reason> {
     let record = known.record.as_ref()?;
     if record.is_outdated() {
         return Some(Reason::Restored);
@@ -234,11 +229,24 @@
         Verdict::Deposed => return Some(Reason::Deposed),
         Verdict::Healthy | Verdict::Doubtful => {}
     }
-    let successor = |instance: &Rc<Instance>| {
-        instance.name != primary.name && instance.state == InstanceState::Serving
-    };
-    let leaving = primary.state == InstanceState::Draining;
-    (leaving && state.directory.in_database(database).any(successor)).then_some(Reason::Leaving)
+    planned_reason(state, primary).filter(|_| has_successor(node, state, primary))
+}
+
+/// Returns why a primary that serves must be replaced, if it must.
+fn planned_reason(state: &State, primary: &Instance) -> Option<Reason> {
+    if state.evacuated_zones.contains(&primary.availability_zone) {
+        return Some(Reason::Evacuated);
+    }
+    (primary.state == InstanceState::Draining).then_some(Reason::Leaving)
+}
+
+/// Returns whether another instance may be promoted.
+fn has_successor(node: &Node, state: &State, primary: &Instance) -> bool {
+    let mut members = state.directory.in_database(&primary.database);
+    members.any(|instance| {
+        let is_reachable = node.health_verdict(&instance.name) != Verdict::Unreachable;
+        instance.name != primary.name && state.may_lead(instance) && is_reachable
+    })
 }
 
 /// Returns this VM's position in the order in which the gateways act for a database.
--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -5,6 +5,10 @@
 /// Key of the operators' configuration.
 pub const CONFIGURATION: &str = "configuration";
 
+/// Prefix of the operators' requests to evacuate an availability zone, which is the rest of the key.
+/// A request holds for as long as its key exists, whatever its value.
+pub const EVACUATIONS: &str = "evacuations/";
+
 /// Prefix of the instances' announcements.
 pub const INSTANCES: &str = "instances/";
 
@@ -24,7 +28,8 @@
 /// Key of the timeline that the fleet has known for long enough.
 pub const SETTLED_TIMELINE: &str = "fleet/timeline";
 
-/// Prefix of the keys that every gateway watches: the configuration and the keys under [`FLEET`].
+/// Prefix of the keys that every gateway watches: the configuration and the keys under
+/// [`EVACUATIONS`] and [`FLEET`].
 /// Although the prefix is empty, the adapter's store leaves out announcements and confirmations,
 /// because they change often; they are read separately.
 pub const SHARED: &str = "";
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -16,6 +16,7 @@
 use super::follow::Progress;
 use super::gateways::Gateways;
 use super::health::Verdict;
+use super::idle_transactions::IdleTransactions;
 use super::instance::{Change, Instance};
 use super::pool::{Limits, Pool};
 use super::settings::EntrySettings;
@@ -59,6 +60,8 @@
     pub sessions: Cell<usize>,
     /// Number of tasks running for other VMs.
     pub tasks: Cell<usize>,
+    /// Open transactions whose callers are between two statements.
+    pub idle_transactions: IdleTransactions,
     pools: RefCell<HashMap<InstanceName, Rc<Pool>>>,
 }
 
@@ -80,6 +83,7 @@
             gateways: Gateways::default(),
             sessions: Cell::new(0),
             tasks: Cell::new(0),
+            idle_transactions: IdleTransactions::default(),
             pools: RefCell::default(),
         })
     }
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -20,7 +20,7 @@
 use super::state::State;
 use super::synchronization;
 use crate::configuration::Revision;
-use crate::name::{VmName, WorkspaceName};
+use crate::name::{VmName, WorkspaceName, ZoneName};
 use crate::time::Timestamp;
 
 /// Interval at which a busy gateway announces its demand.
@@ -220,10 +220,9 @@
                 version,
                 gateways_revision,
             } => self.follow_gateway(version, Revision(gateways_revision), from),
-            Datagram::SubleaseRequest { nonce } => {
-                if let Some(sublease) = self.grant_sublease(nonce) {
-                    self.node.outbox.send(from, sublease);
-                }
+            Datagram::SubleaseRequest { nonce } => self.send_sublease(nonce, from),
+            Datagram::EvacuatedZones { revision, zones } => {
+                self.receive_evacuated_zones(Revision(revision), &zones);
             }
             Datagram::TokenRequest { workspace, nonce } => {
                 self.lend_tokens(&workspace, nonce, from);
@@ -329,6 +328,14 @@
         self.node.changed.notify_waiters();
     }
 
+    /// Sends a sublease and the evacuated zones to a VM that can't reach the store.
+    fn send_sublease(&self, nonce: u64, to: SocketAddr) {
+        if let Some(sublease) = self.grant_sublease(nonce) {
+            self.node.outbox.send(to, sublease);
+            self.node.outbox.send(to, self.evacuated_zones());
+        }
+    }
+
     /// Grants a sublease of this VM's own validity lease and records when it ends. Returns `None`
     /// if too little validity is left.
     fn grant_sublease(&self, nonce: u64) -> Option<Datagram> {
@@ -355,6 +362,29 @@
         })
     }
 
+    /// Names the evacuated zones for a VM that can't read them from the store.
+    fn evacuated_zones(&self) -> Datagram {
+        let state = self.node.state.borrow();
+        let zones = state.evacuated_zones.time_left(clock::now()).into_iter();
+        let left_ms = |left: Duration| u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+        Datagram::EvacuatedZones {
+            revision: state.evacuated_zones.revision().0,
+            zones: zones.map(|(zone, left)| (zone, left_ms(left))).collect(),
+        }
+    }
+
+    fn receive_evacuated_zones(&self, revision: Revision, zones: &[(ZoneName, u32)]) {
+        let left = |left_ms: u32| Duration::from_millis(left_ms.into());
+        let zones = zones.iter();
+        let zones = zones.map(|(zone, left_ms)| (zone.clone(), left(*left_ms)));
+        let mut state = self.node.state.borrow_mut();
+        state
+            .evacuated_zones
+            .receive(zones.collect(), revision, clock::now());
+        drop(state);
+        self.node.changed.notify_waiters();
+    }
+
     /// Accepts a sublease granted for the latest request. Its validity is counted from when the
     /// request was sent, which was before it was granted.
     fn accept_sublease(
--- a/src/entry/promotion.rs
+++ b/src/entry/promotion.rs
@@ -13,7 +13,7 @@
     pub instance: InstanceName,
     /// Report of the instance.
     pub report: InstanceReport,
-    /// Whether the instance takes new work and may therefore be promoted.
+    /// Whether the instance may be promoted: it takes new work and its zone isn't evacuated.
     pub may_lead: bool,
 }
 
--- a/src/entry/reports.rs
+++ b/src/entry/reports.rs
@@ -6,7 +6,7 @@
 use futures::future::join_all;
 
 use super::control::ControlLink;
-use super::instance::{Instance, InstanceState};
+use super::instance::Instance;
 use super::node::Node;
 use super::promotion::MemberReport;
 use super::statement::{InstanceCommand, InstanceReport};
@@ -22,7 +22,7 @@
         async move {
             let report = link.request(&InstanceCommand::Report, REPORT_TIMEOUT);
             let report = report.await?;
-            Some(member_report(link.instance(), report))
+            Some(member_report(node, link.instance(), report))
         }
     });
     join_all(requests).await.into_iter().flatten().collect()
@@ -52,16 +52,16 @@
                     .await;
                 report = report.filter(|report| report.is_primary);
             }
-            report.map(|report| member_report(link.instance(), report))
+            report.map(|report| member_report(node, link.instance(), report))
         }
     });
     join_all(requests).await.into_iter().flatten().collect()
 }
 
-fn member_report(instance: &Instance, report: InstanceReport) -> MemberReport {
+fn member_report(node: &Node, instance: &Instance, report: InstanceReport) -> MemberReport {
     MemberReport {
         instance: instance.name.clone(),
         report,
-        may_lead: instance.state == InstanceState::Serving,
+        may_lead: node.state.borrow().may_lead(instance),
     }
 }
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -11,7 +11,9 @@
 use super::failover::FailoverMonitor;
 use super::node::Node;
 use super::peers::Peers;
-use super::{directory, discovery, listener, registration, relay, restoration, synchronization};
+use super::{
+    directory, discovery, listener, registration, relay, restoration, synchronization, transaction,
+};
 
 /// Result of starting an entry.
 pub type Result<T, E = StartError> = std::result::Result<T, E>;
@@ -73,6 +75,7 @@
         sleep(node.settings.tick).await;
         directory::remove_missing(&node, &mut undersized_since);
         monitor.tick(&node);
+        transaction::end_evacuated(&node);
         node.divide_limits();
         node.maintain_pools(node.settings.tick);
         node.gateways.maintain(&node.state.borrow());
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -6,8 +6,9 @@
 
 use super::catalog::Catalog;
 use super::encoded::EncodedConfiguration;
+use super::evacuation::EvacuatedZones;
 use super::freshness::Freshness;
-use super::instance::{Directory, Instance};
+use super::instance::{Directory, Instance, InstanceState};
 use super::quota::Quota;
 use super::record::{
     GatewayList, Phase, PrimaryRecord, SettledTimelineRecord, VersionedRecord, VmRecord,
@@ -30,6 +31,8 @@
     pub encoded_configuration: Option<EncodedConfiguration>,
     /// Announced instances.
     pub directory: Directory,
+    /// Zones that the operators have requested to evacuate.
+    pub evacuated_zones: EvacuatedZones,
     /// Whether the announcements have been read since this VM became a gateway.
     pub directory_known: bool,
     /// Instances whose announcements are missing, with the time since when.
@@ -143,6 +146,12 @@
         self.directory.get(&record.primary).filter(|_| is_available)
     }
 
+    /// Returns whether an instance may be promoted: it takes new work and its zone isn't evacuated.
+    pub fn may_lead(&self, instance: &Instance) -> bool {
+        let is_evacuated = self.evacuated_zones.contains(&instance.availability_zone);
+        instance.state == InstanceState::Serving && !is_evacuated
+    }
+
     /// Returns whether a replacement of a primary may wait for this VM's confirmation.
     pub fn confirms(&self, now: Timestamp) -> bool {
         self.gateway || now < self.gateway_until
--- a/src/entry/synchronization.rs
+++ b/src/entry/synchronization.rs
@@ -17,7 +17,7 @@
 use crate::configuration::Revision;
 use crate::control::command::PlatformRequest;
 use crate::control::event::{KeyValue, PlatformResponse};
-use crate::name::{DatabaseName, VmName};
+use crate::name::{DatabaseName, VmName, ZoneName};
 
 /// Follows the shared keys while this VM is a gateway, until the process ends.
 pub async fn run(node: Rc<Node>) {
@@ -41,11 +41,30 @@
     follower.run(node).await;
 }
 
-/// Reads every shared key. The configuration is read after the others, so that changes made since
-/// their revision are all that this VM may lack.
+/// Reads every shared key. The configuration and the evacuations are read after the others, so that
+/// changes made since their revision are all that this VM may lack.
 async fn read_shared(node: &Rc<Node>) -> Option<(Vec<KeyValue>, Revision)> {
     let found = follow::list(node, keys::FLEET).await?;
-    read_configuration(node).await.then_some(found)
+    let is_read = read_evacuations(node).await && read_configuration(node).await;
+    is_read.then_some(found)
+}
+
+/// Reads the requests to evacuate zones; returns whether the store responded.
+async fn read_evacuations(node: &Rc<Node>) -> bool {
+    let Some((keys, revision)) = follow::list(node, keys::EVACUATIONS).await else {
+        return false;
+    };
+    let zones = keys.iter().filter_map(|key| evacuated_zone(&key.key));
+    let mut state = node.state.borrow_mut();
+    let (zones, now) = (zones.collect(), clock::now());
+    state.evacuated_zones.replace(zones, revision, now);
+    drop(state);
+    node.changed.notify_waiters();
+    true
+}
+
+fn evacuated_zone(key: &str) -> Option<ZoneName> {
+    key.strip_prefix(keys::EVACUATIONS).map(ZoneName::from)
 }
 
 /// Reads the configuration from the store and puts it in force if it is newer; returns whether the
@@ -89,9 +108,12 @@
     }
 }
 
-/// Reads the records, the gateways and the failover lease once; returns whether the store
-/// responded.
+/// Reads the evacuations, the records, the gateways and the failover lease once; returns whether the
+/// store responded.
 pub async fn refresh(node: &Rc<Node>) -> bool {
+    if !read_evacuations(node).await {
+        return false;
+    }
     let found = follow::list(node, keys::FLEET).await;
     let read = found.is_some();
     if let Some((keys, revision)) = found {
@@ -142,6 +164,10 @@
         let mut state = node.state.borrow_mut();
         state.settled = record.unwrap_or_default();
         state.settled_revision = revision;
+    } else if let Some(zone) = evacuated_zone(&key) {
+        let mut state = node.state.borrow_mut();
+        let zones = &mut state.evacuated_zones;
+        zones.apply(zone, value.is_some(), revision, clock::now());
     } else if let Some(vm) = key.strip_prefix(keys::GATEWAYS) {
         apply_gateway(&mut node.state.borrow_mut(), vm, revision, value);
     } else if let Some(database) = key.strip_prefix(keys::DATABASES) {
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -51,6 +51,8 @@
 pub enum Reason {
     /// The primary announced that it is about to leave.
     Leaving,
+    /// The availability zone of the primary is evacuated.
+    Evacuated,
     /// The announcement of the primary is missing.
     Gone,
     /// The primary doesn't respond.
@@ -68,7 +70,7 @@
 impl Reason {
     /// Returns whether the primary still serves, so that running statements can end first.
     pub const fn is_planned(self) -> bool {
-        matches!(self, Self::Leaving)
+        matches!(self, Self::Leaving | Self::Evacuated)
     }
 
     const fn knowledge(self) -> Knowledge {
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -38,6 +38,8 @@
     PrimaryUnavailable,
     /// This VM has no validity lease and can't rely on the records it has read.
     NoValidityLease,
+    /// The primary is in an evacuated zone, and the time in which it still ran statements is over.
+    Evacuated,
     /// Every eligible instance has been tried.
     AllTried,
 }
@@ -62,9 +64,19 @@
         .and_then(|(known, staleness)| known.freshness.bound(now, staleness));
     let position = bound.map(|bound| context.mark.map_or(bound, |mark| mark.max(bound)));
     if context.access == Access::Read && staleness.is_some() {
-        return select_read_target(state, node, context, position, has_validity_lease, tried);
+        let selected =
+            select_read_target(state, node, context, position, has_validity_lease, tried);
+        // An evacuated primary isn't a candidate, but still runs what no other instance can run.
+        let needs_primary = tried.is_empty() && is_primary_evacuated(state, context);
+        if selected.is_ok() || !needs_primary {
+            return selected;
+        }
     }
     let instance = primary(state, context).ok_or(NoTarget::PrimaryUnavailable)?;
+    let zones = &state.evacuated_zones;
+    if zones.is_closed(&instance.availability_zone, now) {
+        return Err(NoTarget::Evacuated);
+    }
     let min_position = if has_validity_lease || is_safe_without_lease(state, context) {
         None
     } else {
@@ -89,6 +101,11 @@
     }
 }
 
+fn is_primary_evacuated(state: &State, context: &StatementContext<'_>) -> bool {
+    let zones = &state.evacuated_zones;
+    primary(state, context).is_some_and(|primary| zones.contains(&primary.availability_zone))
+}
+
 /// Returns whether a statement is safe on an instance that has been replaced as the primary: it
 /// reads nothing, and its save is acknowledged only if a replica still follows the instance.
 fn is_safe_without_lease(state: &State, context: &StatementContext<'_>) -> bool {
@@ -116,7 +133,9 @@
         let consistent = position.is_some() || (is_primary(instance) && has_validity_lease);
         let serving = instance.state == InstanceState::Serving || is_primary(instance);
         let reachable = node.health_verdict(&instance.name) != Verdict::Unreachable;
-        consistent && serving && reachable && !tried.contains(&instance.name)
+        let zones = &state.evacuated_zones;
+        let evacuated = zones.contains(&instance.availability_zone);
+        consistent && serving && reachable && !evacuated && !tried.contains(&instance.name)
     };
     let instances: Vec<_> = state
         .directory
@@ -167,9 +186,14 @@
 /// Returns whether a target that was selected before a wait may still be used.
 pub fn is_still_valid(node: &Node, context: &StatementContext<'_>, target: &Target) -> bool {
     let state = node.state.borrow();
-    let has_validity_lease = state.has_validity_lease(clock::now());
+    let now = clock::now();
+    let has_validity_lease = state.has_validity_lease(now);
+    let (zones, zone) = (&state.evacuated_zones, &target.instance.availability_zone);
     if !target.is_primary {
-        return true;
+        return !zones.contains(zone);
+    }
+    if zones.is_closed(zone, now) {
+        return false;
     }
     let same = primary(&state, context).is_some_and(|primary| primary.name == target.instance.name);
     same && (has_validity_lease
--- a/src/entry/transaction.rs
+++ b/src/entry/transaction.rs
@@ -5,7 +5,9 @@
 
 use tokio::time::{Instant, sleep};
 
+use super::clock;
 use super::execution::{self, StatementContext};
+use super::instance::Instance;
 use super::link::{SessionValues, Setup};
 use super::node::Node;
 use super::pool::PooledLink;
@@ -58,18 +60,27 @@
         }
     }
 
+    /// Returns the instance that the transaction is open on.
+    pub fn instance(&self) -> Rc<Instance> {
+        self.pooled.pool().instance()
+    }
+
     /// Runs one statement. After an error the transaction must be closed, which rolls it back.
     ///
     /// # Errors
     ///
-    /// Fails when no response is received or the instance rejects the setup; nothing of the
-    /// transaction is kept.
+    /// Fails when no response is received, the instance rejects the setup or its zone is evacuated;
+    /// nothing of the transaction is kept.
     pub async fn run(
         &mut self,
+        node: &Node,
         step: &TransactionStep<'_>,
         deadline: Instant,
     ) -> Result<StatementResponse, Failure> {
         loop {
+            if is_closed(node, &self.instance()) {
+                return Err(evacuated());
+            }
             let link = self.pooled.link();
             let response = link.run(&step.setup, step.command, None, deadline).await;
             let response = response.map_err(|error| aborted(step.command.id(), &error))?;
@@ -90,6 +101,7 @@
     /// Returns the response and, if the transaction saved something, the position of the save.
     pub async fn commit(
         mut self,
+        node: &Node,
         command: &InstanceCommand,
         values: &SessionValues,
         deadline: Instant,
@@ -100,6 +112,10 @@
             in_transaction: true,
         };
         loop {
+            if is_closed(node, &self.instance()) {
+                self.rollback().await;
+                return (idle_failure(evacuated()), None);
+            }
             let link = self.pooled.link();
             let response = match link.run(&setup, command, None, deadline).await {
                 Ok(response) => response,
@@ -173,6 +189,32 @@
     }
 }
 
+/// Rolls back the idle transactions on instances of evacuated zones to which nothing may be sent any
+/// longer. Their callers hear of it with their next statement.
+pub fn end_evacuated(node: &Rc<Node>) {
+    let is_due = |instance: &Instance| is_closed(node, instance);
+    for open in node.idle_transactions.take_due(is_due) {
+        log::info!(
+            "event=transaction_evacuated instance={}",
+            open.instance().name
+        );
+        tokio::task::spawn_local(open.rollback());
+    }
+}
+
+fn is_closed(node: &Node, instance: &Instance) -> bool {
+    let state = node.state.borrow();
+    let zones = &state.evacuated_zones;
+    zones.is_closed(&instance.availability_zone, clock::now())
+}
+
+fn evacuated() -> Failure {
+    Failure::local(
+        FailureKind::Aborted,
+        "not kept: the instance's zone is evacuated",
+    )
+}
+
 fn aborted(id: &str, error: &super::link::LinkError) -> Failure {
     log::warn!("event=transaction_aborted id={id} error=\"{error}\"");
     Failure::local(
--- a/src/entry/worker.rs
+++ b/src/entry/worker.rs
@@ -7,6 +7,7 @@
 
 use super::admission;
 use super::execution::{self, StatementContext};
+use super::idle_transactions::TransactionKey;
 use super::link::Setup;
 use super::node::Node;
 use super::statement::{
@@ -19,7 +20,15 @@
 #[derive(Debug)]
 pub struct Worker {
     node: Rc<Node>,
-    open: Option<OpenTransaction>,
+    open: Option<TransactionKey>,
+}
+
+impl Drop for Worker {
+    fn drop(&mut self) {
+        if let Some(open) = self.take() {
+            open.close();
+        }
+    }
 }
 
 impl Worker {
@@ -29,8 +38,18 @@
     }
 
     /// Returns whether a transaction is open.
-    pub const fn is_open(&self) -> bool {
-        self.open.is_some()
+    pub fn is_open(&self) -> bool {
+        let key = self.open;
+        key.is_some_and(|key| self.node.idle_transactions.contains(key))
+    }
+
+    /// Takes the open transaction for a statement; `None` if there is none, or it was ended.
+    fn take(&mut self) -> Option<OpenTransaction> {
+        self.node.idle_transactions.take(self.open.take()?)
+    }
+
+    fn keep(&mut self, open: OpenTransaction) {
+        self.open = Some(self.node.idle_transactions.keep(open));
     }
 
     /// Runs a task and returns the reply for the caller.
@@ -67,7 +86,7 @@
 
     /// Rolls back the open transaction, if any.
     pub async fn roll_back(&mut self) {
-        if let Some(open) = self.open.take() {
+        if let Some(open) = self.take() {
             open.rollback().await;
         }
     }
@@ -112,12 +131,12 @@
             ..base_context(task)
         };
         let open = OpenTransaction::start(&self.node, &context).await?;
-        self.open = Some(open);
+        self.keep(open);
         Ok(())
     }
 
     async fn run_in_transaction(&mut self, task: &Task, runnable: &Runnable) -> Reply {
-        let Some(mut open) = self.open.take() else {
+        let Some(mut open) = self.take() else {
             return Reply::failed(transaction_closed(), SessionState::Failed);
         };
         let deadline = Instant::now() + task.route.statement_timeout;
@@ -126,9 +145,9 @@
             access: runnable.access,
             setup: setup(task, runnable, true),
         };
-        match open.run(&step, deadline).await {
+        match open.run(&self.node, &step, deadline).await {
             Ok(response) if response.state == SessionState::Open => {
-                self.open = Some(open);
+                self.keep(open);
                 Reply {
                     response,
                     mark: None,
@@ -153,11 +172,13 @@
     }
 
     async fn commit(&mut self, task: &Task, command: &InstanceCommand) -> Reply {
-        let Some(open) = self.open.take() else {
+        let Some(open) = self.take() else {
             return Reply::failed(transaction_closed(), SessionState::Idle);
         };
         let deadline = Instant::now() + task.route.statement_timeout;
-        let (response, mark) = open.commit(command, &task.values, deadline).await;
+        let (response, mark) = open
+            .commit(&self.node, command, &task.values, deadline)
+            .await;
         Reply { response, mark }
     }
 }
