--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -14,6 +14,7 @@
 use super::peers::Peers;
 use super::{
     directory, discovery, listener, registration, relay, restoration, supervision, synchronization,
+    transaction,
 };
 
 /// Result of starting an entry.
@@ -103,6 +104,7 @@
         sleep(node.settings.tick).await;
         directory::remove_missing(&node, &mut undersized_since);
         monitor.tick(&node);
+        transaction::end_evacuated(&node);
         node.divide_limits();
         node.maintain_pools(node.settings.tick);
         node.gateways.maintain(&node.state.borrow());
