Choose replicas for reads by their estimated lag

Cause: a read went to a replica without regard to whether it will have reached the read's position; a fixed cost of 8 ms was added if its last response didn't show it. After a gap without responses of the primary, only a new position was known, and replicas 90 ms behind rejected the reads that needed it. Change: entry::replica_lag estimates the lag of each replica from positions in responses, the times at which the primary reported positions, and rejections. A read waits up to 50 ms for a replica, or goes to the primary, whichever completes first; without a usable primary it waits up to 200 ms or is refused with the expected time. One read is sent to the primary for a newer position before the known one becomes too old for the replicas to have reached the next.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -44,6 +44,7 @@
 pub mod records;
 pub mod registration;
 pub mod relay;
+pub mod replica_lag;
 pub mod reports;
 pub mod restoration;
 pub mod role;
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -126,7 +126,9 @@
         };
         record_response(node, context, &target, &response, sent_at);
         let elapsed = clock::now().since(sent_at);
-        pool.statement_answered(&answer(context, &target, &response, elapsed));
+        let answer = answer(context, &target, &response, elapsed);
+        pool.statement_answered(&answer);
+        target::record_lag(node, &target, &answer);
         metrics().record_step(route, Step::Run, elapsed);
         let Outcome::Failed(failure) = &response.outcome else {
             return Ok(Executed { response, pooled });
@@ -267,11 +269,16 @@
         NoTarget::NoValidityLease => "this VM can't tell which instance is the primary",
         NoTarget::PrimaryUnavailable => "the primary is being replaced",
         NoTarget::AllTried => "no instance has capacity",
+        NoTarget::Lagging { .. } => "no instance has reached the required position",
     };
-    if cause == NoTarget::NoValidityLease
-        || Instant::now() + TARGET_POLL_INTERVAL >= selection_deadline
-    {
-        return Err(refusal(node, context, reason, RETRY_AFTER_BUSY));
+    let retry_after = match cause {
+        NoTarget::Lagging { after } => after,
+        _ => RETRY_AFTER_BUSY,
+    };
+    let is_late = |after: Duration| Instant::now() + after >= selection_deadline;
+    let lags_too_long = matches!(cause, NoTarget::Lagging { after } if is_late(after));
+    if cause == NoTarget::NoValidityLease || lags_too_long || is_late(TARGET_POLL_INTERVAL) {
+        return Err(refusal(node, context, reason, retry_after));
     }
     let pause = sleep_until(Instant::now() + TARGET_POLL_INTERVAL);
     tokio::select! {
@@ -339,7 +346,7 @@
         .position
         .filter(|_| had_validity_lease && leads(response))
     {
-        known.freshness.record(position, sent_at);
+        known.freshness.record(position, sent_at, clock::now());
     }
 }
 
--- a/src/entry/placement.rs
+++ b/src/entry/placement.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use super::position::Position;
+/// Result of choosing a candidate.
+pub type Result<T, E = NoCandidate> = std::result::Result<T, E>;
 
 /// Cost of opening a connection: the delay for the caller and the load on the slot.
 const CONNECT_COST: Duration = Duration::from_millis(15);
@@ -10,8 +11,12 @@
 /// Factor on the cost of the primary, because its slots are needed for saves.
 const PRIMARY_FACTOR: f64 = 1.5;
 
-/// Cost added for a replica that isn't known to have reached the required position.
-const UNCERTAIN_COST: Duration = Duration::from_millis(8);
+/// Longest time for which a read waits until a replica has reached its position, while the primary
+/// can run it.
+const MAX_LAG_WAIT: Duration = Duration::from_millis(50);
+
+/// Longest time for which it waits while the primary can't run it.
+const MAX_LAG_WAIT_ALONE: Duration = Duration::from_millis(200);
 
 /// Cost added for an instance in another availability zone: longer round trips and traffic between
 /// zones.
@@ -50,26 +55,56 @@
     pub connection: Availability,
     /// Expected time of one statement.
     pub latency: Duration,
-    /// Latest log position that the instance reported.
-    pub position: Option<Position>,
+    /// Expected time until the instance has reached the required position.
+    pub lag_wait: Duration,
+}
+
+/// Why no candidate can serve a read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoCandidate {
+    /// There are none.
+    Missing,
+    /// None is expected to reach the required position soon.
+    Lagging {
+        /// Expected time until the first one has reached it.
+        after: Duration,
+    },
 }
 
-/// Returns the index of the cheapest candidate for a read that must see the log up to `need`;
-/// `None` without candidates.
-pub fn choose(need: Option<Position>, candidates: &[Candidate]) -> Option<usize> {
-    let costs = candidates.iter().map(|candidate| cost(need, candidate));
-    let best = costs.enumerate().min_by(|(_, a), (_, b)| a.total_cmp(b));
+/// Returns the index of the candidate that is expected to complete a read at the lowest cost.
+///
+/// # Errors
+///
+/// Fails without candidates, and when none reaches the required position soon.
+pub fn choose(candidates: &[Candidate]) -> Result<usize> {
+    let has_primary = candidates.iter().any(|candidate| candidate.is_primary);
+    let max_wait = if has_primary {
+        MAX_LAG_WAIT
+    } else {
+        MAX_LAG_WAIT_ALONE
+    };
+    let in_time = candidates.iter().enumerate();
+    let in_time = in_time.filter(|(_, candidate)| candidate.lag_wait <= max_wait);
+    let costs = in_time.map(|(index, candidate)| (index, cost(candidate)));
+    let best = costs.min_by(|(_, a), (_, b)| a.total_cmp(b));
     best.map(|(index, _)| index)
+        .ok_or_else(|| no_candidate(candidates))
+}
+
+fn no_candidate(candidates: &[Candidate]) -> NoCandidate {
+    let waits = candidates.iter().map(|candidate| candidate.lag_wait);
+    waits
+        .min()
+        .map_or(NoCandidate::Missing, |after| NoCandidate::Lagging { after })
 }
 
-fn cost(need: Option<Position>, candidate: &Candidate) -> f64 {
+fn cost(candidate: &Candidate) -> f64 {
     let latency = candidate.latency.as_secs_f64();
     let mut cost = latency * f64::from(candidate.load + 1);
     if candidate.is_primary {
         cost *= PRIMARY_FACTOR;
-    } else if need.is_some_and(|need| candidate.position.is_none_or(|at| at < need)) {
-        cost += UNCERTAIN_COST.as_secs_f64();
     }
+    cost += candidate.lag_wait.as_secs_f64();
     if !candidate.is_same_zone {
         cost += ZONE_COST.as_secs_f64();
     }
--- a/src/entry/placement/tests.rs
+++ b/src/entry/placement/tests.rs
@@ -1,7 +1,6 @@
 use std::time::Duration;
 
-use super::{Availability, Candidate, Latency, choose};
-use crate::entry::position::Position;
+use super::{Availability, Candidate, Latency, NoCandidate, choose};
 
 const IDLE: Candidate = Candidate {
     is_primary: false,
@@ -9,10 +8,7 @@
     load: 0,
     connection: Availability::Idle,
     latency: Duration::from_millis(20),
-    position: Some(Position {
-        term: 1,
-        number: 100,
-    }),
+    lag_wait: Duration::ZERO,
 };
 
 struct Case {
@@ -26,7 +22,7 @@
     ..IDLE
 };
 
-const CASES: [Case; 6] = [
+const CASES: [Case; 10] = [
     Case {
         name: "a replica is preferred to the primary",
         candidates: [PRIMARY, IDLE],
@@ -52,13 +48,65 @@
         name: "a replica known to be fresh is preferred to one that isn't",
         candidates: [
             Candidate {
-                position: None,
+                lag_wait: Duration::from_millis(1),
                 ..IDLE
             },
             IDLE,
         ],
         expected: 1,
     },
+    // With the former rule, a fixed cost of 8 ms, the replica is chosen and rejects the read.
+    Case {
+        name: "the primary completes first if the replica is far behind",
+        candidates: [
+            Candidate {
+                lag_wait: Duration::from_millis(45),
+                ..IDLE
+            },
+            PRIMARY,
+        ],
+        expected: 1,
+    },
+    Case {
+        name: "waiting a few ms is better than a busy primary",
+        candidates: [
+            Candidate {
+                lag_wait: Duration::from_millis(15),
+                ..IDLE
+            },
+            Candidate { load: 1, ..PRIMARY },
+        ],
+        expected: 0,
+    },
+    // With the former rule, 8 ms, the replica that lags has the lower cost.
+    Case {
+        name: "a replica that lags is left for a slower one that doesn't",
+        candidates: [
+            Candidate {
+                lag_wait: Duration::from_millis(45),
+                ..IDLE
+            },
+            Candidate {
+                latency: Duration::from_millis(30),
+                ..IDLE
+            },
+        ],
+        expected: 1,
+    },
+    Case {
+        name: "a replica that is seconds behind isn't waited for, however busy the primary is",
+        candidates: [
+            Candidate {
+                lag_wait: Duration::from_secs(2),
+                ..IDLE
+            },
+            Candidate {
+                load: 200,
+                ..PRIMARY
+            },
+        ],
+        expected: 1,
+    },
     Case {
         name: "an instance in the same availability zone is preferred to one in another",
         candidates: [
@@ -85,17 +133,9 @@
 
 #[test]
 fn the_cheapest_candidate_is_chosen() {
-    let need = Some(Position {
-        term: 1,
-        number: 90,
-    });
     for case in CASES {
-        assert_eq!(
-            choose(need, &case.candidates),
-            Some(case.expected),
-            "{}",
-            case.name
-        );
+        let chosen = choose(&case.candidates);
+        assert_eq!(chosen, Ok(case.expected), "{}", case.name);
     }
 }
 
@@ -109,3 +149,23 @@
     latency.decay(Duration::from_secs(10));
     assert!(latency.expected() < Duration::from_millis(30));
 }
+
+#[test]
+fn without_a_primary_a_read_waits_longer_for_a_replica_and_not_for_seconds() {
+    let lagging = |ms| Candidate {
+        lag_wait: Duration::from_millis(ms),
+        ..IDLE
+    };
+    let after = Duration::from_secs(2);
+    let cases = [
+        (vec![lagging(90), lagging(3_000)], Ok(0)),
+        (
+            vec![lagging(3_000), lagging(2_000)],
+            Err(NoCandidate::Lagging { after }),
+        ),
+        (vec![], Err(NoCandidate::Missing)),
+    ];
+    for (candidates, expected) in cases {
+        assert_eq!(choose(&candidates), expected, "{candidates:?}");
+    }
+}
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -14,6 +14,7 @@
 use super::link::{Link, LinkError, rejection};
 use super::placement::{Availability, Latency};
 use super::position::Position;
+use super::replica_lag::ReplicaLag;
 use super::slots::Slots;
 use super::statement::{FailureKind, Protocol};
 use crate::name::{RouteName, WorkspaceName};
@@ -69,6 +70,7 @@
     released: Notify,
     latency: Cell<Latency>,
     position: Cell<Option<Position>>,
+    lag: Cell<ReplicaLag>,
     in_flight: Cell<u32>,
     health: RefCell<Health>,
     became_unreachable: Notify,
@@ -114,6 +116,7 @@
             released: Notify::new(),
             latency: Cell::default(),
             position: Cell::new(None),
+            lag: Cell::default(),
             in_flight: Cell::new(0),
             health: RefCell::default(),
             became_unreachable: Notify::new(),
@@ -121,7 +124,7 @@
     }
 
     /// Applies a new announcement of the instance. If its process, address or database changed,
-    /// idle connections are closed and position and health are reset.
+    /// idle connections are closed and position, lag and health are reset.
     pub fn update(&self, instance: &Rc<Instance>) {
         self.slots.set_count(instance.slots);
         let previous = self.instance.replace(Rc::clone(instance));
@@ -131,6 +134,7 @@
         if !same_process {
             self.close_idle();
             self.position.set(None);
+            self.lag.take();
             self.clear_health();
         }
     }
@@ -152,6 +156,7 @@
         let mut latency = self.latency.get();
         latency.decay(elapsed);
         self.latency.set(latency);
+        self.update_lag(|lag| lag.decay(elapsed));
         let kept = 0.5_f64.powf(elapsed.as_secs_f64() / USES_HALF_LIFE.as_secs_f64());
         self.uses.borrow_mut().retain(|_, uses| {
             *uses *= kept;
@@ -190,6 +195,18 @@
         self.position.get()
     }
 
+    /// Returns the estimated lag of the instance behind the primary.
+    pub fn lag(&self) -> ReplicaLag {
+        self.lag.get()
+    }
+
+    /// Changes the estimated lag.
+    pub fn update_lag(&self, update: impl FnOnce(&mut ReplicaLag)) {
+        let mut lag = self.lag.get();
+        update(&mut lag);
+        self.lag.set(lag);
+    }
+
     /// Returns the number of statements that run on the instance or wait for one of its slots.
     pub fn load(&self) -> u32 {
         let waiting = u32::try_from(self.slots.waiting()).unwrap_or(u32::MAX);
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -5,14 +5,15 @@
 
 use super::clock;
 use super::execution::StatementContext;
+use super::freshness::Freshness;
 use super::health::Verdict;
 use super::instance::{Instance, InstanceState};
 use super::node::Node;
-use super::placement::{Candidate, choose};
-use super::pool::Claim;
+use super::placement::{Candidate, NoCandidate, choose};
+use super::pool::{Answer, Claim};
 use super::position::Position;
 use super::state::State;
-use super::statement::Access;
+use super::statement::{Access, FailureKind};
 use crate::name::InstanceName;
 
 /// Result of selecting an instance.
@@ -41,6 +42,11 @@
     NoValidityLease,
     /// Every eligible instance has been tried.
     AllTried,
+    /// No eligible instance is expected to reach the required position soon.
+    Lagging {
+        /// Expected time until the first one has reached it.
+        after: Duration,
+    },
 }
 
 /// Selects an instance that hasn't been tried yet.
@@ -124,17 +130,25 @@
         .in_database(&context.route.database)
         .filter(usable)
         .collect();
+    let known = state.databases.get(&context.route.database);
+    let freshness = known.map(|known| &known.freshness);
+    let need = position.map(|position| Need {
+        position,
+        age: freshness.and_then(|freshness| freshness.age(position, clock::now())),
+    });
     let candidates: Vec<_> = instances
         .iter()
-        .map(|instance| candidate(node, context, instance, is_primary(instance)))
+        .map(|instance| candidate(node, context, instance, need, is_primary(instance)))
         .collect();
-    let Some(index) = choose(position, &candidates) else {
-        return Err(match (tried.is_empty(), position) {
-            (true, None) if !has_validity_lease => NoTarget::NoValidityLease,
-            (true, _) => NoTarget::PrimaryUnavailable,
-            (false, _) => NoTarget::AllTried,
-        });
-    };
+    let freshness = freshness.filter(|_| has_validity_lease);
+    let renewing = renewing_primary(node, context, freshness, &instances, &candidates);
+    let chosen = renewing.map_or_else(|| choose(&candidates), Ok);
+    let index = chosen.map_err(|cause| match (cause, position) {
+        (NoCandidate::Lagging { after }, _) => NoTarget::Lagging { after },
+        (NoCandidate::Missing, _) if !tried.is_empty() => NoTarget::AllTried,
+        (NoCandidate::Missing, None) if !has_validity_lease => NoTarget::NoValidityLease,
+        (NoCandidate::Missing, _) => NoTarget::PrimaryUnavailable,
+    })?;
     let is_primary = candidates[index].is_primary;
     Ok(Target {
         instance: Rc::clone(instances[index]),
@@ -144,24 +158,84 @@
             position
         },
         is_primary,
-        delay: Duration::ZERO,
+        delay: candidates[index].lag_wait,
     })
 }
 
+/// Position that a read must see.
+#[derive(Debug, Clone, Copy)]
+struct Need {
+    position: Position,
+    /// Time for which the primary has had it at least; `None` if it isn't known.
+    age: Option<Duration>,
+}
+
+/// Returns the index of the primary if this read should fetch a newer position from it. Otherwise the
+/// known one would become too old before the replicas have reached a newer one, and the reads of that
+/// time would be rejected as too early or have to run on the primary.
+fn renewing_primary(
+    node: &Node,
+    context: &StatementContext<'_>,
+    freshness: Option<&Freshness>,
+    instances: &[&Rc<Instance>],
+    candidates: &[Candidate],
+) -> Option<usize> {
+    let staleness = context.route.consistency.staleness()?;
+    let index = candidates.iter().position(|one| one.is_primary)?;
+    let replicas = instances.iter().enumerate().filter(|(at, _)| *at != index);
+    let lags = replicas.map(|(_, instance)| node.pool(instance).lag().estimate());
+    let lag = lags.min()?.min(staleness / 2);
+    let renews = freshness?.needs_renewal(clock::now(), staleness, lag);
+    renews.then_some(index)
+}
+
+/// Records what the response of a replica shows about its lag.
+pub fn record_lag(node: &Node, target: &Target, answer: &Answer<'_>) {
+    if target.is_primary {
+        return;
+    }
+    let state = node.state.borrow();
+    let Some(known) = state.databases.get(&target.instance.database) else {
+        return;
+    };
+    let now = clock::now();
+    let rejected = answer.failure == Some(FailureKind::Lagging);
+    let age = answer
+        .min_position
+        .and_then(|position| known.freshness.age(position, now));
+    let bounds = answer
+        .position
+        .map(|position| known.freshness.lag_bounds(position, now));
+    node.pool(&target.instance).update_lag(|lag| {
+        if let Some(bounds) = bounds {
+            lag.record(&bounds);
+        }
+        if rejected {
+            lag.record_rejection(age);
+        }
+    });
+}
+
 fn candidate(
     node: &Node,
     context: &StatementContext<'_>,
     instance: &Rc<Instance>,
+    need: Option<Need>,
     is_primary: bool,
 ) -> Candidate {
     let pool = node.pool(instance);
+    let missing = need.filter(|need| pool.position().is_none_or(|at| at < need.position));
+    let lag_wait = match missing {
+        Some(need) if !is_primary => pool.lag().wait(need.age),
+        _ => Duration::ZERO,
+    };
     Candidate {
         is_primary,
         is_same_zone: instance.availability_zone == node.settings.availability_zone,
         load: pool.load(),
         connection: pool.availability(context.workspace, claim(context, is_primary)),
         latency: pool.latency(),
-        position: pool.position(),
+        lag_wait,
     }
 }
 
