--- a/src/control/fairness.rs
+++ b/src/control/fairness.rs
@@ -2,7 +2,8 @@
 //!
 //! Slot time is shared between workspaces by weight: a flow is charged its estimated cost when a
 //! statement starts, and the difference to the actual cost when it ends. More urgent classes go
-//! first, but the others are guaranteed a minimum share.
+//! first, but the others are guaranteed a minimum share. Within a flow, the request with the least
+//! time left goes first. Requests that can't meet their objective any more go after all others.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -10,15 +11,16 @@
 use slotmap::{SlotMap, new_key_type};
 
 use super::concurrency::ConcurrencyLimit;
-use crate::configuration::RouteClass;
 use crate::name::WorkspaceName;
 use crate::time::Timestamp;
 use crate::traffic::refusal::{Refusal, RefusalReason};
 
 mod class;
+mod estimate;
 mod flow;
 
-use class::{CLASSES, ClassQueue, rank};
+pub use class::QueueClass;
+use class::{CLASSES, ClassQueue};
 use flow::Flow;
 
 new_key_type! {
@@ -39,6 +41,12 @@
 /// Shortest `retry_after` of a refusal.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
 
+/// Number of late requests among which one is sought whose flow may take a slot.
+const MAX_LATE_EXAMINED: usize = 8;
+
+/// Place of a request in its flow: time at which its response is due, then order of arrival.
+type Place = (Timestamp, u64);
+
 /// Limits of a [`FairQueue`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FairQueueSettings {
@@ -63,10 +71,13 @@
     /// Workspace of the request.
     pub workspace: WorkspaceName,
     /// Class of its route.
-    pub class: RouteClass,
+    pub class: QueueClass,
     /// Weight of the workspace.
     pub weight: u32,
-    /// Time at which the caller stops waiting.
+    /// Time by which its response must arrive to meet the latency objective; `None` if there is no
+    /// objective, which orders the requests of a flow by arrival.
+    pub due: Option<Timestamp>,
+    /// Latest time at which it may start.
     pub deadline: Timestamp,
 }
 
@@ -101,8 +112,10 @@
 struct Waiter<T> {
     flow: FlowKey,
     ticket: T,
+    place: Place,
     deadline: Timestamp,
-    cost: Duration,
+    /// Estimated cost when the request became late; `None` while it can meet its objective.
+    late_cost: Option<Duration>,
 }
 
 #[derive(Debug)]
@@ -119,8 +132,14 @@
     waiters: SlotMap<WaiterKey, Waiter<T>>,
     runs: SlotMap<RunKey, Run>,
     flows: SlotMap<FlowKey, Flow>,
-    index: HashMap<(WorkspaceName, RouteClass), FlowKey>,
-    classes: [ClassQueue; 3],
+    index: HashMap<(WorkspaceName, QueueClass), FlowKey>,
+    classes: [ClassQueue; CLASSES],
+    /// Requests that can't meet their objective any more: most urgent class first, then oldest.
+    late: BTreeSet<(QueueClass, Place, WaiterKey)>,
+    late_backlog: Duration,
+    arrivals: u64,
+    /// Last time at which a statement ended, or started while no other ran.
+    progressed_at: Timestamp,
     deadlines: BTreeSet<(Timestamp, WaiterKey)>,
     mean_cost: Duration,
 }
@@ -136,6 +155,10 @@
             flows: SlotMap::with_key(),
             index: HashMap::new(),
             classes: Default::default(),
+            late: BTreeSet::new(),
+            late_backlog: Duration::ZERO,
+            arrivals: 0,
+            progressed_at: Timestamp::ZERO,
             deadlines: BTreeSet::new(),
             mean_cost: Duration::ZERO,
         }
@@ -161,31 +184,6 @@
         self.concurrency.limit()
     }
 
-    /// Estimates how long a request entering now would wait for a slot.
-    pub fn expected_wait(&self, workspace: &WorkspaceName, class: RouteClass) -> Duration {
-        if self.waiters.is_empty() && self.runs.len() < self.concurrency.limit() {
-            return Duration::ZERO;
-        }
-        let rank = rank(class);
-        let ahead: Duration = self.classes[..rank].iter().map(|class| class.backlog).sum();
-        let own_class = &self.classes[rank];
-        let flow = self
-            .index
-            .get(&(workspace.clone(), class))
-            .map(|key| &self.flows[*key]);
-        let by_share = flow.map_or(Duration::ZERO, |flow| {
-            let weight = u64::from(flow.weight.max(1));
-            let shares = own_class.weight.max(weight).div_ceil(weight);
-            let waiting = u32::try_from(flow.waiting).unwrap_or(u32::MAX);
-            flow.estimate
-                .saturating_mul(waiting)
-                .saturating_mul(u32::try_from(shares).unwrap_or(u32::MAX))
-        });
-        let slots = u32::try_from(self.concurrency.limit()).unwrap_or(1);
-        let own = by_share.min(own_class.backlog);
-        (ahead + own + self.mean_cost / 2) / slots.max(1)
-    }
-
     /// Accepts a request, or refuses it if it can't start before its deadline or the queue is full.
     ///
     /// # Errors
@@ -197,24 +195,24 @@
         ticket: T,
         now: Timestamp,
     ) -> Result<Entered<T>, Shed<T>> {
-        let wait = self.expected_wait(&arrival.workspace, arrival.class);
+        let wait = self.expected_wait(&arrival.workspace, arrival.class, now);
         if now + wait >= arrival.deadline {
             return Err(refuse(ticket, RefusalReason::DeadlineUnreachable, wait));
         }
         let key = self.flow(arrival);
-        if self.flows[key].waiting >= self.settings.max_waiting_per_flow {
+        if self.flows[key].waiting() >= self.settings.max_waiting_per_flow {
             return Err(refuse(ticket, RefusalReason::Overloaded, wait));
         }
         let mut shed = None;
         if self.waiters.len() >= self.settings.max_waiting {
-            let Some(victim) = self.victim(arrival.class, self.flows[key].waiting) else {
+            let Some(victim) = self.victim(arrival.class, self.flows[key].waiting()) else {
                 return Err(refuse(ticket, RefusalReason::Overloaded, wait));
             };
             shed = self
                 .remove(victim)
                 .map(|ticket| refuse(ticket, RefusalReason::Overloaded, wait));
         }
-        let waiter = self.append(key, ticket, arrival.deadline);
+        let waiter = self.append(key, ticket, arrival);
         Ok(Entered { waiter, shed })
     }
 
@@ -224,18 +222,26 @@
     }
 
     /// Gives a free slot to the next request; `None` if no slot is free or no request may start.
-    pub fn start(&mut self) -> Option<Started<T>> {
+    pub fn start(&mut self, now: Timestamp) -> Option<Started<T>> {
         if self.runs.len() >= self.concurrency.limit() {
             return None;
         }
-        let (rank, key) = self.next_flow()?;
-        let ticket = self.pop(key)?;
+        let waiter = self.next_in_time(now).or_else(|| self.next_late())?;
+        let key = self.waiters[waiter].flow;
+        let is_late = self.waiters[waiter].late_cost.is_some();
+        let ticket = self.remove(waiter)?;
         let cost = self.flows[key].estimate;
-        self.update_credits(rank, cost);
-        let class = &mut self.classes[rank];
-        class.virtual_time = class.virtual_time.max(self.flows[key].virtual_time);
+        if !is_late {
+            let rank = self.flows[key].class.rank();
+            self.update_credits(rank, cost);
+            let class = &mut self.classes[rank];
+            class.virtual_time = class.virtual_time.max(self.flows[key].virtual_time);
+        }
         self.advance(key, |flow| flow.virtual_time + flow.charge(cost));
         self.flows[key].running += 1;
+        if self.runs.is_empty() {
+            self.progressed_at = now;
+        }
         let run = self.runs.insert(Run {
             flow: key,
             charged: cost,
@@ -244,17 +250,21 @@
     }
 
     /// Releases a slot and charges the actual cost of the statement.
-    pub fn finish(&mut self, run: RunKey, cost: Duration) {
+    pub fn finish(&mut self, run: RunKey, cost: Duration, now: Timestamp) {
         let Some(run) = self.runs.remove(run) else {
             return;
         };
+        self.progressed_at = now;
         self.advance(run.flow, |flow| {
             let charged = flow.virtual_time.saturating_sub(flow.charge(run.charged));
             charged + flow.charge(cost)
         });
         let flow = &mut self.flows[run.flow];
         flow.running -= 1;
+        let class = &mut self.classes[flow.class.rank()];
+        class.backlog = class.backlog.saturating_sub(flow.backlog());
         let usual = flow.record_cost(cost);
+        class.backlog += flow.backlog();
         self.concurrency.observe(cost, usual);
         self.mean_cost = match self.mean_cost {
             Duration::ZERO => cost,
@@ -306,75 +316,102 @@
 
     fn set_weight(&mut self, key: FlowKey, weight: u32) {
         let flow = &mut self.flows[key];
-        if flow.waiting > 0 {
-            let class = &mut self.classes[rank(flow.class)];
+        if flow.waiting() > 0 {
+            let class = &mut self.classes[flow.class.rank()];
             class.weight = class.weight + u64::from(weight) - u64::from(flow.weight);
         }
         flow.weight = weight;
     }
 
-    fn append(&mut self, key: FlowKey, ticket: T, deadline: Timestamp) -> WaiterKey {
+    fn append(&mut self, key: FlowKey, ticket: T, arrival: &Arrival) -> WaiterKey {
+        self.arrivals += 1;
+        let place = (arrival.due.unwrap_or(Timestamp::MAX), self.arrivals);
         let flow = &mut self.flows[key];
-        let class = &mut self.classes[rank(flow.class)];
-        if flow.waiting == 0 {
+        let class = &mut self.classes[flow.class.rank()];
+        if flow.waiting() == 0 {
             flow.virtual_time = flow.virtual_time.max(class.virtual_time);
             class.ready.insert((flow.virtual_time, key));
             class.weight += u64::from(flow.weight);
         }
-        let cost = flow.estimate;
         let waiter = self.waiters.insert(Waiter {
             flow: key,
             ticket,
-            deadline,
-            cost,
+            place,
+            deadline: arrival.deadline,
+            late_cost: None,
         });
-        self.deadlines.insert((deadline, waiter));
-        flow.queue.push_back(waiter);
-        class.backlog += cost;
-        self.set_waiting(key, 1);
+        self.deadlines.insert((arrival.deadline, waiter));
+        class.by_length.remove(&(flow.waiting(), key));
+        flow.queue.insert(place, waiter);
+        class.by_length.insert((flow.waiting(), key));
+        class.backlog += flow.estimate;
         waiter
     }
 
-    /// Removes a waiter from every index except its flow's queue, which skips it later.
     fn remove(&mut self, key: WaiterKey) -> Option<T> {
         let waiter = self.waiters.remove(key)?;
         self.deadlines.remove(&(waiter.deadline, key));
-        let flow_key = waiter.flow;
-        let class = &mut self.classes[rank(self.flows[flow_key].class)];
-        class.backlog = class.backlog.saturating_sub(waiter.cost);
-        self.set_waiting(flow_key, -1);
-        let (flow, waiters) = (&mut self.flows[flow_key], &self.waiters);
-        flow.compact(|key| waiters.contains_key(key));
+        if let Some(cost) = waiter.late_cost {
+            let flow = &mut self.flows[waiter.flow];
+            flow.late -= 1;
+            self.late.remove(&(flow.class, waiter.place, key));
+            self.late_backlog = self.late_backlog.saturating_sub(cost);
+        } else {
+            self.remove_from_flow(waiter.flow, waiter.place);
+        }
         Some(waiter.ticket)
     }
 
-    fn set_waiting(&mut self, key: FlowKey, change: isize) {
+    fn remove_from_flow(&mut self, key: FlowKey, place: Place) {
         let flow = &mut self.flows[key];
-        let class = &mut self.classes[rank(flow.class)];
-        class.by_length.remove(&(flow.waiting, key));
-        flow.waiting = flow.waiting.saturating_add_signed(change);
-        if flow.waiting > 0 {
-            class.by_length.insert((flow.waiting, key));
+        let class = &mut self.classes[flow.class.rank()];
+        class.backlog = class.backlog.saturating_sub(flow.estimate);
+        class.by_length.remove(&(flow.waiting(), key));
+        flow.queue.remove(&place);
+        if flow.waiting() > 0 {
+            class.by_length.insert((flow.waiting(), key));
             return;
         }
         class.ready.remove(&(flow.virtual_time, key));
         class.weight -= u64::from(flow.weight);
-        flow.queue.clear();
     }
 
-    fn pop(&mut self, key: FlowKey) -> Option<T> {
+    /// Moves the requests of a flow that can't meet their objective any more behind all others.
+    fn set_late_aside(&mut self, key: FlowKey, now: Timestamp) {
+        while let Some(late) = self.flows[key].first_late(now) {
+            let cost = self.flows[key].estimate;
+            let waiter = &mut self.waiters[late];
+            waiter.late_cost = Some(cost);
+            let place = waiter.place;
+            self.remove_from_flow(key, place);
+            let flow = &mut self.flows[key];
+            flow.late += 1;
+            self.late.insert((flow.class, place, late));
+            self.late_backlog += cost;
+        }
+    }
+
+    /// Selects the next request that can meet its objective.
+    fn next_in_time(&mut self, now: Timestamp) -> Option<WaiterKey> {
         loop {
-            let waiter = self.flows[key].queue.pop_front()?;
-            if let Some(ticket) = self.remove(waiter) {
-                return Some(ticket);
+            let key = self.next_flow()?;
+            self.set_late_aside(key, now);
+            if let Some((_, waiter)) = self.flows[key].queue.first_key_value() {
+                return Some(*waiter);
             }
         }
     }
 
+    fn next_late(&self) -> Option<WaiterKey> {
+        let mut late = self.late.iter().take(MAX_LATE_EXAMINED);
+        let may_start = |key: WaiterKey| self.may_start(&self.flows[self.waiters[key].flow]);
+        late.find(|(.., key)| may_start(*key)).map(|(.., key)| *key)
+    }
+
     /// Updates a flow's virtual time and its place among the waiting flows.
     fn advance(&mut self, key: FlowKey, to: impl FnOnce(&Flow) -> u64) {
         let flow = &mut self.flows[key];
-        let class = &mut self.classes[rank(flow.class)];
+        let class = &mut self.classes[flow.class.rank()];
         let was_ready = class.ready.remove(&(flow.virtual_time, key));
         flow.virtual_time = to(flow);
         if was_ready {
@@ -382,15 +419,17 @@
         }
     }
 
-    fn next_flow(&self) -> Option<(usize, FlowKey)> {
-        let candidates = CLASSES.map(|class| self.first_eligible(rank(class)));
-        let has_credit =
-            |rank: usize, key: FlowKey| self.classes[rank].credit >= self.flows[key].estimate;
-        let with_credit = (1..candidates.len())
+    fn next_flow(&self) -> Option<FlowKey> {
+        let candidates: [_; CLASSES] = std::array::from_fn(|rank| self.first_eligible(rank));
+        let has_credit = |rank: usize, key: FlowKey| {
+            let credit = self.classes[rank].credit;
+            !credit.is_zero() && credit >= self.flows[key].estimate
+        };
+        let with_credit = (1..CLASSES)
             .filter_map(|rank| Some((rank, candidates[rank]?)))
             .find(|(rank, key)| has_credit(*rank, *key));
-        let first = || (0..candidates.len()).find_map(|rank| Some((rank, candidates[rank]?)));
-        with_credit.or_else(first)
+        let with_credit = with_credit.map(|(_, key)| key);
+        with_credit.or_else(|| candidates.into_iter().flatten().next())
     }
 
     fn first_eligible(&self, rank: usize) -> Option<FlowKey> {
@@ -409,32 +448,33 @@
     fn update_credits(&mut self, chosen: usize, cost: Duration) {
         let class = &mut self.classes[chosen];
         class.credit = class.credit.saturating_sub(cost);
-        for lower in CLASSES.iter().skip(chosen + 1) {
-            let queue = &mut self.classes[rank(*lower)];
+        for (rank, queue) in self.classes.iter_mut().enumerate().skip(chosen + 1) {
             if queue.ready.is_empty() {
                 queue.credit = Duration::ZERO;
             } else {
-                queue.add_credit(*lower, cost);
+                queue.add_credit(rank, cost);
             }
         }
     }
 
-    /// Selects the newest request of the longest flow in the least urgent waiting class, if that
-    /// class is less urgent than the arrival's, or is the same and the flow has more waiting
-    /// requests than the arrival's flow would have with the arrival.
-    fn victim(&self, class: RouteClass, own_waiting: usize) -> Option<WaiterKey> {
-        let victim_rank = (0..CLASSES.len())
+    /// Selects a request to remove for an arrival: the last of those that are late, or else of the
+    /// longest flow in the least urgent waiting class, if that class is less urgent than the
+    /// arrival's, or is the same and the flow has more waiting requests than the arrival's flow
+    /// would have with the arrival.
+    fn victim(&self, class: QueueClass, own_waiting: usize) -> Option<WaiterKey> {
+        if let Some((.., late)) = self.late.last() {
+            return Some(*late);
+        }
+        let victim_rank = (0..CLASSES)
             .rev()
             .find(|rank| !self.classes[*rank].by_length.is_empty())?;
         let (waiting, key) = self.classes[victim_rank].by_length.last()?;
-        let is_fairer = victim_rank == rank(class) && *waiting > own_waiting + 1;
-        if victim_rank <= rank(class) && !is_fairer {
+        let is_fairer = victim_rank == class.rank() && *waiting > own_waiting + 1;
+        if victim_rank <= class.rank() && !is_fairer {
             return None;
         }
-        let mut newest_first = self.flows[*key].queue.iter().rev();
-        newest_first
-            .find(|waiter| self.waiters.contains_key(**waiter))
-            .copied()
+        let last = self.flows[*key].queue.last_key_value();
+        last.map(|(_, waiter)| *waiter)
     }
 
     fn forget_idle(&mut self) {
--- a/src/control/fairness/flow.rs
+++ b/src/control/fairness/flow.rs
@@ -1,12 +1,13 @@
 //! Flow: the requests of one workspace and class for the same instance.
 
-use std::collections::VecDeque;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::configuration::RouteClass;
 use crate::name::WorkspaceName;
+use crate::time::Timestamp;
 
-use super::WaiterKey;
+use super::class::QueueClass;
+use super::{Place, WaiterKey};
 
 /// Assumed cost of a flow's first statement.
 const FIRST_ESTIMATE: Duration = Duration::from_millis(2);
@@ -18,14 +19,14 @@
 #[derive(Debug)]
 pub(super) struct Flow {
     pub(super) workspace: WorkspaceName,
-    pub(super) class: RouteClass,
+    pub(super) class: QueueClass,
     pub(super) weight: u32,
     /// Slot time received, divided by the weight.
     pub(super) virtual_time: u64,
-    /// Waiting requests, oldest first; keys of requests that have left are skipped.
-    pub(super) queue: VecDeque<WaiterKey>,
-    /// Number of waiting requests.
-    pub(super) waiting: usize,
+    /// Waiting requests that can meet their objective, the one with the least time left first.
+    pub(super) queue: BTreeMap<Place, WaiterKey>,
+    /// Number of waiting requests that can't meet their objective any more.
+    pub(super) late: usize,
     /// Number of requests that hold a slot.
     pub(super) running: usize,
     /// Mean cost of recent statements.
@@ -35,22 +36,39 @@
 }
 
 impl Flow {
-    pub(super) const fn new(workspace: WorkspaceName, class: RouteClass, weight: u32) -> Self {
+    pub(super) const fn new(workspace: WorkspaceName, class: QueueClass, weight: u32) -> Self {
         Self {
             workspace,
             class,
             weight,
             virtual_time: 0,
-            queue: VecDeque::new(),
-            waiting: 0,
+            queue: BTreeMap::new(),
+            late: 0,
             running: 0,
             estimate: FIRST_ESTIMATE,
             baseline: FIRST_ESTIMATE,
         }
     }
 
-    pub(super) const fn is_idle(&self) -> bool {
-        self.waiting == 0 && self.running == 0
+    /// Returns the number of waiting requests that can meet their objective.
+    pub(super) fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the estimated cost of the waiting requests that can meet their objective.
+    pub(super) fn backlog(&self) -> Duration {
+        let waiting = u32::try_from(self.waiting()).unwrap_or(u32::MAX);
+        self.estimate.saturating_mul(waiting)
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.queue.is_empty() && self.late == 0 && self.running == 0
+    }
+
+    /// Returns the first waiting request if it would end after its objective even when started now.
+    pub(super) fn first_late(&self, now: Timestamp) -> Option<WaiterKey> {
+        let ((due, _), waiter) = self.queue.first_key_value()?;
+        (*due < now + self.estimate).then_some(*waiter)
     }
 
     /// Returns the virtual time by which a cost advances this flow.
@@ -73,13 +91,6 @@
         self.baseline = mean(self.baseline, cost, samples);
         usual
     }
-
-    /// Drops the keys of requests that no longer wait, once they outnumber the waiting ones.
-    pub(super) fn compact(&mut self, is_waiting: impl Fn(WaiterKey) -> bool) {
-        if self.queue.len() > 2 * self.waiting + 16 {
-            self.queue.retain(|key| is_waiting(*key));
-        }
-    }
 }
 
 fn mean(old: Duration, sample: Duration, samples: u32) -> Duration {
--- a/src/control/fairness/tests.rs
+++ b/src/control/fairness/tests.rs
@@ -3,6 +3,7 @@
 use proptest::prelude::*;
 
 use super::*;
+use crate::configuration::RouteClass;
 
 const FAR: Timestamp = Timestamp::from_millis(60_000);
 const STATEMENT: Duration = Duration::from_millis(10);
@@ -14,8 +15,9 @@
 fn arrival(workspace: &str, class: RouteClass) -> Arrival {
     Arrival {
         workspace: workspace.into(),
-        class,
+        class: class.into(),
         weight: 1,
+        due: None,
         deadline: FAR,
     }
 }
@@ -27,9 +29,9 @@
 /// Runs every waiting request for `cost`; returns the tickets in the order in which they started.
 fn run_all(queue: &mut FairQueue<&'static str>, cost: Duration) -> Vec<&'static str> {
     let mut order = Vec::new();
-    while let Some(started) = queue.start() {
+    while let Some(started) = queue.start(at(0)) {
         order.push(started.ticket);
-        queue.finish(started.run, cost);
+        queue.finish(started.run, cost, at(0));
     }
     order
 }
@@ -40,11 +42,11 @@
     for _ in 0..5 {
         queue.enter(&normal("a"), "a", at(0)).unwrap();
     }
-    let first = queue.start().unwrap();
-    queue.start().unwrap();
-    assert!(queue.start().is_none());
-    queue.finish(first.run, STATEMENT);
-    assert!(queue.start().is_some());
+    let first = queue.start(at(0)).unwrap();
+    queue.start(at(0)).unwrap();
+    assert!(queue.start(at(0)).is_none());
+    queue.finish(first.run, STATEMENT, at(0));
+    assert!(queue.start(at(0)).is_some());
     assert_eq!((queue.running(), queue.waiting()), (2, 2));
 }
 
@@ -84,14 +86,14 @@
         }
         let mut served = BTreeMap::new();
         for _ in 0..40 {
-            let started = queue.start().unwrap();
+            let started = queue.start(at(0)).unwrap();
             *served.entry(started.ticket).or_insert(0_usize) += 1;
             let cost_ms = if started.ticket == "b" {
                 case.cost_ms
             } else {
                 10
             };
-            queue.finish(started.run, Duration::from_millis(cost_ms));
+            queue.finish(started.run, Duration::from_millis(cost_ms), at(0));
         }
         assert!(
             served["b"].abs_diff(case.served) <= 1,
@@ -108,8 +110,8 @@
         queue.enter(&normal("large"), "large", at(0)).unwrap();
     }
     for _ in 0..50 {
-        let started = queue.start().unwrap();
-        queue.finish(started.run, STATEMENT);
+        let started = queue.start(at(0)).unwrap();
+        queue.finish(started.run, STATEMENT, at(0));
     }
     queue.enter(&normal("small"), "small", at(0)).unwrap();
     let order = run_all(&mut queue, STATEMENT);
@@ -154,10 +156,10 @@
     for _ in 0..10 {
         queue.enter(&normal("slow"), "slow", at(0)).unwrap();
     }
-    let running = std::iter::from_fn(|| queue.start()).count();
+    let running = std::iter::from_fn(|| queue.start(at(0))).count();
     assert_eq!(running, 2);
     queue.enter(&normal("quick"), "quick", at(0)).unwrap();
-    assert_eq!(queue.start().unwrap().ticket, "quick");
+    assert_eq!(queue.start(at(0)).unwrap().ticket, "quick");
 }
 
 #[test]
@@ -267,7 +269,186 @@
     let expired = queue.expire(at(100));
     assert_eq!(expired.len(), 1);
     assert_eq!(expired[0].ticket, "short");
-    assert_eq!(queue.start().unwrap().ticket, "long");
+    assert_eq!(queue.start(at(0)).unwrap().ticket, "long");
+}
+
+/// Guards against an order in which the least urgent requests, or those with five times the traffic,
+/// starve or overtake.
+#[test]
+fn each_class_in_use_keeps_its_part_of_the_slot_time() {
+    use QueueClass::{Background, Critical, Normal, Urgent};
+    struct Case {
+        waiting: Vec<QueueClass>,
+        /// Smallest number of 100 started requests, by class.
+        min_started: Vec<usize>,
+    }
+    let cases = [
+        // As before there was a class for priority 0.
+        Case {
+            waiting: vec![Urgent, Normal],
+            min_started: vec![79, 19],
+        },
+        Case {
+            waiting: vec![Critical, Urgent],
+            min_started: vec![59, 39],
+        },
+        Case {
+            waiting: vec![Critical, Normal],
+            min_started: vec![79, 19],
+        },
+        Case {
+            waiting: vec![Critical, Urgent, Normal],
+            min_started: vec![46, 30, 19],
+        },
+        Case {
+            waiting: vec![Critical, Urgent, Normal, Background],
+            min_started: vec![44, 28, 18, 4],
+        },
+    ];
+    for case in cases {
+        let mut queue = FairQueue::new(FairQueueSettings::default(), 1);
+        for _ in 0..100 {
+            for class in &case.waiting {
+                let arrival = Arrival {
+                    class: *class,
+                    ..normal("a")
+                };
+                queue.enter(&arrival, class.into(), at(0)).unwrap();
+            }
+        }
+        let order = run_all(&mut queue, STATEMENT);
+        assert_eq!(order[0], <&str>::from(case.waiting[0]));
+        for (class, min_started) in case.waiting.iter().zip(&case.min_started) {
+            let class = <&str>::from(class);
+            let started = order[..100].iter().filter(|ticket| **ticket == class);
+            let started = started.count();
+            let waiting = &case.waiting;
+            assert!(started >= *min_started, "{class} of {waiting:?}: {started}");
+        }
+    }
+}
+
+/// Guards against slot time that is spent on responses that come too late while others would still
+/// be in time.
+#[test]
+fn requests_start_by_the_time_left_and_late_ones_last() {
+    struct Case {
+        name: &'static str,
+        /// Workspace, priority, time at which the response is due.
+        arrivals: Vec<(&'static str, u8, Option<u64>)>,
+        now_ms: u64,
+        /// Places in `arrivals`.
+        order: Vec<usize>,
+    }
+    let cases = [
+        Case {
+            name: "least time left first",
+            arrivals: vec![
+                ("a", 1, Some(900)),
+                ("a", 1, Some(500)),
+                ("a", 1, Some(800)),
+            ],
+            now_ms: 0,
+            order: vec![1, 2, 0],
+        },
+        Case {
+            name: "without an objective by arrival",
+            arrivals: vec![("a", 1, None), ("a", 1, None)],
+            now_ms: 0,
+            order: vec![0, 1],
+        },
+        Case {
+            name: "late ones after less urgent ones that are in time",
+            arrivals: vec![
+                ("a", 0, Some(100)),
+                ("a", 0, Some(700)),
+                ("b", 2, Some(900)),
+            ],
+            now_ms: 200,
+            order: vec![1, 2, 0],
+        },
+        Case {
+            name: "late ones by class, then by age",
+            arrivals: vec![("a", 2, Some(90)), ("b", 1, Some(120)), ("b", 1, Some(110))],
+            now_ms: 200,
+            order: vec![2, 1, 0],
+        },
+    ];
+    for case in cases {
+        let mut queue = FairQueue::new(FairQueueSettings::default(), 1);
+        for (place, (workspace, priority, due_ms)) in case.arrivals.into_iter().enumerate() {
+            let arrival = Arrival {
+                class: QueueClass::of_priority(priority),
+                due: due_ms.map(at),
+                ..normal(workspace)
+            };
+            queue.enter(&arrival, place, at(0)).unwrap();
+        }
+        let mut order = Vec::new();
+        while let Some(started) = queue.start(at(case.now_ms)) {
+            order.push(started.ticket);
+            queue.finish(started.run, Duration::from_millis(2), at(case.now_ms));
+        }
+        assert_eq!(order, case.order, "{}", case.name);
+    }
+}
+
+/// Guards against requests that wait until their deadline only to be refused then.
+#[test]
+fn waiting_requests_are_refused_as_soon_as_they_can_not_start_in_time() {
+    struct Case {
+        name: &'static str,
+        /// Durations of the statements that end while ten others wait.
+        ended_ms: &'static [u64],
+        review_ms: u64,
+        refused: std::ops::RangeInclusive<usize>,
+    }
+    let cases = [
+        Case {
+            name: "as fast as estimated",
+            ended_ms: &[10],
+            review_ms: 10,
+            refused: 0..=0,
+        },
+        Case {
+            name: "slower than estimated",
+            ended_ms: &[80, 80, 80],
+            review_ms: 30,
+            refused: 5..=8,
+        },
+        Case {
+            name: "nothing ends any more",
+            ended_ms: &[],
+            review_ms: 80,
+            refused: 10..=10,
+        },
+    ];
+    for case in cases {
+        let mut queue = FairQueue::new(FairQueueSettings::default(), 1);
+        for _ in 0..30 {
+            queue.enter(&normal("a"), "a", at(0)).unwrap();
+            run_all(&mut queue, STATEMENT);
+        }
+        queue.enter(&normal("a"), "a", at(0)).unwrap();
+        let mut running = queue.start(at(0)).unwrap();
+        let waiting = Arrival {
+            deadline: at(130),
+            ..normal("a")
+        };
+        let count = 10 + case.ended_ms.len();
+        let entered = (0..count).map(|_| queue.enter(&waiting, "a", at(0)).unwrap().waiter);
+        let waiters: Vec<_> = entered.collect();
+        let now = at(case.review_ms);
+        for ended_ms in case.ended_ms {
+            queue.finish(running.run, Duration::from_millis(*ended_ms), now);
+            running = queue.start(now).unwrap();
+        }
+        let refused = waiters
+            .iter()
+            .map(|waiter| queue.review(*waiter, now).len());
+        let refused: usize = refused.sum();
+        assert!(case.refused.contains(&refused), "{}: {refused}", case.name);
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -275,9 +456,11 @@
     Enter {
         workspace: u8,
         class: u8,
+        due_ms: Option<u64>,
         deadline_ms: u64,
     },
     Cancel(usize),
+    Review(usize),
     Start,
     Finish {
         run: usize,
@@ -288,10 +471,12 @@
 
 fn steps() -> impl Strategy<Value = Vec<Step>> {
     let step = prop_oneof![
-        4 => (0_u8..5, 0_u8..3, 1_u64..500).prop_map(|(workspace, class, deadline_ms)| {
-            Step::Enter { workspace, class, deadline_ms }
-        }),
+        4 => (0_u8..5, 0_u8..4, prop::option::of(1_u64..300), 1_u64..500)
+            .prop_map(|(workspace, class, due_ms, deadline_ms)| {
+                Step::Enter { workspace, class, due_ms, deadline_ms }
+            }),
         1 => (0_usize..20).prop_map(Step::Cancel),
+        1 => (0_usize..20).prop_map(Step::Review),
         3 => Just(Step::Start),
         3 => (0_usize..4, 1_u64..200).prop_map(|(run, cost_ms)| Step::Finish { run, cost_ms }),
         1 => (1_u64..50).prop_map(Step::Expire),
@@ -310,12 +495,13 @@
         let (mut waiters, mut runs) = (Vec::new(), Vec::new());
         for step in steps {
             match step {
-                Step::Enter { workspace, class, deadline_ms } => {
+                Step::Enter { workspace, class, due_ms, deadline_ms } => {
                     entered += 1;
                     let arrival = Arrival {
                         workspace: format!("workspace-{workspace}").into(),
-                        class: CLASSES[usize::from(class)],
+                        class: QueueClass::of_priority(class),
                         weight: 1 + u32::from(workspace),
+                        due: due_ms.map(|millis| now + Duration::from_millis(millis)),
                         deadline: now + Duration::from_millis(deadline_ms),
                     };
                     match queue.enter(&arrival, (), now) {
@@ -330,15 +516,19 @@
                     let gone = waiters.get(place).and_then(|waiter| queue.cancel(*waiter));
                     ended += usize::from(gone.is_some());
                 }
+                Step::Review(place) => {
+                    let waiter = waiters.get(place);
+                    ended += waiter.map_or(0, |waiter| queue.review(*waiter, now).len());
+                }
                 Step::Start => {
-                    if let Some(started) = queue.start() {
+                    if let Some(started) = queue.start(now) {
                         ended += 1;
                         runs.push(started.run);
                     }
                 }
                 Step::Finish { run, cost_ms } => {
                     if run < runs.len() {
-                        queue.finish(runs.remove(run), Duration::from_millis(cost_ms));
+                        queue.finish(runs.remove(run), Duration::from_millis(cost_ms), now);
                     }
                 }
                 Step::Expire(millis) => {
@@ -350,13 +540,15 @@
             prop_assert_eq!(queue.waiting(), entered - ended);
         }
         for run in runs {
-            queue.finish(run, STATEMENT);
+            queue.finish(run, STATEMENT, now);
         }
-        while let Some(started) = queue.start() {
+        while let Some(started) = queue.start(now) {
             ended += 1;
-            queue.finish(started.run, STATEMENT);
+            queue.finish(started.run, STATEMENT, now);
         }
         prop_assert_eq!(ended, entered);
         prop_assert!(queue.classes.iter().all(|class| class.weight == 0));
+        prop_assert!(queue.late.is_empty() && queue.late_backlog.is_zero());
+        prop_assert!(queue.classes.iter().all(|class| class.backlog.is_zero()));
     }
 }
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -13,9 +13,10 @@
 use super::node::Node;
 use super::pool::{Answer, Pool, PooledLink};
 use super::position::Position;
-use super::slots::{self, Slot, SlotRequest};
+use super::slots::{Slot, SlotRequest};
 use super::statement::{Access, Failure, FailureKind, InstanceCommand, Outcome, StatementResponse};
 use super::target::{self, NoTarget, Target};
+use crate::control::fairness::QueueClass;
 use crate::name::{InstanceName, WorkspaceName};
 use crate::telemetry::metrics::{Step, metrics};
 use crate::time::Timestamp;
@@ -27,9 +28,9 @@
 /// because a primary is being replaced.
 const TARGET_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Longest time for which a statement waits for a slot of an instance, as a fraction of its route's
-/// latency objective.
-const MAX_WAIT_FRACTION: f64 = 0.5;
+/// Time for which a statement that can't meet its latency objective any more waits for a slot, as a
+/// fraction of the objective.
+const LATE_WAIT_FRACTION: f64 = 0.5;
 
 /// Number of instances without capacity that are tried for one statement.
 const MAX_FULL_INSTANCES: usize = 2;
@@ -90,10 +91,11 @@
     let selection_deadline = context
         .deadline
         .min(Instant::now() + wait_limit.min(node.settings.target_wait_limit));
+    let due = Instant::now() + context.route.latency_objective;
     let started_at = clock::now();
     loop {
         let (target, slot, mut pooled) =
-            acquire(node, context, &mut tried, selection_deadline).await?;
+            acquire(node, context, &mut tried, due, selection_deadline).await?;
         let sent_at = clock::now();
         let route = &context.route.name;
         metrics().record_step(route, Step::Connect, sent_at.since(started_at));
@@ -200,6 +202,7 @@
     node: &Rc<Node>,
     context: &StatementContext<'_>,
     tried: &mut Vec<InstanceName>,
+    due: Instant,
     selection_deadline: Instant,
 ) -> Result<(Target, Slot, PooledLink), Failure> {
     loop {
@@ -215,7 +218,7 @@
             sleep(target.delay).await;
         }
         let pool = node.pool(&target.instance);
-        let request = slot_request(node, context);
+        let request = slot_request(node, context, due);
         let slot = match take_slot(&pool, &request).await {
             Ok(slot) => slot,
             Err(_) if target::may_leave(context, &target) && tried.len() < MAX_FULL_INSTANCES => {
@@ -350,19 +353,23 @@
     }
 }
 
-/// Describes a statement to the queue of an instance. It waits for at most half of its latency
-/// objective, so that its response is still in time when it starts last.
-fn slot_request(node: &Node, context: &StatementContext<'_>) -> SlotRequest {
+/// Describes a statement to the queue of an instance. It waits until its response is due; those that
+/// would end late go last, so that they take no room from others. One that is late before it waits,
+/// for example after the replacement of a primary, is still served where there is room.
+fn slot_request(node: &Node, context: &StatementContext<'_>, due: Instant) -> SlotRequest {
     let catalog = node.catalog();
     let workspace = catalog
         .as_ref()
         .and_then(|catalog| catalog.workspaces.get(context.workspace));
     let rate_per_s = workspace.map_or(1.0, |workspace| workspace.rate_per_s);
+    let due_in = due.saturating_duration_since(Instant::now());
+    let late_wait = context.route.latency_objective.mul_f64(LATE_WAIT_FRACTION);
     SlotRequest {
         workspace: context.workspace.clone(),
-        class: slots::class(context.route.priority),
+        class: QueueClass::of_priority(context.route.priority),
         weight: (rate_per_s as u32).max(1),
-        max_wait: context.route.latency_objective.mul_f64(MAX_WAIT_FRACTION),
+        due_in,
+        max_wait: due_in.max(late_wait),
     }
 }
 
--- a/src/entry/slots.rs
+++ b/src/entry/slots.rs
@@ -3,7 +3,8 @@
 //!
 //! An instance serves its own queue in the order of arrival and rejects what doesn't fit. Waiting
 //! here instead, urgent routes go first, workspaces share the instance by their rates, and a
-//! statement that can't start in time is refused before it is sent.
+//! statement that can't start in time is refused before it is sent, at once or as soon as that is
+//! known.
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -12,8 +13,9 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep_until};
 
-use crate::configuration::RouteClass;
-use crate::control::fairness::{Arrival, FairQueue, FairQueueSettings, RunKey, Shed, WaiterKey};
+use crate::control::fairness::{
+    Arrival, FairQueue, FairQueueSettings, QueueClass, RunKey, Shed, WaiterKey,
+};
 use crate::name::WorkspaceName;
 use crate::time::Timestamp;
 use crate::traffic::Refusal;
@@ -21,11 +23,12 @@
 /// Result of waiting for a slot.
 pub type Result<T, E = Refusal> = std::result::Result<T, E>;
 
-/// Highest priority number of a route whose statements are urgent; 0 is the highest priority.
-const MAX_URGENT_PRIORITY: u8 = 1;
+/// Number of times that a statement is reviewed while it waits: whether those behind it can still
+/// start in time.
+const REVIEWS: u32 = 8;
 
-/// Highest priority number of a route whose statements aren't background work.
-const MAX_NORMAL_PRIORITY: u8 = 2;
+/// Shortest time between two reviews of a waiting statement.
+const MIN_REVIEW_INTERVAL: Duration = Duration::from_millis(5);
 
 type Ticket = oneshot::Sender<Result<RunKey>>;
 
@@ -35,9 +38,11 @@
     /// Workspace of the statement.
     pub workspace: WorkspaceName,
     /// Class of its route.
-    pub class: RouteClass,
+    pub class: QueueClass,
     /// Weight of the workspace.
     pub weight: u32,
+    /// Time that is left until its response is due by the latency objective.
+    pub due_in: Duration,
     /// Longest time for which it may wait.
     pub max_wait: Duration,
 }
@@ -59,8 +64,8 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        let cost = self.since.elapsed();
-        self.slots.queue.borrow_mut().finish(self.run, cost);
+        let (cost, now) = (self.since.elapsed(), self.slots.now());
+        self.slots.queue.borrow_mut().finish(self.run, cost, now);
         self.slots.start_waiting();
     }
 }
@@ -122,8 +127,8 @@
     ///
     /// # Errors
     ///
-    /// Fails at once when no slot is expected within the longest wait, and otherwise when that time
-    /// is over or more urgent requests need the room. Nothing was sent.
+    /// Fails at once when no slot is expected within the longest wait, and otherwise when that is no
+    /// longer expected or more urgent requests need the room. Nothing was sent.
     pub async fn take(self: &Rc<Self>, request: &SlotRequest) -> Result<Slot> {
         let (ticket, granted) = oneshot::channel();
         let now = self.now();
@@ -131,6 +136,7 @@
             workspace: request.workspace.clone(),
             class: request.class,
             weight: request.weight,
+            due: Some(now + request.due_in),
             deadline: now + request.max_wait,
         };
         let entered = self.queue.borrow_mut().enter(&arrival, ticket, now);
@@ -143,14 +149,16 @@
         };
         self.start_waiting();
         let end = Instant::now() + request.max_wait;
+        let interval = (request.max_wait / REVIEWS).max(MIN_REVIEW_INTERVAL);
         loop {
+            let review_at = end.min(Instant::now() + interval);
             tokio::select! {
                 biased;
                 granted = &mut queued.granted => {
                     let run = granted.expect("the queue keeps the ticket until it is granted or refused")?;
                     return Ok(queued.slot(run));
                 }
-                () = sleep_until(end) => self.expire(),
+                () = sleep_until(review_at) => self.review(queued.waiter),
             }
         }
     }
@@ -161,19 +169,23 @@
         Timestamp::ZERO + self.created_at.elapsed()
     }
 
-    fn expire(&self) {
-        let expired = self.queue.borrow_mut().expire(self.now());
-        expired.into_iter().for_each(refuse);
+    /// Refuses what can't start in time any more.
+    fn review(&self, waiter: WaiterKey) {
+        let now = self.now();
+        let mut queue = self.queue.borrow_mut();
+        queue.expire(now).into_iter().for_each(refuse);
+        queue.review(waiter, now).into_iter().for_each(refuse);
     }
 
     /// Grants free slots to the requests that are next.
     fn start_waiting(&self) {
+        let now = self.now();
         loop {
-            let started = self.queue.borrow_mut().start();
+            let started = self.queue.borrow_mut().start(now);
             let Some(started) = started else { return };
             if let Err(Ok(run)) = started.ticket.send(Ok(started.run)) {
                 // The request has been cancelled meanwhile and used no time of the instance.
-                self.queue.borrow_mut().finish(run, Duration::ZERO);
+                self.queue.borrow_mut().finish(run, Duration::ZERO, now);
             }
         }
     }
@@ -184,16 +196,5 @@
     let _ = shed.ticket.send(Err(shed.refusal));
 }
 
-/// Returns the class in which the statements of a route wait.
-pub const fn class(priority: u8) -> RouteClass {
-    if priority <= MAX_URGENT_PRIORITY {
-        RouteClass::Urgent
-    } else if priority <= MAX_NORMAL_PRIORITY {
-        RouteClass::Normal
-    } else {
-        RouteClass::Background
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/entry/slots/tests.rs
+++ b/src/entry/slots/tests.rs
@@ -8,8 +8,8 @@
 use tokio::task::LocalSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use super::{SlotRequest, Slots, class};
-use crate::configuration::RouteClass;
+use super::{SlotRequest, Slots};
+use crate::control::fairness::QueueClass;
 use crate::traffic::RefusalReason;
 
 /// Slots of the simulated instance.
@@ -42,15 +42,16 @@
     }
 }
 
-/// Statements of one route.
+/// Statements of one route and workspace.
 #[derive(Clone, Copy)]
 struct Route {
     priority: u8,
     workspace: &'static str,
+    weight: u32,
     work: Duration,
     /// Response time within which a statement counts.
     objective: Duration,
-    /// Arrivals before the surge.
+    /// Arrivals outside the surge.
     usual_per_s: f64,
     /// Arrivals during the surge.
     per_s: f64,
@@ -64,12 +65,27 @@
     min_served: Vec<f64>,
 }
 
-/// Plays usual traffic and then a surge through several VMs; returns the share of each route's
-/// statements of the surge that were served within their objective. Without `uses_slots`, statements are sent as they arrive.
-async fn play(load: &Load, uses_slots: bool) -> Vec<f64> {
-    const VMS: usize = 6;
-    const SURGE_AT: Duration = Duration::from_secs(10);
-    const DURATION: Duration = Duration::from_secs(25);
+/// How statements wait for the instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Rule {
+    /// They are sent as they arrive.
+    Direct,
+    /// Priorities 0 and 1 wait in one class, a flow's statements in the order of arrival, each for at
+    /// most half of its objective.
+    Former,
+    /// As [`crate::entry::execution`] describes them to the queue.
+    Current,
+}
+
+/// Number of VMs that send statements to the instance.
+const VMS: usize = 8;
+
+/// Plays usual traffic, a surge and usual traffic again through several VMs; returns the share of
+/// each route's statements of the surge and the second after it that were served within their
+/// objective.
+async fn play(routes: &[Route], rule: Rule) -> Vec<f64> {
+    const SURGE: std::ops::Range<Duration> = Duration::from_secs(10)..Duration::from_secs(20);
+    const DURATION: Duration = Duration::from_secs(21);
     let instance = Rc::new(Instance {
         slots: Semaphore::new(INSTANCE_SLOTS),
         admitted: Cell::new(0),
@@ -77,17 +93,17 @@
     let vms: Vec<_> = (0..VMS)
         .map(|_| Slots::new(INSTANCE_SLOTS as u32))
         .collect();
-    let counts = Rc::new(RefCell::new(vec![(0_u32, 0_u32); load.routes.len()]));
+    let counts = Rc::new(RefCell::new(vec![(0_u32, 0_u32); routes.len()]));
     let started = Instant::now();
     let mut tasks = Vec::new();
-    for (index, route) in load.routes.iter().copied().enumerate() {
+    for (index, route) in routes.iter().copied().enumerate() {
         let mut random = StdRng::seed_from_u64(index as u64 + 1);
         let mut at = Duration::ZERO;
         while at < DURATION {
-            let per_s = if at < SURGE_AT {
-                route.usual_per_s
-            } else {
+            let per_s = if SURGE.contains(&at) {
                 route.per_s
+            } else {
+                route.usual_per_s
             };
             let gap_s = -random.random_range(f64::EPSILON..1.0_f64).ln() / per_s;
             at += Duration::from_secs_f64(gap_s);
@@ -96,9 +112,9 @@
             let (instance, counts) = (Rc::clone(&instance), Rc::clone(&counts));
             tasks.push(tokio::task::spawn_local(async move {
                 sleep_until(started + at).await;
-                let served = serve(&instance, uses_slots.then_some(&slots), &route, work).await;
+                let served = serve(&instance, &slots, rule, &route, work).await;
                 let in_time = served && Instant::now() <= started + at + route.objective;
-                if at >= SURGE_AT {
+                if at >= SURGE.start {
                     let mut counts = counts.borrow_mut();
                     counts[index].0 += 1;
                     counts[index].1 += u32::from(in_time);
@@ -118,42 +134,59 @@
 
 async fn serve(
     instance: &Instance,
-    slots: Option<&Rc<Slots>>,
+    slots: &Rc<Slots>,
+    rule: Rule,
     route: &Route,
     work: Duration,
 ) -> bool {
+    let due = Instant::now() + route.objective;
     let deadline = Instant::now() + Duration::from_millis(200);
     while Instant::now() < deadline {
-        let slot = match slots {
-            Some(slots) => {
-                let within = route.objective / 2;
-                match slots
-                    .take(&request(route.workspace, route.priority, within))
-                    .await
-                {
-                    Ok(slot) => Some(slot),
-                    Err(_) => return false,
-                }
-            }
-            None => None,
+        let due_in = due.saturating_duration_since(Instant::now());
+        let request = SlotRequest {
+            workspace: route.workspace.into(),
+            class: QueueClass::of_priority(route.priority),
+            weight: route.weight,
+            due_in,
+            max_wait: due_in.max(route.objective / 2),
+        };
+        let slot = match rule {
+            Rule::Direct => None,
+            Rule::Former => Some(slots.take(&former(request, route)).await),
+            Rule::Current => Some(slots.take(&request).await),
+        };
+        let Ok(slot) = slot.transpose() else {
+            return false;
         };
         if instance.run(work).await {
             return true;
         }
-        drop(slot);
-        if let Some(slots) = slots {
+        if slot.is_some() {
             slots.on_rejected();
         }
+        drop(slot);
         sleep(REJECTED_RETRY_DELAY).await;
     }
     false
 }
 
+/// Changes a request so that it waits by the former rule: with objectives equally far away, the
+/// order in a flow is that of arrival.
+fn former(request: SlotRequest, route: &Route) -> SlotRequest {
+    SlotRequest {
+        class: QueueClass::of_priority(route.priority.max(1)),
+        due_in: Duration::from_hours(1),
+        max_wait: route.objective / 2,
+        ..request
+    }
+}
+
 fn request(workspace: &str, priority: u8, max_wait: Duration) -> SlotRequest {
     SlotRequest {
         workspace: workspace.into(),
-        class: class(priority),
+        class: QueueClass::of_priority(priority),
         weight: 10,
+        due_in: 2 * max_wait,
         max_wait,
     }
 }
@@ -167,6 +200,7 @@
     Route {
         priority,
         workspace,
+        weight: 10,
         work: Duration::from_millis(work_ms),
         objective: Duration::from_millis(200 * priority as u64),
         usual_per_s,
@@ -205,7 +239,10 @@
     ];
     for load in loads {
         let (direct, queued) = LocalSet::new()
-            .run_until(async { (play(&load, false).await, play(&load, true).await) })
+            .run_until(async {
+                let direct = play(&load.routes, Rule::Direct).await;
+                (direct, play(&load.routes, Rule::Current).await)
+            })
             .await;
         for (index, min_served) in load.min_served.iter().enumerate() {
             let (direct, queued) = (direct[index], queued[index]);
@@ -220,6 +257,148 @@
     }
 }
 
+/// Statements of the three routes of a deployment at one busy instance: service time with 5 ms for a
+/// new connection with every third statement, objective, usual rate.
+struct Deployment {
+    name: &'static str,
+    saves: (u64, u64, f64),
+    sessions: (u64, u64, f64),
+    views: (u64, u64, f64),
+}
+
+const BANC_ESSAI: Deployment = Deployment {
+    name: "banc-essai",
+    saves: (11, 150, 18.0),
+    sessions: (23, 250, 85.0),
+    views: (35, 1_000, 31.0),
+};
+
+const SWN_ROUTING: Deployment = Deployment {
+    name: "swn-routing",
+    saves: (10, 150, 20.0),
+    sessions: (20, 250, 92.0),
+    views: (31, 500, 40.0),
+};
+
+impl Deployment {
+    /// Builds the routes of a workspace with a share of the usual rates. During the surge, the
+    /// rates of saves, sessions and views are multiplied by the factors.
+    fn workspace(&self, workspace: &'static str, share: f64, surge: [f64; 3]) -> Vec<Route> {
+        let routes = [(0, self.saves), (1, self.sessions), (2, self.views)];
+        let routes = routes.into_iter().zip(surge);
+        let route = |((priority, (work_ms, objective_ms, per_s)), factor): ((u8, _), f64)| Route {
+            priority,
+            workspace,
+            weight: (100.0 * share) as u32,
+            work: Duration::from_millis(work_ms),
+            objective: Duration::from_millis(objective_ms),
+            usual_per_s: per_s * share,
+            per_s: per_s * share * factor,
+        };
+        routes.map(route).collect()
+    }
+}
+
+/// Surge of a deployment's load on one instance.
+struct Surge {
+    name: &'static str,
+    deployment: Deployment,
+    /// Factors on saves, sessions and views of the workspaces "hot" and "calm".
+    hot: [f64; 3],
+    calm: [f64; 3],
+    /// Smallest shares served in time: saves, sessions and views of "hot", then of "calm".
+    min_served: [f64; 6],
+}
+
+const fn surge(
+    deployment: Deployment,
+    name: &'static str,
+    [hot, calm]: [[f64; 3]; 2],
+    min_served: [f64; 6],
+) -> Surge {
+    Surge {
+        name,
+        deployment,
+        hot,
+        calm,
+        min_served,
+    }
+}
+
+fn surges() -> [Surge; 7] {
+    [
+        surge(
+            BANC_ESSAI,
+            "usual load",
+            [[1.0; 3]; 2],
+            [0.99, 0.99, 0.99, 0.99, 0.99, 0.99],
+        ),
+        surge(
+            BANC_ESSAI,
+            "views at 2.1 times their usual",
+            [[1.0, 1.0, 2.1]; 2],
+            [0.98, 0.90, 0.90, 0.97, 0.95, 0.90],
+        ),
+        surge(
+            BANC_ESSAI,
+            "saves at 1.7 times their usual",
+            [[1.7, 1.0, 1.0]; 2],
+            [0.99, 0.99, 0.99, 0.99, 0.99, 0.99],
+        ),
+        surge(
+            BANC_ESSAI,
+            "a workspace at 6 times its usual",
+            [[6.0; 3], [1.0; 3]],
+            [0.82, 0.38, 0.25, 0.90, 0.84, 0.82],
+        ),
+        surge(
+            SWN_ROUTING,
+            "views at 2.1 times their usual",
+            [[1.0, 1.0, 2.1]; 2],
+            [0.95, 0.90, 0.72, 0.97, 0.95, 0.78],
+        ),
+        surge(
+            SWN_ROUTING,
+            "saves at 1.7 times their usual",
+            [[1.7, 1.0, 1.0]; 2],
+            [0.99, 0.98, 0.98, 0.99, 0.99, 0.98],
+        ),
+        surge(
+            SWN_ROUTING,
+            "a workspace at 6 times its usual",
+            [[6.0; 3], [1.0; 3]],
+            [0.92, 0.40, 0.24, 0.95, 0.88, 0.66],
+        ),
+    ]
+}
+
+/// Guards against saves that wait behind five times as many reads, in bursts and beside a hot
+/// workspace.
+#[tokio::test(start_paused = true)]
+async fn saves_meet_their_objective_beside_bursts_of_less_urgent_routes() {
+    for case in surges() {
+        let mut routes = case.deployment.workspace("hot", 0.25, case.hot);
+        routes.extend(case.deployment.workspace("calm", 0.75, case.calm));
+        let (former, current) = LocalSet::new()
+            .run_until(async {
+                let former = play(&routes, Rule::Former).await;
+                (former, play(&routes, Rule::Current).await)
+            })
+            .await;
+        let report = format!(
+            "{}, {}: {former:.3?} -> {current:.3?}",
+            case.deployment.name, case.name
+        );
+        let meets = |served: &[f64]| {
+            let mut pairs = served.iter().zip(&case.min_served);
+            pairs.all(|(served, min)| served >= min)
+        };
+        assert!(meets(&current), "{report}");
+        // The former rule served saves later than the less urgent routes.
+        assert!(!meets(&former), "{report}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_statement_that_can_not_start_in_time_is_refused_at_once() {
     LocalSet::new()
@@ -271,14 +450,15 @@
 }
 
 #[test]
-fn the_class_of_a_route_follows_its_priority() {
+fn each_priority_waits_in_a_class_of_its_own() {
     let cases = [
-        (0, RouteClass::Urgent),
-        (1, RouteClass::Urgent),
-        (2, RouteClass::Normal),
-        (3, RouteClass::Background),
+        (0, QueueClass::Critical),
+        (1, QueueClass::Urgent),
+        (2, QueueClass::Normal),
+        (3, QueueClass::Background),
+        (9, QueueClass::Background),
     ];
     for (priority, expected) in cases {
-        assert_eq!(class(priority), expected, "priority {priority}");
+        assert_eq!(QueueClass::of_priority(priority), expected, "{priority}");
     }
 }
--- a/src/time.rs
+++ b/src/time.rs
@@ -21,6 +21,9 @@
     /// Start of the process.
     pub const ZERO: Self = Self { micros: 0 };
 
+    /// Latest point that can be represented.
+    pub const MAX: Self = Self { micros: u64::MAX };
+
     /// Builds a timestamp from microseconds since the process started.
     pub const fn from_micros(micros: u64) -> Self {
         Self { micros }
--- a/src/traffic/home/exchange.rs
+++ b/src/traffic/home/exchange.rs
@@ -218,8 +218,9 @@
         let left = self.deadline.saturating_duration_since(Instant::now());
         Arrival {
             workspace: self.head.workspace.clone(),
-            class: self.admitted.policy.class,
+            class: self.admitted.policy.class.into(),
             weight: self.admitted.weight,
+            due: None,
             deadline: home.clock.now() + left,
         }
     }
--- a/src/traffic/home/schedule.rs
+++ b/src/traffic/home/schedule.rs
@@ -9,6 +9,7 @@
 use super::state::{HomeState, Ticket};
 use crate::control::fairness::{Arrival, RunKey, Shed, WaiterKey};
 use crate::name::InstanceName;
+use crate::time::Timestamp;
 use crate::traffic::{Refusal, RefusalReason};
 
 /// Slot of an instance; released when dropped, with the time it was held as its cost.
@@ -23,11 +24,12 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         let cost = self.since.elapsed();
+        let now = self.home.clock.now();
         self.home.with_state(|state| {
             if let Some(queue) = state.queue(&self.instance) {
-                queue.finish(self.run, cost);
+                queue.finish(self.run, cost, now);
             }
-            start_waiting(state, &self.instance);
+            start_waiting(state, &self.instance, now);
         });
     }
 }
@@ -84,7 +86,7 @@
         let entered = queue.enter(arrival, ticket, now);
         let entered = entered.map_err(|shed| shed.refusal)?;
         entered.shed.into_iter().for_each(refuse);
-        start_waiting(state, instance);
+        start_waiting(state, instance, now);
         Ok(entered.waiter)
     })?;
     let mut queued = QueuedRequest {
@@ -117,13 +119,13 @@
 }
 
 /// Grants free slots to the requests that are next in the queue.
-fn start_waiting(state: &mut HomeState, instance: &InstanceName) {
+fn start_waiting(state: &mut HomeState, instance: &InstanceName, now: Timestamp) {
     let Some(queue) = state.queue(instance) else {
         return;
     };
-    while let Some(started) = queue.start() {
+    while let Some(started) = queue.start(now) {
         if started.ticket.send(Ok(started.run)).is_err() {
-            queue.finish(started.run, std::time::Duration::ZERO);
+            queue.finish(started.run, std::time::Duration::ZERO, now);
         }
     }
 }
