--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -13,9 +13,10 @@
 use super::node::Node;
 use super::pool::{Answer, LinkRequest, Pool, PooledLink};
 use super::position::Position;
-use super::slots::{self, Slot, SlotRequest};
+use super::slots::{Slot, SlotRequest};
 use super::statement::{Access, Failure, FailureKind, InstanceCommand, Outcome, StatementResponse};
 use super::target::{self, NoTarget, Target};
+use crate::control::fairness::QueueClass;
 use crate::name::{InstanceName, WorkspaceName};
 use crate::telemetry::metrics::{Step, metrics};
 use crate::time::Timestamp;
@@ -27,9 +28,9 @@
 /// because a primary is being replaced.
 const TARGET_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Longest time for which a statement waits for a slot of an instance, as a fraction of its route's
-/// latency objective.
-const MAX_WAIT_FRACTION: f64 = 0.5;
+/// Time for which a statement that can't meet its latency objective any more waits for a slot, as a
+/// fraction of the objective.
+const LATE_WAIT_FRACTION: f64 = 0.5;
 
 /// Number of instances without capacity that are tried for one statement.
 const MAX_FULL_INSTANCES: usize = 2;
@@ -37,6 +38,10 @@
 /// Retry delay suggested to a refused caller, after which there may be capacity.
 const RETRY_AFTER_BUSY: Duration = Duration::from_millis(100);
 
+/// Retry delay suggested to a refused caller whose primary is in an evacuated zone: the usual time in
+/// which another instance is promoted.
+const RETRY_AFTER_EVACUATION: Duration = Duration::from_secs(1);
+
 /// Fraction of a statement's time limit for which it waits for an instance that accepts it: less
 /// than half, so that a refused caller has time to try another VM.
 const TARGET_WAIT_FRACTION: f64 = 0.2;
@@ -81,19 +86,38 @@
     node: &Rc<Node>,
     context: &StatementContext<'_>,
     command: &InstanceCommand,
+) -> Result<Executed, Failure> {
+    let mut possibly_run = None;
+    let result = attempt(node, context, command, &mut possibly_run).await;
+    let failure = match &result {
+        Ok(executed) => match &executed.response.outcome {
+            Outcome::Done(_) => None,
+            Outcome::Failed(failure) => Some(failure),
+        },
+        Err(failure) => Some(failure),
+    };
+    let is_refused = failure.is_some_and(Failure::not_run);
+    match possibly_run.filter(|_| is_refused) {
+        Some(failure) => Err(failure),
+        None => result,
+    }
+}
+
+/// Attempts to run a command, on one instance after the other. Stores the failure of an attempt that
+/// may have run in `possibly_run`: the statement can't be reported as not run any more.
+async fn attempt(
+    node: &Rc<Node>,
+    context: &StatementContext<'_>,
+    command: &InstanceCommand,
+    possibly_run: &mut Option<Failure>,
 ) -> Result<Executed, Failure> {
     let mut tried = Vec::new();
-    let wait_limit = context
-        .route
-        .statement_timeout
-        .mul_f64(TARGET_WAIT_FRACTION);
-    let selection_deadline = context
-        .deadline
-        .min(Instant::now() + wait_limit.min(node.settings.target_wait_limit));
+    let selection_deadline = selection_deadline(node, context);
+    let due = Instant::now() + context.route.latency_objective;
     let started_at = clock::now();
     loop {
         let (target, slot, mut pooled) =
-            acquire(node, context, &mut tried, selection_deadline).await?;
+            acquire(node, context, &mut tried, due, selection_deadline).await?;
         let sent_at = clock::now();
         let route = &context.route.name;
         metrics().record_step(route, Step::Connect, sent_at.since(started_at));
@@ -117,16 +141,21 @@
                 pool.statement_lost();
                 pooled.close();
                 record_missing_response(node, context, &target, &error);
+                let failure = missing_response_failure(context, command, &error);
                 if repeatable && Instant::now() < selection_deadline {
                     tried.push(target.instance.name.clone());
+                    // The start of a transaction runs nothing of the caller.
+                    *possibly_run = Some(failure).filter(|_| !context.starts_transaction);
                     continue;
                 }
-                return Err(missing_response_failure(context, command, &error));
+                return Err(failure);
             }
         };
         record_response(node, context, &target, &response, sent_at);
         let elapsed = clock::now().since(sent_at);
-        pool.statement_answered(&answer(context, &target, &response, elapsed));
+        let answer = answer(context, &target, &response, elapsed);
+        pool.statement_answered(&answer);
+        target::record_lag(node, &target, &answer);
         metrics().record_step(route, Step::Run, elapsed);
         let Outcome::Failed(failure) = &response.outcome else {
             return Ok(Executed { response, pooled });
@@ -135,10 +164,21 @@
         if !retryable || Instant::now() >= selection_deadline {
             return Ok(Executed { response, pooled });
         }
+        if !failure.not_run() {
+            *possibly_run = Some(failure.clone());
+        }
         prepare_retry(context, &target, failure.kind, &mut pooled, &mut tried).await;
     }
 }
 
+/// Returns the time until which instances are selected for a statement.
+fn selection_deadline(node: &Node, context: &StatementContext<'_>) -> Instant {
+    let timeout = context.route.statement_timeout;
+    let wait_limit = timeout.mul_f64(TARGET_WAIT_FRACTION);
+    let wait_limit = wait_limit.min(node.settings.target_wait_limit);
+    context.deadline.min(Instant::now() + wait_limit)
+}
+
 fn answer<'a>(
     context: &'a StatementContext<'_>,
     target: &Target,
@@ -200,6 +240,7 @@
     node: &Rc<Node>,
     context: &StatementContext<'_>,
     tried: &mut Vec<InstanceName>,
+    due: Instant,
     selection_deadline: Instant,
 ) -> Result<(Target, Slot, PooledLink), Failure> {
     loop {
@@ -215,7 +256,7 @@
             sleep(target.delay).await;
         }
         let pool = node.pool(&target.instance);
-        let request = slot_request(node, context);
+        let request = slot_request(node, context, due);
         let slot = match take_slot(&pool, &request).await {
             Ok(slot) => slot,
             Err(_) if target::may_leave(context, &target) && tried.len() < MAX_FULL_INSTANCES => {
@@ -266,12 +307,20 @@
     let reason = match cause {
         NoTarget::NoValidityLease => "this VM can't tell which instance is the primary",
         NoTarget::PrimaryUnavailable => "the primary is being replaced",
+        NoTarget::Evacuated => "the primary's zone is evacuated",
         NoTarget::AllTried => "no instance has capacity",
+        NoTarget::Lagging { .. } => "no instance has reached the required position",
     };
-    if cause == NoTarget::NoValidityLease
-        || Instant::now() + TARGET_POLL_INTERVAL >= selection_deadline
-    {
-        return Err(refusal(node, context, reason, RETRY_AFTER_BUSY));
+    let retry_after = match cause {
+        NoTarget::Lagging { after } => after,
+        NoTarget::Evacuated => RETRY_AFTER_EVACUATION,
+        _ => RETRY_AFTER_BUSY,
+    };
+    let is_late = |after: Duration| Instant::now() + after >= selection_deadline;
+    let lags_too_long = matches!(cause, NoTarget::Lagging { after } if is_late(after));
+    let is_hopeless = matches!(cause, NoTarget::NoValidityLease | NoTarget::Evacuated);
+    if is_hopeless || lags_too_long || is_late(TARGET_POLL_INTERVAL) {
+        return Err(refusal(node, context, reason, retry_after));
     }
     let pause = sleep_until(Instant::now() + TARGET_POLL_INTERVAL);
     tokio::select! {
@@ -339,7 +388,7 @@
         .position
         .filter(|_| had_validity_lease && leads(response))
     {
-        known.freshness.record(position, sent_at);
+        known.freshness.record(position, sent_at, clock::now());
     }
 }
 
@@ -353,19 +402,23 @@
     }
 }
 
-/// Describes a statement to the queue of an instance. It waits for at most half of its latency
-/// objective, so that its response is still in time when it starts last.
-fn slot_request(node: &Node, context: &StatementContext<'_>) -> SlotRequest {
+/// Describes a statement to the queue of an instance. It waits until its response is due; those that
+/// would end late go last, so that they take no room from others. One that is late before it waits,
+/// for example after the replacement of a primary, is still served where there is room.
+fn slot_request(node: &Node, context: &StatementContext<'_>, due: Instant) -> SlotRequest {
     let catalog = node.catalog();
     let workspace = catalog
         .as_ref()
         .and_then(|catalog| catalog.workspaces.get(context.workspace));
     let rate_per_s = workspace.map_or(1.0, |workspace| workspace.rate_per_s);
+    let due_in = due.saturating_duration_since(Instant::now());
+    let late_wait = context.route.latency_objective.mul_f64(LATE_WAIT_FRACTION);
     SlotRequest {
         workspace: context.workspace.clone(),
-        class: slots::class(context.route.priority),
+        class: QueueClass::of_priority(context.route.priority),
         weight: (rate_per_s as u32).max(1),
-        max_wait: context.route.latency_objective.mul_f64(MAX_WAIT_FRACTION),
+        due_in,
+        max_wait: due_in.max(late_wait),
     }
 }
 
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -16,6 +16,7 @@
 use super::follow::Progress;
 use super::gateways::Gateways;
 use super::health::Verdict;
+use super::idle_transactions::IdleTransactions;
 use super::instance::{Change, Instance};
 use super::pool::{Limits, Pool, Sharing};
 use super::settings::EntrySettings;
@@ -57,8 +58,10 @@
     pub gateways: Gateways,
     /// Number of connected callers.
     pub sessions: Cell<usize>,
-    /// Number of tasks running for other VMs.
+    /// Number of connections of other VMs that have a running task or an open transaction.
     pub tasks: Cell<usize>,
+    /// Open transactions whose callers are between two statements.
+    pub idle_transactions: IdleTransactions,
     pools: RefCell<HashMap<InstanceName, Rc<Pool>>>,
 }
 
@@ -80,6 +83,7 @@
             gateways: Gateways::default(),
             sessions: Cell::new(0),
             tasks: Cell::new(0),
+            idle_transactions: IdleTransactions::default(),
             pools: RefCell::default(),
         })
     }
@@ -289,6 +293,29 @@
     }
 }
 
+/// Counts a session or the work of another VM for as long as it exists, also when a fault ends it.
+#[derive(Debug)]
+pub struct Counted {
+    node: Rc<Node>,
+    counter: fn(&Node) -> &Cell<usize>,
+}
+
+impl Counted {
+    /// Counts one more.
+    pub fn new(node: Rc<Node>, counter: fn(&Node) -> &Cell<usize>) -> Self {
+        let count = counter(&node);
+        count.set(count.get() + 1);
+        Self { node, counter }
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        let count = (self.counter)(&self.node);
+        count.set(count.get().saturating_sub(1));
+    }
+}
+
 fn kind(request: &PlatformRequest) -> &'static str {
     match request {
         PlatformRequest::Get { .. } => "get",
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -9,10 +9,11 @@
 use super::channel::{Channel, PeerRequest, PeerResponse, Result};
 use super::clock;
 use super::gateways;
-use super::node::Node;
+use super::node::{Counted, Node};
 use super::record::GatewayList;
+use super::shutdown;
 use super::state::StopPhase;
-use super::task::{Action, Task};
+use super::task::{Action, Reply, Task};
 use super::worker::Worker;
 
 /// Idle time after which a connection is closed. It is longer than the idle time limit at the other
@@ -27,7 +28,7 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Accepts connections of other VMs and serves them until the process ends.
-pub async fn run(node: Rc<Node>, listener: TcpListener) {
+pub async fn run(node: Rc<Node>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -52,6 +53,8 @@
 
 async fn serve_requests(node: &Rc<Node>, worker: &mut Worker, stream: TcpStream) -> Result<()> {
     let mut channel = Channel::new(stream)?;
+    // A planned stop waits for a reply until it is sent, and for an open transaction.
+    let mut counted = None;
     loop {
         let idle_timeout = idle_timeout(node, worker);
         let Ok(received) = timeout(idle_timeout, channel.receive()).await else {
@@ -78,20 +81,28 @@
                 })
             }
             PeerRequest::Ping => PeerResponse::Pong,
-            PeerRequest::Run { task, force } => run_task(node, worker, &task, force).await,
+            PeerRequest::Run { task, force } => {
+                counted.get_or_insert_with(|| Counted::new(Rc::clone(node), |node| &node.tasks));
+                run_task(node, worker, &task, force).await
+            }
         };
         channel.send(&response).await?;
+        counted = counted.filter(|_| worker.is_open());
     }
 }
 
 async fn run_task(node: &Rc<Node>, worker: &mut Worker, task: &Task, force: bool) -> PeerResponse {
     let in_transaction = worker.is_open() || matches!(task.action, Action::InTransaction(_));
-    if !in_transaction && !force && !accepts_tasks(node) {
+    let is_closing = node.state.borrow().stop == StopPhase::Closing;
+    if !in_transaction && (is_closing || !force && !accepts_tasks(node)) {
         return PeerResponse::Declined;
     }
-    node.tasks.set(node.tasks.get() + 1);
-    let reply = worker.run(task).await;
-    node.tasks.set(node.tasks.get() - 1);
+    let reply = if is_closing {
+        worker.roll_back().await;
+        Reply::failed(shutdown::transaction_ended(), task.failed_state())
+    } else {
+        worker.run(task).await
+    };
     PeerResponse::Done {
         reply: Box::new(reply),
         primary_zone: gateways::other_primary_zone(node, task),
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -6,8 +6,9 @@
 
 use super::catalog::Catalog;
 use super::encoded::EncodedConfiguration;
+use super::evacuation::EvacuatedZones;
 use super::freshness::Freshness;
-use super::instance::{Directory, Instance};
+use super::instance::{Directory, Instance, InstanceState};
 use super::quota::Quota;
 use super::record::{
     GatewayList, Phase, PrimaryRecord, SettledTimelineRecord, VersionedRecord, VmRecord,
@@ -30,6 +31,8 @@
     pub encoded_configuration: Option<EncodedConfiguration>,
     /// Announced instances.
     pub directory: Directory,
+    /// Zones that the operators have requested to evacuate.
+    pub evacuated_zones: EvacuatedZones,
     /// Whether the announcements have been read since this VM became a gateway.
     pub directory_known: bool,
     /// Instances whose announcements are missing, with the time since when.
@@ -85,8 +88,10 @@
     Running,
     /// Reports itself as not ready, but still serves.
     Leaving,
-    /// Closes idle sessions and accepts no new operations.
+    /// Closes sessions as soon as their callers pause between two transactions.
     Draining,
+    /// Refuses what still arrives, with a response, because the process is about to end.
+    Closing,
 }
 
 /// Local view of one database.
@@ -143,6 +148,12 @@
         self.directory.get(&record.primary).filter(|_| is_available)
     }
 
+    /// Returns whether an instance may be promoted: it takes new work and its zone isn't evacuated.
+    pub fn may_lead(&self, instance: &Instance) -> bool {
+        let is_evacuated = self.evacuated_zones.contains(&instance.availability_zone);
+        instance.state == InstanceState::Serving && !is_evacuated
+    }
+
     /// Returns whether a replacement of a primary may wait for this VM's confirmation.
     pub fn confirms(&self, now: Timestamp) -> bool {
         self.gateway || now < self.gateway_until
@@ -169,6 +180,13 @@
         is_newer
     }
 
+    /// Returns whether no record of a database is known that was written after `revision`.
+    pub fn is_latest(&self, database: &DatabaseName, revision: Revision) -> bool {
+        let known = self.databases.get(database);
+        let record = known.and_then(|known| known.record.as_ref());
+        record.is_none_or(|record| record.revision <= revision)
+    }
+
     fn record(&self, database: &DatabaseName) -> Option<&PrimaryRecord> {
         let record = self.databases.get(database)?.record.as_ref()?;
         Some(&record.record).filter(|_| record.is_reliable())
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -52,6 +52,8 @@
 pub enum Reason {
     /// The primary announced that it is about to leave.
     Leaving,
+    /// The availability zone of the primary is evacuated.
+    Evacuated,
     /// The announcement of the primary is missing.
     Gone,
     /// The primary doesn't respond.
@@ -69,7 +71,7 @@
 impl Reason {
     /// Returns whether the primary still serves, so that running statements can end first.
     pub const fn is_planned(self) -> bool {
-        matches!(self, Self::Leaving)
+        matches!(self, Self::Leaving | Self::Evacuated)
     }
 
     const fn knowledge(self) -> Knowledge {
@@ -460,7 +462,8 @@
     }
 
     /// Notifies the other instances of the replacement: the former primary steps down, the replicas
-    /// resume. Without this, the new primary notifies them, but later.
+    /// resume. Without this, the new primary notifies them, but later. It ends when the next
+    /// replacement begins, whose holder counts on the replicas that it has paused.
     fn notify_instances(&self, former: &InstanceName, current: &InstanceName, term: u64) {
         for instance in self.members() {
             if instance.name == *current {
@@ -471,8 +474,15 @@
             } else {
                 InstanceCommand::Resume
             };
-            let mut link = ControlLink::new(Rc::clone(&self.node), instance);
-            tokio::task::spawn_local(async move { link.request(&command, NOTIFY_TIMEOUT).await });
+            let (node, database) = (Rc::clone(&self.node), self.database.clone());
+            let revision = self.record.revision;
+            tokio::task::spawn_local(async move {
+                let mut link = ControlLink::new(Rc::clone(&node), instance);
+                tokio::select! {
+                    _ = link.request(&command, NOTIFY_TIMEOUT) => {}
+                    () = node.wait_until(|state| !state.is_latest(&database, revision)) => {}
+                }
+            });
         }
     }
 
