Use cold and returning instances gradually

Cause: the rest of the cold time that an instance announces wasn't used. A cold instance got as many statements as a warm one, and the instances of a zone would all have been used in full as soon as its evacuation is withdrawn.

The end of the cold time is fixed when an announcement arrives, and never prolonged for the same process. Of two replicas with the same position, the warm one is promoted. Instances that start warm are used as before.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -62,6 +62,7 @@
 pub mod task;
 pub mod transaction;
 pub mod validity;
+pub mod warmup;
 pub mod worker;
 
 pub use adapter::Adapter;
--- a/src/entry/catalog.rs
+++ b/src/entry/catalog.rs
@@ -79,7 +79,7 @@
 }
 
 /// Group of one primary and its replicas.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Database {
     /// Name of the database.
     pub name: DatabaseName,
@@ -87,6 +87,8 @@
     pub max_connections: usize,
     /// Number of replicas that must have received a save before it is acknowledged.
     pub synchronous_replicas: usize,
+    /// Statements a second that an instance takes while it is cold, over all VMs; zero for no limit.
+    pub cold_per_s: f64,
 }
 
 /// Customer of the operators, with its limits.
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -92,7 +92,7 @@
             let change = {
                 let mut state = node.state.borrow_mut();
                 state.missing.remove(&instance.name);
-                state.directory.update(instance)
+                state.directory.update(instance, clock::now())
             };
             if let Some(change) = change {
                 publish_change(node, &change);
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -220,9 +220,10 @@
         }
         let pool = node.pool(&target.instance);
         let request = slot_request(node, context);
-        let slot = match take_slot(&pool, &request).await {
+        let may_leave = target::may_leave(context, &target);
+        let slot = match take_slot(&pool, &request, may_leave).await {
             Ok(slot) => slot,
-            Err(_) if target::may_leave(context, &target) && tried.len() < MAX_FULL_INSTANCES => {
+            Err(_) if may_leave && tried.len() < MAX_FULL_INSTANCES => {
                 tried.push(target.instance.name.clone());
                 continue;
             }
@@ -374,14 +375,28 @@
     }
 }
 
-/// Waits for a slot of an instance.
+/// Waits for a place in the rate that a cold instance takes, and for a slot of the instance. A
+/// statement that may leave the instance doesn't wait for the former.
 ///
 /// # Errors
 ///
 /// Fails with the time after which there may be one.
-async fn take_slot(pool: &Pool, request: &SlotRequest) -> Result<Slot, Duration> {
+async fn take_slot(pool: &Pool, request: &SlotRequest, may_leave: bool) -> Result<Slot, Duration> {
+    let max_wait = if may_leave {
+        Duration::ZERO
+    } else {
+        request.max_wait
+    };
+    let wait = pool.reserve_rate(max_wait)?;
+    if !wait.is_zero() {
+        sleep(wait).await;
+    }
+    let request = SlotRequest {
+        max_wait: request.max_wait.saturating_sub(wait),
+        ..request.clone()
+    };
     let taken = tokio::select! {
-        taken = pool.slots().take(request) => taken,
+        taken = pool.slots().take(&request) => taken,
         () = pool.wait_until_unreachable() => return Err(RETRY_AFTER_BUSY),
     };
     taken.map_err(|refused| refused.retry_after.unwrap_or(RETRY_AFTER_BUSY))
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -3,10 +3,12 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use strum::Display;
 
 use crate::name::{DatabaseName, InstanceName, ZoneName};
+use crate::time::Timestamp;
 
 /// Whether an instance takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -39,6 +41,9 @@
     pub started_at_ms: u64,
     /// Number of the announcement since that start; grows with each one that is written.
     pub sequence: u64,
+    /// Time for which the instance is still slow because it has just started, counted from when it
+    /// wrote the announcement.
+    pub cold_left: Duration,
 }
 
 impl Instance {
@@ -52,6 +57,16 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     by_name: HashMap<InstanceName, Rc<Instance>>,
+    /// End of the cold time of instances that didn't start warm.
+    cold: HashMap<InstanceName, ColdTime>,
+}
+
+/// End of the time for which an instance is slow because it has just started.
+#[derive(Debug, Clone, Copy)]
+struct ColdTime {
+    /// Start of the process, as announced.
+    started_at_ms: u64,
+    until: Timestamp,
 }
 
 impl Directory {
@@ -75,14 +90,50 @@
         self.by_name.values()
     }
 
-    /// Stores an announcement. Returns the change, or `None` when the announcement is the same as
+    /// Returns when the cold time of an instance ends or has ended; `None` if it started warm.
+    pub fn cold_until(&self, name: &InstanceName) -> Option<Timestamp> {
+        self.cold.get(name).map(|cold| cold.until)
+    }
+
+    /// Returns whether an instance has just started and is still slow.
+    pub fn is_cold(&self, name: &InstanceName, now: Timestamp) -> bool {
+        self.cold_until(name).is_some_and(|until| now < until)
+    }
+
+    /// Records the cold time that an announcement received at `now` tells of. One process's time is
+    /// never prolonged: an announcement may be read long after it was written.
+    fn record_cold_time(&mut self, instance: &Instance, now: Timestamp) {
+        let by_name = &self.by_name;
+        self.cold
+            .retain(|name, cold| by_name.contains_key(name) || cold.until > now);
+        let started_at_ms = instance.started_at_ms;
+        let known = self.cold.get(&instance.name);
+        let known = known.filter(|known| known.started_at_ms == started_at_ms);
+        let until = now + instance.cold_left;
+        let until = match known {
+            Some(known) => known.until.min(until),
+            None if instance.cold_left.is_zero() => {
+                self.cold.remove(&instance.name);
+                return;
+            }
+            None => until,
+        };
+        let cold = ColdTime {
+            started_at_ms,
+            until,
+        };
+        self.cold.insert(instance.name.clone(), cold);
+    }
+
+    /// Stores an announcement that was received at `now`. Returns the change, or `None` when the announcement is the same as
     /// the previous one, or older: a restoration of the store brings older ones back.
-    pub fn update(&mut self, instance: Instance) -> Option<Change> {
+    pub fn update(&mut self, instance: Instance, now: Timestamp) -> Option<Change> {
         let previous = self.by_name.get(&instance.name);
         if previous.is_some_and(|previous| **previous == instance || instance.precedes(previous)) {
             return None;
         }
         let previous = previous.cloned();
+        self.record_cold_time(&instance, now);
         let current = Rc::new(instance);
         self.by_name
             .insert(current.name.clone(), Rc::clone(&current));
@@ -110,3 +161,6 @@
     /// Announcement after the change; `None` when the instance was removed.
     pub current: Option<Rc<Instance>>,
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/entry/instance/tests.rs
@@ -0,0 +1,106 @@
+use std::time::Duration;
+
+use super::{Directory, Instance, InstanceState};
+use crate::name::{DatabaseName, InstanceName, ZoneName};
+use crate::time::Timestamp;
+
+/// Announcement of an instance, as a VM receives it.
+#[derive(Clone, Copy)]
+struct Received {
+    at_ms: u64,
+    started_at_ms: u64,
+    sequence: u64,
+    cold_left_ms: u64,
+}
+
+fn received(at_ms: u64, started_at_ms: u64, sequence: u64, cold_left_ms: u64) -> Received {
+    Received {
+        at_ms,
+        started_at_ms,
+        sequence,
+        cold_left_ms,
+    }
+}
+
+fn instance(received: Received) -> Instance {
+    Instance {
+        name: InstanceName::from("i-1"),
+        database: DatabaseName::from("db"),
+        address: ([127, 0, 0, 1], 1).into(),
+        availability_zone: ZoneName::from("a"),
+        slots: 4,
+        state: InstanceState::Serving,
+        is_primary: false,
+        started_at_ms: received.started_at_ms,
+        sequence: received.sequence,
+        cold_left: Duration::from_millis(received.cold_left_ms),
+    }
+}
+
+#[test]
+fn the_cold_time_of_a_process_is_not_prolonged() {
+    struct Case {
+        name: &'static str,
+        announcements: Vec<Received>,
+        expected_ms: Option<u64>,
+    }
+    let case = |name, announcements, expected_ms| Case {
+        name,
+        announcements,
+        expected_ms,
+    };
+    let cases = [
+        case("started warm", vec![received(100, 1, 1, 0)], None),
+        case("cold", vec![received(100, 1, 1, 8_000)], Some(8_100)),
+        case(
+            "the same announcement read again",
+            vec![received(100, 1, 1, 8_000), received(5_000, 1, 1, 8_000)],
+            Some(8_100),
+        ),
+        case(
+            "a later announcement, read late",
+            vec![received(100, 1, 1, 8_000), received(5_000, 1, 2, 6_000)],
+            Some(8_100),
+        ),
+        case(
+            "a later announcement corrects an earlier one that was read late",
+            vec![received(5_000, 1, 1, 8_000), received(5_100, 1, 2, 3_000)],
+            Some(8_100),
+        ),
+        case(
+            "warm now",
+            vec![received(100, 1, 1, 8_000), received(7_000, 1, 2, 0)],
+            Some(7_000),
+        ),
+        case(
+            "restarted",
+            vec![received(100, 1, 1, 8_000), received(5_000, 2, 1, 8_000)],
+            Some(13_000),
+        ),
+        case(
+            "restarted warm",
+            vec![received(100, 1, 1, 8_000), received(5_000, 2, 1, 0)],
+            None,
+        ),
+    ];
+    for case in cases {
+        let mut directory = Directory::default();
+        for received in case.announcements {
+            directory.update(instance(received), Timestamp::from_millis(received.at_ms));
+        }
+        let until = directory.cold_until(&InstanceName::from("i-1"));
+        let expected = case.expected_ms.map(Timestamp::from_millis);
+        assert_eq!(until, expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn an_announcement_that_was_missing_for_a_while_does_not_prolong_the_cold_time() {
+    let mut directory = Directory::default();
+    let cold = received(100, 1, 1, 8_000);
+    directory.update(instance(cold), Timestamp::from_millis(100));
+    directory.remove("i-1");
+    directory.update(instance(cold), Timestamp::from_millis(5_000));
+    let until = directory.cold_until(&InstanceName::from("i-1"));
+    assert_eq!(until, Some(Timestamp::from_millis(8_100)));
+}
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -21,6 +21,7 @@
 use super::pool::{Limits, Pool};
 use super::settings::EntrySettings;
 use super::state::{State, StopPhase};
+use super::warmup;
 use crate::configuration::Timeline;
 use crate::control::command::PlatformRequest;
 use crate::control::event::PlatformResponse;
@@ -222,7 +223,9 @@
         let mut pools = self.pools.borrow_mut();
         let pool = pools.entry(instance.name.clone()).or_insert_with(|| {
             let limits = self.limits(&instance.database);
-            Pool::new(Rc::clone(instance), self.adapter.protocol, limits)
+            let pool = Pool::new(Rc::clone(instance), self.adapter.protocol, limits);
+            self.update_warmth(&pool);
+            pool
         });
         Rc::clone(pool)
     }
@@ -246,6 +249,7 @@
             (_, Some(current)) => {
                 if let Some(pool) = self.pools.borrow().get(&current.name) {
                     pool.update(current);
+                    self.update_warmth(pool);
                 }
                 log_instance(current);
             }
@@ -269,12 +273,31 @@
         let mut connections = 0;
         for pool in self.pools() {
             pool.set_limits(self.limits(&pool.instance().database));
+            self.update_warmth(&pool);
             pool.maintain(elapsed);
             connections += pool.open();
         }
         metrics().set_open_counts(self.sessions.get(), connections);
     }
 
+    /// Applies to a pool how far its instance may be used now: fewer slots while it is cold, or after
+    /// its zone was evacuated, and a limited rate of statements while it is cold.
+    fn update_warmth(&self, pool: &Pool) {
+        let now = clock::now();
+        let instance = pool.instance();
+        let state = self.state.borrow();
+        let cold_until = state.directory.cold_until(&instance.name);
+        let warm_from = cold_until.max(state.returned_at(&instance));
+        let slots = self.settings.warmup.slots(instance.slots, warm_from, now);
+        let cold_per_s = state.cold_per_s(&instance.database);
+        let cold_per_s = cold_per_s.filter(|_| state.directory.is_cold(&instance.name, now));
+        let share_per_s = cold_per_s.map(|cold_per_s| {
+            let (own, gateways) = (&self.settings.vm, state.gateways.keys());
+            warmup::share_per_s(cold_per_s, &instance.name, own, gateways)
+        });
+        pool.set_warmth(slots, share_per_s);
+    }
+
     fn limits(&self, database: &DatabaseName) -> Limits {
         let state = self.state.borrow();
         let catalog = state.catalog.as_ref();
@@ -299,12 +322,13 @@
 fn log_instance(instance: &Instance) {
     log::info!(
         "event=instance_announced database={} instance={} address={} state={} primary={} \
-         started_at_ms={}",
+         started_at_ms={} cold_left_ms={}",
         instance.database,
         instance.name,
         instance.address,
         instance.state,
         instance.is_primary,
-        instance.started_at_ms
+        instance.started_at_ms,
+        instance.cold_left.as_millis()
     );
 }
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -16,6 +16,7 @@
 use super::position::Position;
 use super::slots::Slots;
 use super::statement::{FailureKind, Protocol};
+use super::warmup::Pace;
 use crate::name::{RouteName, WorkspaceName};
 use crate::time::Timestamp;
 
@@ -74,6 +75,9 @@
     in_flight: Cell<u32>,
     health: RefCell<Health>,
     became_unreachable: Notify,
+    /// Statements a second that this VM may send; `None` unless the instance is cold.
+    cold_share_per_s: Cell<Option<f64>>,
+    pace: Cell<Pace>,
 }
 
 /// Response to a statement, as evidence about the instance that sent it.
@@ -119,13 +123,48 @@
             in_flight: Cell::new(0),
             health: RefCell::default(),
             became_unreachable: Notify::new(),
+            cold_share_per_s: Cell::new(None),
+            pace: Cell::default(),
         })
     }
 
+    /// Changes how far the instance is used: the number of its slots, and while it is cold, the
+    /// statements a second that this VM may send.
+    pub fn set_warmth(&self, slots: u32, cold_share_per_s: Option<f64>) {
+        self.slots.set_count(slots);
+        self.cold_share_per_s.set(cold_share_per_s);
+    }
+
+    /// Returns whether the instance is cold and takes a limited rate of statements.
+    pub fn is_rate_limited(&self) -> bool {
+        self.cold_share_per_s.get().is_some()
+    }
+
+    /// Returns whether the rate of a cold instance allows a statement at once.
+    pub fn is_rate_free(&self) -> bool {
+        let share = self.cold_share_per_s.get();
+        share.is_none_or(|per_s| self.pace.get().is_free(per_s, clock::now()))
+    }
+
+    /// Reserves the next place in the rate of a cold instance and returns the time until then; zero
+    /// if the instance isn't cold.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the time until the next place if it is longer than `max_wait`.
+    pub fn reserve_rate(&self, max_wait: Duration) -> Result<Duration, Duration> {
+        let Some(per_s) = self.cold_share_per_s.get() else {
+            return Ok(Duration::ZERO);
+        };
+        let mut pace = self.pace.get();
+        let reserved = pace.reserve(per_s, max_wait, clock::now());
+        self.pace.set(pace);
+        reserved
+    }
+
     /// Applies a new announcement of the instance. If its process, address or database changed,
     /// idle connections are closed and position and health are reset.
     pub fn update(&self, instance: &Rc<Instance>) {
-        self.slots.set_count(instance.slots);
         let previous = self.instance.replace(Rc::clone(instance));
         let same_process = previous.address == instance.address
             && previous.started_at_ms == instance.started_at_ms
--- a/src/entry/promotion.rs
+++ b/src/entry/promotion.rs
@@ -15,6 +15,8 @@
     pub report: InstanceReport,
     /// Whether the instance may be promoted: it takes new work and its zone isn't evacuated.
     pub may_lead: bool,
+    /// Whether the instance has just started and is still slow.
+    pub is_cold: bool,
 }
 
 /// Next step of a replacement.
@@ -105,8 +107,11 @@
     let candidates = reports
         .iter()
         .filter(|member| member.may_lead && !leads(member));
-    let best = candidates
-        .max_by_key(|member| (member.report.received, member.instance != *former_primary));
+    let rank = |member: &&MemberReport| {
+        let is_other = member.instance != *former_primary;
+        (member.report.received, !member.is_cold, is_other)
+    };
+    let best = candidates.max_by_key(rank);
     let (Some(best), Some(furthest)) = (best, furthest) else {
         return Decision::Unheard;
     };
--- a/src/entry/promotion/tests.rs
+++ b/src/entry/promotion/tests.rs
@@ -12,6 +12,7 @@
             received: Position { term: 3, number },
         },
         may_lead: instance != "p",
+        is_cold: false,
     }
 }
 
@@ -118,6 +119,27 @@
     }
 }
 
+#[test]
+fn of_two_replicas_with_the_latest_position_the_warm_one_is_promoted() {
+    let primary = InstanceName::from("p");
+    for (cold, warm) in [("a", "b"), ("b", "a")] {
+        let mut reports = [member_report("a", 30), member_report("b", 30)];
+        for member in &mut reports {
+            member.is_cold = &*member.instance == cold;
+        }
+        let decision = decide(&replaced(&primary, 3, Knowledge::Former), &reports);
+        assert_eq!(decision, Decision::Promote(InstanceName::from(warm)));
+    }
+}
+
+#[test]
+fn nothing_is_promoted_while_the_zones_of_all_instances_are_evacuated() {
+    let primary = InstanceName::from("p");
+    let reports = ["p", "a", "b"].map(|name| draining(name, 30));
+    let decision = decide(&replaced(&primary, 3, Knowledge::Former), &reports);
+    assert_eq!(decision, Decision::Unheard);
+}
+
 #[test]
 fn with_keep_leader_a_primary_that_leads_the_recorded_term_stays() {
     let reports = [member_report("p", 30), member_report("a", 30)];
--- a/src/entry/reports.rs
+++ b/src/entry/reports.rs
@@ -5,6 +5,7 @@
 
 use futures::future::join_all;
 
+use super::clock;
 use super::control::ControlLink;
 use super::instance::Instance;
 use super::node::Node;
@@ -59,9 +60,11 @@
 }
 
 fn member_report(node: &Node, instance: &Instance, report: InstanceReport) -> MemberReport {
+    let state = node.state.borrow();
     MemberReport {
         instance: instance.name.clone(),
         report,
-        may_lead: node.state.borrow().may_lead(instance),
+        may_lead: state.may_lead(instance),
+        is_cold: state.directory.is_cold(&instance.name, clock::now()),
     }
 }
--- a/src/entry/role/tests.rs
+++ b/src/entry/role/tests.rs
@@ -55,6 +55,7 @@
         name: name.clone(),
         max_connections,
         synchronous_replicas: 1,
+        cold_per_s: 0.0,
     };
     Catalog {
         databases: [(name, Arc::new(database))].into_iter().collect(),
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::warmup::WarmupSettings;
 use crate::name::{VmName, ZoneName};
 
 /// Settings of an entry.
@@ -45,6 +46,8 @@
     /// Longest time for which a statement waits for an instance that can run it, for example while
     /// a primary is being replaced.
     pub target_wait_limit: Duration,
+    /// Use of instances that have just started, or whose zone was evacuated until now.
+    pub warmup: WarmupSettings,
 }
 
 impl Default for EntrySettings {
@@ -67,6 +70,7 @@
             start_timeout: Duration::from_secs(3),
             start_wait_limit: Duration::from_millis(1_200),
             target_wait_limit: Duration::from_millis(1_500),
+            warmup: WarmupSettings::default(),
         }
     }
 }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -146,6 +146,24 @@
         self.directory.get(&record.primary).filter(|_| is_available)
     }
 
+    /// Returns when the zone of an instance ceased to be evacuated; `None` if it is evacuated or
+    /// never was, or if the instance is the primary, which needn't have been left.
+    pub fn returned_at(&self, instance: &Instance) -> Option<Timestamp> {
+        let returned_at = self
+            .evacuated_zones
+            .returned_at(&instance.availability_zone);
+        let primary = self.primary(&instance.database);
+        let is_primary = primary.is_some_and(|primary| primary.name == instance.name);
+        returned_at.filter(|_| !is_primary)
+    }
+
+    /// Returns how many statements a second a cold instance of a database takes; `None` for no
+    /// limit.
+    pub fn cold_per_s(&self, database: &DatabaseName) -> Option<f64> {
+        let database = self.catalog.as_ref()?.databases.get(database)?;
+        Some(database.cold_per_s).filter(|per_s| *per_s > 0.0)
+    }
+
     /// Returns whether an instance may be promoted: it takes new work and its zone isn't evacuated.
     pub fn may_lead(&self, instance: &Instance) -> bool {
         let is_evacuated = self.evacuated_zones.contains(&instance.availability_zone);
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -135,7 +135,8 @@
         let reachable = node.health_verdict(&instance.name) != Verdict::Unreachable;
         let zones = &state.evacuated_zones;
         let evacuated = zones.contains(&instance.availability_zone);
-        consistent && serving && reachable && !evacuated && !tried.contains(&instance.name)
+        let eligible = consistent && serving && reachable && !evacuated;
+        eligible && !tried.contains(&instance.name) && is_rate_free(node, context, instance)
     };
     let instances: Vec<_> = state
         .directory
@@ -166,6 +167,13 @@
     })
 }
 
+/// Returns whether an instance may run a read at once, which a cold one may not always. Transactions
+/// start elsewhere, because each of their statements would have to wait.
+fn is_rate_free(node: &Node, context: &StatementContext<'_>, instance: &Rc<Instance>) -> bool {
+    let pool = node.pool(instance);
+    pool.is_rate_free() && !(context.starts_transaction && pool.is_rate_limited())
+}
+
 fn candidate(
     node: &Node,
     context: &StatementContext<'_>,
--- a/src/entry/transaction.rs
+++ b/src/entry/transaction.rs
@@ -78,6 +78,7 @@
         deadline: Instant,
     ) -> Result<StatementResponse, Failure> {
         loop {
+            self.wait_for_rate(deadline).await?;
             if is_closed(node, &self.instance()) {
                 return Err(evacuated());
             }
@@ -97,6 +98,22 @@
         }
     }
 
+    /// Waits until the rate of a cold instance allows a statement.
+    async fn wait_for_rate(&self, deadline: Instant) -> Result<(), Failure> {
+        let max_wait = deadline.saturating_duration_since(Instant::now());
+        match self.pooled.pool().reserve_rate(max_wait) {
+            Ok(wait) if wait.is_zero() => Ok(()),
+            Ok(wait) => {
+                sleep(wait).await;
+                Ok(())
+            }
+            Err(_) => Err(Failure::local(
+                FailureKind::Aborted,
+                "not kept: the instance has just started and has no capacity",
+            )),
+        }
+    }
+
     /// Sends the caller's own commit request and retries it while the instance has no capacity.
     /// Returns the response and, if the transaction saved something, the position of the save.
     pub async fn commit(
@@ -112,9 +129,13 @@
             in_transaction: true,
         };
         loop {
+            let mut allowed = self.wait_for_rate(deadline).await;
             if is_closed(node, &self.instance()) {
+                allowed = Err(evacuated());
+            }
+            if let Err(failure) = allowed {
                 self.rollback().await;
-                return (idle_failure(evacuated()), None);
+                return (idle_failure(failure), None);
             }
             let link = self.pooled.link();
             let response = match link.run(&setup, command, None, deadline).await {
