Bound what peers can make a VM hold

Cause: peers that send half a message, a message byte by byte, nothing at all, or thousands of connections could hold memory and descriptors without limit. One session could hold 256 prepared statements of 1 MiB each.

Change: entry::input_budget, a pure module, bounds connections (three quarters of max_descriptors, a setting from limits.max-fds), callers without a first message (256) and bytes of incomplete messages over all connections (8 MiB). Beyond a bound the connection that costs most ends: the oldest without a first message, else the newest arrival; or the one that has held most input for longest. It ends only while it waits for input. A message that has begun must be complete within 5 s (message_timeout). Open sessions that are idle stay.

--- a/src/entry/channel.rs
+++ b/src/entry/channel.rs
@@ -210,6 +210,45 @@
         }
     }
 
+    /// Receives a message, which must be complete within `limit` after its first part has arrived.
+    /// `observe` is told how many bytes of an incomplete message are held.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Channel::receive`] does, and when the message isn't complete in time.
+    pub async fn receive_within<T: DeserializeOwned>(
+        &mut self,
+        limit: Duration,
+        observe: impl Fn(usize),
+    ) -> Result<Option<T>> {
+        let mut held_bytes = self.input.len();
+        let mut must_end_at = None;
+        loop {
+            if let Some(message) = self.take_message()? {
+                if must_end_at.is_some() {
+                    observe(0);
+                }
+                return Ok(Some(message));
+            }
+            if held_bytes > 0 {
+                must_end_at.get_or_insert_with(|| Instant::now() + limit);
+                observe(held_bytes);
+            }
+            let before = self.input.len();
+            let reading = self.read_part();
+            let is_open = match must_end_at {
+                Some(at) => timeout_at(at, reading)
+                    .await
+                    .map_err(|_elapsed| ChannelError::TimedOut)?,
+                None => reading.await,
+            };
+            if !is_open? {
+                return Ok(None);
+            }
+            held_bytes += self.input.len() - before;
+        }
+    }
+
     /// Removes a complete message from the input; `None` while it is incomplete.
     fn take_message<T: DeserializeOwned>(&mut self) -> Result<Option<T>> {
         let frame = self.codec.decode(&mut self.input).context(BrokenSnafu)?;
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -30,6 +30,10 @@
 /// Initial size of the input buffer; fits a typical response.
 const INPUT_BYTES: usize = 1_024;
 
+/// Maximum size of the rows of one response, which are held until it is complete. A larger one
+/// couldn't be sent to another VM either.
+const MAX_ROWS_BYTES: usize = 2 << 20;
+
 /// Why a connection can't be opened or used.
 #[derive(Debug, Clone, Snafu)]
 pub enum LinkError {
@@ -287,6 +291,9 @@
         let mut outcome = None;
         loop {
             match self.read_message(deadline).await? {
+                InstanceMessage::Row(row) if rows.len() + row.len() > MAX_ROWS_BYTES => {
+                    return Err(broken(&"the rows of a response are too large"));
+                }
                 InstanceMessage::Row(row) => rows.extend_from_slice(&row),
                 InstanceMessage::Done(signature) => {
                     outcome = Some(Outcome::Done(Some(signature)));
--- a/src/entry/listener.rs
+++ b/src/entry/listener.rs
@@ -11,6 +11,8 @@
 use tokio::time::{Instant, timeout};
 
 use super::clock;
+use super::connections::Tracked;
+use super::input_budget::{Cause, Peer};
 use super::node::{Counted, Node};
 use super::session::Session;
 use super::state::StopPhase;
@@ -23,6 +25,10 @@
 /// Initial size of the input buffer; fits a typical message of a caller.
 const INPUT_BYTES: usize = 512;
 
+/// Capacity above which an empty input buffer is replaced: a large message leaves one that most
+/// sessions never need again.
+const MAX_IDLE_INPUT_BYTES: usize = 16 << 10;
+
 /// Time limit for writing a response, reached when the caller doesn't read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -52,6 +58,12 @@
         /// Decoding error.
         source: super::statement::MalformedMessage,
     },
+    /// The connection holds more than this VM can afford.
+    #[snafu(display("the connection exceeds a bound: {cause}; it is closed"))]
+    TooCostly {
+        /// Bound that was exceeded.
+        cause: Cause,
+    },
     /// The caller didn't open a session within the time limit.
     #[snafu(display("no session was opened in time; the connection is closed"))]
     StartTimedOut,
@@ -61,9 +73,9 @@
 pub async fn run(node: Rc<Node>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                let node = Rc::clone(&node);
-                tokio::task::spawn_local(serve(node, stream));
+            Ok((stream, address)) => {
+                let tracked = node.connections.track(Peer::Caller, address);
+                tokio::task::spawn_local(serve(Rc::clone(&node), stream, tracked));
             }
             Err(error) => {
                 log::warn!("event=accept_failed error=\"{error}\"");
@@ -73,11 +85,13 @@
     }
 }
 
-async fn serve(node: Rc<Node>, stream: TcpStream) {
+async fn serve(node: Rc<Node>, stream: TcpStream, tracked: Tracked) {
     let _counted = Counted::new(Rc::clone(&node), |node| &node.sessions);
     let mut connection = Connection {
         node,
         stream,
+        tracked,
+        message_began_at: None,
         opened_at: clock::now(),
         input: BytesMut::with_capacity(INPUT_BYTES),
         output: BytesMut::new(),
@@ -98,6 +112,9 @@
 struct Connection {
     node: Rc<Node>,
     stream: TcpStream,
+    tracked: Tracked,
+    /// When the first part of an incomplete message arrived.
+    message_began_at: Option<Instant>,
     opened_at: Timestamp,
     input: BytesMut,
     output: BytesMut,
@@ -120,6 +137,7 @@
         let Some(message) = first.map_err(|_elapsed| CallerError::StartTimedOut)?? else {
             return Ok(None);
         };
+        self.tracked.open();
         let CallerMessage::Start { route, key } = message else {
             return Ok(None);
         };
@@ -180,19 +198,13 @@
             {
                 return self.receive_before_close().await;
             }
-            let expired = async {
-                match idle_until {
-                    Some(until) => tokio::time::sleep_until(until).await,
-                    None => std::future::pending().await,
-                }
-            };
             tokio::select! {
                 biased;
                 message = self.read_message() => {
                     return Ok(message?.map_or(Received::Closed, Received::Message));
                 }
                 () = must_move => {}
-                () = expired => return Ok(Received::TransactionIdle),
+                () = wait_until(idle_until) => return Ok(Received::TransactionIdle),
             }
         }
     }
@@ -223,15 +235,38 @@
     async fn read_message(&mut self) -> Result<Option<CallerMessage>> {
         loop {
             if let Some(message) = (self.node.adapter.protocol.decode_caller)(&mut self.input)? {
+                if self.message_began_at.take().is_some() {
+                    self.tracked.set_pending(0);
+                }
                 return Ok(Some(message));
             }
-            let read = self.stream.read_buf(&mut self.input).await;
-            if read.context(ConnectionSnafu)? == 0 {
+            if self.read_part().await? == 0 {
                 return Ok(None);
             }
         }
     }
 
+    /// Reads what has arrived, within the time limit of a message that has begun; returns its size.
+    async fn read_part(&mut self) -> Result<usize> {
+        if !self.input.is_empty() {
+            self.message_began_at.get_or_insert_with(Instant::now);
+            self.tracked.set_pending(self.input.len());
+        } else if self.input.capacity() > MAX_IDLE_INPUT_BYTES {
+            self.input = BytesMut::with_capacity(INPUT_BYTES);
+        }
+        let limit = self.node.settings.message_timeout;
+        let must_end_at = self.message_began_at.map(|began_at| began_at + limit);
+        tokio::select! {
+            biased;
+            cause = self.tracked.must_close() => TooCostlySnafu { cause }.fail(),
+            () = wait_until(must_end_at) => {
+                self.tracked.record_slow_message();
+                TooCostlySnafu { cause: Cause::SlowMessage }.fail()
+            }
+            read = self.stream.read_buf(&mut self.input) => read.context(ConnectionSnafu),
+        }
+    }
+
     async fn send(&mut self, response: &StatementResponse) -> Result<()> {
         (self.node.adapter.protocol.encode_response)(&mut self.output, response);
         self.flush().await
@@ -244,3 +279,11 @@
         written.context(ConnectionSnafu)
     }
 }
+
+/// Waits until a time; without end if there is none.
+async fn wait_until(time: Option<Instant>) {
+    match time {
+        Some(time) => tokio::time::sleep_until(time).await,
+        None => std::future::pending().await,
+    }
+}
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -12,10 +12,12 @@
 use super::catalog::Catalog;
 use super::clock;
 use super::confirmation_tracker::ConfirmationTracker;
+use super::connections::Connections;
 use super::datagram::Outbox;
 use super::follow::Progress;
 use super::gateways::Gateways;
 use super::health::Verdict;
+use super::input_budget::InputLimits;
 use super::instance::{Change, Instance};
 use super::pool::{Limits, Pool};
 use super::settings::EntrySettings;
@@ -55,6 +57,8 @@
     pub sessions_must_move: Notify,
     /// Gateways that this VM forwards to.
     pub gateways: Gateways,
+    /// Connections of callers and other VMs.
+    pub connections: Rc<Connections>,
     /// Number of connected callers.
     pub sessions: Cell<usize>,
     /// Number of connections of other VMs that have a running task or an open transaction.
@@ -65,9 +69,11 @@
 impl Node {
     /// Builds the state of a VM that has read nothing from the store yet.
     pub fn new(settings: EntrySettings, adapter: Adapter) -> Rc<Self> {
+        let limits = InputLimits::for_descriptors(settings.max_descriptors);
         Rc::new(Self {
             settings,
             adapter,
+            connections: Connections::new(limits),
             state: RefCell::default(),
             changed: Notify::new(),
             store_regained: Notify::new(),
@@ -269,6 +275,7 @@
             connections += pool.open();
         }
         metrics().set_open_counts(self.sessions.get(), connections);
+        metrics().set_pending_input(self.connections.pending_bytes());
     }
 
     fn limits(&self, database: &DatabaseName) -> Limits {
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -6,8 +6,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
-use super::channel::{Channel, PeerRequest, PeerResponse, Result};
+use super::channel::{Channel, ChannelError, PeerRequest, PeerResponse, Result};
 use super::clock;
+use super::connections::Tracked;
+use super::input_budget::Peer;
 use super::node::{Counted, Node};
 use super::record::GatewayList;
 use super::shutdown;
@@ -30,8 +32,9 @@
 pub async fn run(node: Rc<Node>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve(Rc::clone(&node), stream));
+            Ok((stream, address)) => {
+                let tracked = node.connections.track(Peer::Vm, address);
+                tokio::task::spawn_local(serve(Rc::clone(&node), stream, tracked));
             }
             Err(error) => {
                 log::warn!("event=peer_unaccepted error=\"{error}\"");
@@ -41,22 +44,28 @@
     }
 }
 
-async fn serve(node: Rc<Node>, stream: TcpStream) {
+async fn serve(node: Rc<Node>, stream: TcpStream, tracked: Tracked) {
     let mut worker = Worker::new(Rc::clone(&node));
-    if let Err(error) = serve_requests(&node, &mut worker, stream).await {
+    if let Err(error) = serve_requests(&node, &mut worker, stream, &tracked).await {
         log::debug!("event=peer_lost error=\"{error}\"");
     }
     // The connection ended or was idle for too long: an open transaction is abandoned.
     worker.roll_back().await;
 }
 
-async fn serve_requests(node: &Rc<Node>, worker: &mut Worker, stream: TcpStream) -> Result<()> {
+async fn serve_requests(
+    node: &Rc<Node>,
+    worker: &mut Worker,
+    stream: TcpStream,
+    tracked: &Tracked,
+) -> Result<()> {
     let mut channel = Channel::new(stream)?;
     // A planned stop waits for a reply until it is sent, and for an open transaction.
     let mut counted = None;
     loop {
         let idle_timeout = idle_timeout(node, worker);
-        let Ok(received) = timeout(idle_timeout, channel.receive()).await else {
+        let receiving = receive(node, &mut channel, tracked);
+        let Ok(received) = timeout(idle_timeout, receiving).await else {
             return Ok(());
         };
         let Some(request) = received? else {
@@ -90,6 +99,28 @@
     }
 }
 
+/// Receives a request, unless the connection must be closed because its input costs too much.
+async fn receive(
+    node: &Node,
+    channel: &mut Channel,
+    tracked: &Tracked,
+) -> Result<Option<PeerRequest>> {
+    let limit = node.settings.message_timeout;
+    let receiving = channel.receive_within(limit, |bytes| tracked.set_pending(bytes));
+    let received = tokio::select! {
+        biased;
+        cause = tracked.must_close() => {
+            log::debug!("event=peer_too_costly cause={cause}");
+            return Ok(None);
+        }
+        received = receiving => received,
+    };
+    if matches!(received, Err(ChannelError::TimedOut)) {
+        tracked.record_slow_message();
+    }
+    received
+}
+
 async fn run_task(node: &Rc<Node>, worker: &mut Worker, task: &Task, force: bool) -> PeerResponse {
     let in_transaction = worker.is_open() || matches!(task.action, Action::InTransaction(_));
     let is_closing = node.state.borrow().stop == StopPhase::Closing;
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -25,6 +25,10 @@
 /// Maximum number of values set in one session; further ones are refused.
 const MAX_VALUES: usize = 64;
 
+/// Maximum size of the values and prepared statements of one session. A message may have 1 MiB, so
+/// that their number alone would bound a session at hundreds of MiB.
+const MAX_HELD_BYTES: usize = 256 << 10;
+
 /// Retry delay suggested to a caller of a VM that has just started.
 const STARTING_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -237,7 +241,7 @@
     }
 
     fn set(&mut self, name: Arc<str>, value: Arc<str>) -> StatementResponse {
-        if self.values.values.len() >= MAX_VALUES {
+        if self.values.values.len() >= MAX_VALUES || !self.may_hold(name.len() + value.len()) {
             return self.fail(invalid_statement());
         }
         Arc::make_mut(&mut self.values).set(name, value);
@@ -245,13 +249,23 @@
     }
 
     fn prepare(&mut self, name: Arc<str>, prepared: Prepared) -> StatementResponse {
-        if self.prepared.len() >= MAX_PREPARED {
+        let bytes = name.len() + prepared.shape.len();
+        if self.prepared.len() >= MAX_PREPARED || !self.may_hold(bytes) {
             return self.fail(invalid_statement());
         }
         self.prepared.insert(name, prepared);
         self.done()
     }
 
+    /// Returns whether the session may hold more bytes of values and prepared statements.
+    fn may_hold(&self, more_bytes: usize) -> bool {
+        let values = self.values.values.iter();
+        let values = values.map(|(name, value)| name.len() + value.len());
+        let prepared = self.prepared.iter();
+        let prepared = prepared.map(|(name, prepared)| name.len() + prepared.shape.len());
+        values.chain(prepared).sum::<usize>() + more_bytes <= MAX_HELD_BYTES
+    }
+
     async fn begin(
         &mut self,
         catalog: &Catalog,
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::input_budget::DEFAULT_DESCRIPTORS;
 use crate::name::{VmName, ZoneName};
 
 /// Settings of an entry.
@@ -37,6 +38,11 @@
     pub tick: Duration,
     /// Time limit for opening a connection to an instance.
     pub connect_timeout: Duration,
+    /// Number of files and sockets that the process may open.
+    pub max_descriptors: usize,
+    /// Time limit for completing a message of a caller or of another VM that has begun to arrive. The
+    /// largest one takes less than a second on the slowest link.
+    pub message_timeout: Duration,
     /// Time limit for a caller's first message.
     pub start_timeout: Duration,
     /// Longest time for which a new session waits until a VM that has just started knows routes,
@@ -64,6 +70,8 @@
             failover_lease_ttl: Duration::from_millis(1_500),
             tick: Duration::from_millis(100),
             connect_timeout: Duration::from_millis(500),
+            max_descriptors: DEFAULT_DESCRIPTORS,
+            message_timeout: Duration::from_secs(5),
             start_timeout: Duration::from_secs(3),
             start_wait_limit: Duration::from_millis(1_200),
             target_wait_limit: Duration::from_millis(1_500),
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -55,6 +55,8 @@
     store_timelines: Counter<u64>,
     takeovers: Counter<u64>,
     task_failures: Counter<u64>,
+    closed_connections: Counter<u64>,
+    pending_input_bytes: Gauge<u64>,
     sessions: Gauge<u64>,
     connections: Gauge<u64>,
 }
@@ -230,6 +232,17 @@
         self.entry.task_failures.add(1, &labels);
     }
 
+    /// Counts a connection that was closed because it cost too much, by the bound it exceeded.
+    pub fn count_closed_connection(&self, cause: &'static str) {
+        let labels = [KeyValue::new("cause", cause)];
+        self.entry.closed_connections.add(1, &labels);
+    }
+
+    /// Sets the bytes of incomplete messages that callers and other VMs have sent.
+    pub fn set_pending_input(&self, bytes: usize) {
+        self.entry.pending_input_bytes.record(bytes as u64, &[]);
+    }
+
     /// Sets the number of connected callers and of open connections to instances.
     pub fn set_open_counts(&self, sessions: usize, connections: usize) {
         self.entry.sessions.record(sessions as u64, &[]);
@@ -286,6 +299,15 @@
                 "currantlb.entry.task_failures",
                 "Background tasks that panicked and were started anew, by task",
             ),
+            closed_connections: counter(
+                meter,
+                "currantlb.entry.closed_connections",
+                "Connections closed because they cost too much, by cause",
+            ),
+            pending_input_bytes: meter
+                .u64_gauge("currantlb.entry.pending_input_bytes")
+                .with_description("Bytes of incomplete messages of callers and other VMs")
+                .build(),
             sessions: meter
                 .u64_gauge("currantlb.entry.sessions")
                 .with_description("Callers connected")
