--- a/src/entry.rs
+++ b/src/entry.rs
@@ -9,7 +9,6 @@
 
 pub mod adapter;
 pub mod admission;
-pub mod borrowing;
 pub mod catalog;
 pub mod channel;
 pub mod clock;
@@ -35,6 +34,7 @@
 pub mod input_budget;
 pub mod instance;
 pub mod keys;
+pub mod limiter;
 pub mod link;
 pub mod listener;
 pub mod node;
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -8,7 +8,6 @@
 use tokio::sync::Notify;
 
 use super::adapter::Adapter;
-use super::borrowing::Borrowing;
 use super::catalog::Catalog;
 use super::clock;
 use super::confirmation_tracker::ConfirmationTracker;
@@ -20,7 +19,9 @@
 use super::idle_transactions::IdleTransactions;
 use super::input_budget::InputLimits;
 use super::instance::{Change, Instance};
+use super::limiter::Limiter;
 use super::pool::{Limits, Pool, Sharing};
+use super::quota::Quota;
 use super::settings::EntrySettings;
 use super::state::{State, StopPhase};
 use super::warmup;
@@ -51,8 +52,8 @@
     pub directory_progress: Progress,
     /// Confirmations that VMs have stopped using a former primary.
     pub confirmations: ConfirmationTracker,
-    /// Requests for tokens to other VMs.
-    pub borrowing: Borrowing,
+    /// Requests that wait for a token of their workspace.
+    pub limiter: Limiter,
     /// Queue of datagrams to other VMs.
     pub outbox: Outbox,
     /// Signals sessions to move to other VMs: this one is stopping or can't serve them.
@@ -73,18 +74,26 @@
 impl Node {
     /// Builds the state of a VM that has read nothing from the store yet.
     pub fn new(settings: EntrySettings, adapter: Adapter) -> Rc<Self> {
-        let limits = InputLimits::for_descriptors(settings.max_descriptors);
+        let input_limits = InputLimits::for_descriptors(settings.max_descriptors);
+        let state = State {
+            quota: Quota::new(
+                settings.vm.clone(),
+                settings.peer_address,
+                settings.gateway_ttl,
+            ),
+            ..State::default()
+        };
         Rc::new(Self {
             settings,
             adapter,
-            connections: Connections::new(limits),
-            state: RefCell::default(),
+            connections: Connections::new(input_limits),
+            state: RefCell::new(state),
             changed: Notify::new(),
             store_regained: Notify::new(),
             shared_progress: Progress::default(),
             directory_progress: Progress::default(),
             confirmations: ConfirmationTracker::default(),
-            borrowing: Borrowing::default(),
+            limiter: Limiter::default(),
             outbox: Outbox::default(),
             sessions_must_move: Notify::new(),
             gateways: Gateways::default(),
@@ -143,9 +152,6 @@
         if tokio::time::timeout(timeout, known).await.is_err() {
             log::debug!("event=start_timed_out timeout_ms={}", timeout.as_millis());
         }
-        if !self.state.borrow().quota.is_divided() {
-            self.divide_limits();
-        }
     }
 
     /// Waits until a condition holds. Every change of it must be signalled by [`Node::changed`].
@@ -166,26 +172,6 @@
         state.has_initial_data(clock::now()) || (state.catalog.is_some() && forwards())
     }
 
-    /// Recomputes this VM's share of the workspaces' limits. Does nothing unless this VM is a
-    /// gateway.
-    pub fn divide_limits(&self) {
-        let now = clock::now();
-        let mut state = self.state.borrow_mut();
-        let Some(catalog) = state.catalog.clone() else {
-            return;
-        };
-        if !state.gateway {
-            return;
-        }
-        let state = &mut *state;
-        let registration_valid = state.validity_lease.is_valid(now);
-        let registered = state.gateways.keys();
-        let workspaces = catalog.workspaces.values().map(AsRef::as_ref);
-        state
-            .quota
-            .divide(workspaces, registered, registration_valid, now);
-    }
-
     /// Returns the configuration in force; `None` until it has been read.
     pub fn catalog(&self) -> Option<Rc<Catalog>> {
         self.state.borrow().catalog.clone()
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -13,8 +13,8 @@
 use super::node::Node;
 use super::peers::Peers;
 use super::{
-    directory, discovery, listener, registration, relay, restoration, supervision, synchronization,
-    transaction,
+    directory, discovery, limiter, listener, registration, relay, restoration, supervision,
+    synchronization, transaction,
 };
 
 /// Result of starting an entry.
@@ -82,6 +82,7 @@
     });
     spawn("discovery", |node| discovery::run(node).boxed_local());
     spawn("directory", |node| directory::run(node).boxed_local());
+    spawn("limiter", |node| limiter::run(node).boxed_local());
     spawn("tick", |node| tick(node).boxed_local());
 }
 
@@ -96,7 +97,7 @@
     spawn("receive_datagrams", |peers| peers.listen().boxed_local());
 }
 
-/// Checks instances, failovers, limits and readiness periodically, until the process ends.
+/// Checks instances, failovers and readiness periodically, until the process ends.
 async fn tick(node: Rc<Node>) {
     let monitor = Rc::new(FailoverMonitor::default());
     let mut undersized_since = directory::UndersizedSince::new();
@@ -105,7 +106,6 @@
         directory::remove_missing(&node, &mut undersized_since);
         monitor.tick(&node);
         transaction::end_evacuated(&node);
-        node.divide_limits();
         node.maintain_pools(node.settings.tick);
         node.gateways.maintain(&node.state.borrow());
         node.shed_if_isolated();
