--- a/src/entry.rs
+++ b/src/entry.rs
@@ -9,12 +9,12 @@
 
 pub mod adapter;
 pub mod admission;
-pub mod borrowing;
 pub mod catalog;
 pub mod channel;
 pub mod clock;
 pub mod confirmation;
 pub mod confirmation_tracker;
+pub mod connections;
 pub mod control;
 pub mod datagram;
 pub mod directory;
@@ -31,8 +31,10 @@
 pub mod gateways;
 pub mod health;
 pub mod idle_transactions;
+pub mod input_budget;
 pub mod instance;
 pub mod keys;
+pub mod limiter;
 pub mod link;
 pub mod listener;
 pub mod node;
@@ -64,6 +66,7 @@
 pub mod task;
 pub mod transaction;
 pub mod validity;
+pub mod warmup;
 pub mod worker;
 
 pub use adapter::Adapter;
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -8,19 +8,23 @@
 use tokio::sync::Notify;
 
 use super::adapter::Adapter;
-use super::borrowing::Borrowing;
 use super::catalog::Catalog;
 use super::clock;
 use super::confirmation_tracker::ConfirmationTracker;
+use super::connections::Connections;
 use super::datagram::Outbox;
 use super::follow::Progress;
 use super::gateways::Gateways;
 use super::health::Verdict;
 use super::idle_transactions::IdleTransactions;
+use super::input_budget::InputLimits;
 use super::instance::{Change, Instance};
+use super::limiter::Limiter;
 use super::pool::{Limits, Pool, Sharing};
+use super::quota::Quota;
 use super::settings::EntrySettings;
 use super::state::{State, StopPhase};
+use super::warmup;
 use crate::configuration::Timeline;
 use crate::control::command::PlatformRequest;
 use crate::control::event::PlatformResponse;
@@ -48,14 +52,16 @@
     pub directory_progress: Progress,
     /// Confirmations that VMs have stopped using a former primary.
     pub confirmations: ConfirmationTracker,
-    /// Requests for tokens to other VMs.
-    pub borrowing: Borrowing,
+    /// Requests that wait for a token of their workspace.
+    pub limiter: Limiter,
     /// Queue of datagrams to other VMs.
     pub outbox: Outbox,
     /// Signals sessions to move to other VMs: this one is stopping or can't serve them.
     pub sessions_must_move: Notify,
     /// Gateways that this VM forwards to.
     pub gateways: Gateways,
+    /// Connections of callers and other VMs.
+    pub connections: Rc<Connections>,
     /// Number of connected callers.
     pub sessions: Cell<usize>,
     /// Number of connections of other VMs that have a running task or an open transaction.
@@ -68,16 +74,26 @@
 impl Node {
     /// Builds the state of a VM that has read nothing from the store yet.
     pub fn new(settings: EntrySettings, adapter: Adapter) -> Rc<Self> {
+        let input_limits = InputLimits::for_descriptors(settings.max_descriptors);
+        let state = State {
+            quota: Quota::new(
+                settings.vm.clone(),
+                settings.peer_address,
+                settings.gateway_ttl,
+            ),
+            ..State::default()
+        };
         Rc::new(Self {
             settings,
             adapter,
-            state: RefCell::default(),
+            connections: Connections::new(input_limits),
+            state: RefCell::new(state),
             changed: Notify::new(),
             store_regained: Notify::new(),
             shared_progress: Progress::default(),
             directory_progress: Progress::default(),
             confirmations: ConfirmationTracker::default(),
-            borrowing: Borrowing::default(),
+            limiter: Limiter::default(),
             outbox: Outbox::default(),
             sessions_must_move: Notify::new(),
             gateways: Gateways::default(),
@@ -136,9 +152,6 @@
         if tokio::time::timeout(timeout, known).await.is_err() {
             log::debug!("event=start_timed_out timeout_ms={}", timeout.as_millis());
         }
-        if !self.state.borrow().quota.is_divided() {
-            self.divide_limits();
-        }
     }
 
     /// Waits until a condition holds. Every change of it must be signalled by [`Node::changed`].
@@ -159,26 +172,6 @@
         state.has_initial_data(clock::now()) || (state.catalog.is_some() && forwards())
     }
 
-    /// Recomputes this VM's share of the workspaces' limits. Does nothing unless this VM is a
-    /// gateway.
-    pub fn divide_limits(&self) {
-        let now = clock::now();
-        let mut state = self.state.borrow_mut();
-        let Some(catalog) = state.catalog.clone() else {
-            return;
-        };
-        if !state.gateway {
-            return;
-        }
-        let state = &mut *state;
-        let registration_valid = state.validity_lease.is_valid(now);
-        let registered = state.gateways.keys();
-        let workspaces = catalog.workspaces.values().map(AsRef::as_ref);
-        state
-            .quota
-            .divide(workspaces, registered, registration_valid, now);
-    }
-
     /// Returns the configuration in force; `None` until it has been read.
     pub fn catalog(&self) -> Option<Rc<Catalog>> {
         self.state.borrow().catalog.clone()
@@ -222,7 +215,9 @@
         let mut pools = self.pools.borrow_mut();
         let pool = pools.entry(instance.name.clone()).or_insert_with(|| {
             let limits = self.limits(instance);
-            Pool::new(Rc::clone(instance), self.adapter.protocol, limits)
+            let pool = Pool::new(Rc::clone(instance), self.adapter.protocol, limits);
+            self.update_warmth(&pool);
+            pool
         });
         Rc::clone(pool)
     }
@@ -246,6 +241,7 @@
             (_, Some(current)) => {
                 if let Some(pool) = self.pools.borrow().get(&current.name) {
                     pool.update(current);
+                    self.update_warmth(pool);
                 }
                 log_instance(current);
             }
@@ -269,10 +265,30 @@
         let mut connections = 0;
         for pool in self.pools() {
             pool.set_limits(self.limits(&pool.instance()));
+            self.update_warmth(&pool);
             pool.maintain(elapsed);
             connections += pool.open();
         }
         metrics().set_open_counts(self.sessions.get(), connections);
+        metrics().set_pending_input(self.connections.pending_bytes());
+    }
+
+    /// Applies to a pool how far its instance may be used now: fewer slots while it is cold, or after
+    /// its zone was evacuated, and a limited rate of statements while it is cold.
+    fn update_warmth(&self, pool: &Pool) {
+        let now = clock::now();
+        let instance = pool.instance();
+        let state = self.state.borrow();
+        let cold_until = state.directory.cold_until(&instance.name);
+        let warm_from = cold_until.max(state.returned_at(&instance));
+        let slots = self.settings.warmup.slots(instance.slots, warm_from, now);
+        let cold_per_s = state.cold_per_s(&instance.database);
+        let cold_per_s = cold_per_s.filter(|_| state.directory.is_cold(&instance.name, now));
+        let share_per_s = cold_per_s.map(|cold_per_s| {
+            let (own, gateways) = (&self.settings.vm, state.gateways.keys());
+            warmup::share_per_s(cold_per_s, &instance.name, own, gateways)
+        });
+        pool.set_warmth(slots, share_per_s);
     }
 
     fn limits(&self, instance: &Instance) -> Limits {
@@ -331,12 +347,13 @@
 fn log_instance(instance: &Instance) {
     log::info!(
         "event=instance_announced database={} instance={} address={} state={} primary={} \
-         started_at_ms={}",
+         started_at_ms={} cold_left_ms={}",
         instance.database,
         instance.name,
         instance.address,
         instance.state,
         instance.is_primary,
-        instance.started_at_ms
+        instance.started_at_ms,
+        instance.cold_left.as_millis()
     );
 }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 use strum::Display;
 
+use super::limit_metrics::LimitMetrics;
 use crate::configuration::RouteClass;
 use crate::name::{DatabaseName, RouteName, WorkspaceName};
 use crate::traffic::RefusalReason;
@@ -42,6 +43,7 @@
     failover_gap_seconds: Histogram<f64>,
     gate_seconds: Histogram<f64>,
     entry: EntryMetrics,
+    limits: LimitMetrics,
 }
 
 /// Instruments of an entry, which serves the callers connected to this VM.
@@ -55,6 +57,8 @@
     store_timelines: Counter<u64>,
     takeovers: Counter<u64>,
     task_failures: Counter<u64>,
+    closed_connections: Counter<u64>,
+    pending_input_bytes: Gauge<u64>,
     sessions: Gauge<u64>,
     connections: Gauge<u64>,
 }
@@ -124,6 +128,7 @@
                 "Time that answers of saves waited for a second instance",
             ),
             entry: EntryMetrics::new(&meter),
+            limits: LimitMetrics::new(&meter),
             _provider: provider,
         }
     }
@@ -230,6 +235,22 @@
         self.entry.task_failures.add(1, &labels);
     }
 
+    /// Counts a connection that was closed because it cost too much, by the bound it exceeded.
+    pub fn count_closed_connection(&self, cause: &'static str) {
+        let labels = [KeyValue::new("cause", cause)];
+        self.entry.closed_connections.add(1, &labels);
+    }
+
+    /// Sets the bytes of incomplete messages that callers and other VMs have sent.
+    pub fn set_pending_input(&self, bytes: usize) {
+        self.entry.pending_input_bytes.record(bytes as u64, &[]);
+    }
+
+    /// Returns the instruments of the limits over all VMs.
+    pub const fn limits(&self) -> &LimitMetrics {
+        &self.limits
+    }
+
     /// Sets the number of connected callers and of open connections to instances.
     pub fn set_open_counts(&self, sessions: usize, connections: usize) {
         self.entry.sessions.record(sessions as u64, &[]);
@@ -286,6 +307,15 @@
                 "currantlb.entry.task_failures",
                 "Background tasks that panicked and were started anew, by task",
             ),
+            closed_connections: counter(
+                meter,
+                "currantlb.entry.closed_connections",
+                "Connections closed because they cost too much, by cause",
+            ),
+            pending_input_bytes: meter
+                .u64_gauge("currantlb.entry.pending_input_bytes")
+                .with_description("Bytes of incomplete messages of callers and other VMs")
+                .build(),
             sessions: meter
                 .u64_gauge("currantlb.entry.sessions")
                 .with_description("Callers connected")
@@ -298,14 +328,22 @@
     }
 }
 
-fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
+pub(super) fn counter(
+    meter: &Meter,
+    name: &'static str,
+    description: &'static str,
+) -> Counter<u64> {
     meter
         .u64_counter(name)
         .with_description(description)
         .build()
 }
 
-fn histogram(meter: &Meter, name: &'static str, description: &'static str) -> Histogram<f64> {
+pub(super) fn histogram(
+    meter: &Meter,
+    name: &'static str,
+    description: &'static str,
+) -> Histogram<f64> {
     meter
         .f64_histogram(name)
         .with_description(description)
