Replace the primaries of a lost zone side by side

Cause: the holder of the failover lease replaced only the primaries that were due when it acquired the lease. A failure detected later waited until the whole tenure ended.

Change: databases that become due during a tenure are added to it, each once. The code of the tenure is a module of its own.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -60,6 +60,7 @@
 pub mod takeover;
 pub mod target;
 pub mod task;
+pub mod tenure;
 pub mod transaction;
 pub mod validity;
 pub mod warmup;
--- a/src/entry/failover.rs
+++ b/src/entry/failover.rs
@@ -1,29 +1,25 @@
 //! Detects that a primary must be replaced, and holds the failover lease during the replacement.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures::future::join_all;
 use tokio::time::sleep;
 
 use super::clock;
 use super::control::ControlLink;
 use super::health::Verdict;
 use super::instance::{Instance, InstanceState};
-use super::keys;
 use super::node::Node;
 use super::pool::Pool;
-use super::record::{FailoverLeaseRecord, Phase, PrimaryRecord};
+use super::record::{Phase, PrimaryRecord};
 use super::records;
 use super::state::{DatabaseState, State, StopPhase};
 use super::statement::InstanceCommand;
-use super::synchronization;
-use super::takeover::{Reason, Takeover};
+use super::takeover::Reason;
+use super::tenure::Tenure;
 use crate::configuration::Revision;
-use crate::control::command::PlatformRequest;
-use crate::control::event::PlatformResponse;
 use crate::name::{DatabaseName, InstanceName, VmName};
 use crate::time::Timestamp;
 
@@ -44,9 +40,6 @@
 /// Time limit for an instance to report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Delay after an attempt to acquire the failover lease, before the next one.
-const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(150);
-
 /// Delay between two probes of an instance that may have failed.
 const PROBE_DELAY: Duration = Duration::from_millis(150);
 
@@ -56,7 +49,7 @@
     reasons: RefCell<HashMap<DatabaseName, (Reason, Timestamp)>>,
     unrecorded_since: RefCell<HashMap<DatabaseName, Timestamp>>,
     probing: RefCell<HashSet<InstanceName>>,
-    holding: Cell<bool>,
+    tenure: Rc<Tenure>,
 }
 
 impl FailoverMonitor {
@@ -82,19 +75,17 @@
         }
         // A holder of the failover lease of before a restoration may still act.
         let is_restoring = node.timeline_age() < node.settings.failover_lease_ttl;
-        let free = state.failover_holder.is_none() && !self.holding.get() && !is_restoring;
+        let is_free = state.failover_holder.is_none();
         drop(state);
-        if !due.is_empty() && free {
-            self.holding.set(true);
+        if due.is_empty() || is_restoring {
+            return;
+        }
+        if self.tenure.is_active() {
+            self.tenure.add(due);
+        } else if is_free {
+            self.tenure.begin(node, due);
             let mut reasons = self.reasons.borrow_mut();
             reasons.retain(|_, (reason, _)| *reason != Reason::Restored);
-            drop(reasons);
-            let (monitor, node) = (Rc::clone(self), Rc::clone(node));
-            tokio::task::spawn_local(async move {
-                hold_failover_lease(&node, due).await;
-                sleep(CLAIM_RETRY_DELAY).await;
-                monitor.holding.set(false);
-            });
         }
     }
 
@@ -256,84 +247,3 @@
     let before = state.gateways.keys().filter(|vm| weight(vm) < own).count();
     u32::try_from(before).unwrap_or(u32::MAX)
 }
-
-/// Acquires the failover lease, replaces the primaries that are due, and releases the lease.
-async fn hold_failover_lease(node: &Rc<Node>, due: Vec<(DatabaseName, Reason)>) {
-    let ttl = node.settings.failover_lease_ttl;
-    let timeline = node.adapter.store.timeline();
-    let granted = node.call(PlatformRequest::GrantLease { ttl }).await;
-    let Ok(PlatformResponse::Lease { lease, .. }) = granted else {
-        log::warn!("event=duty_lease_not_granted answer={granted:?}");
-        return;
-    };
-    if let Some(generation) = claim(node, lease).await {
-        log::info!(
-            "event=duty_taken generation={} databases={}",
-            generation.0,
-            due.len()
-        );
-        let replacing = join_all(due.into_iter().map(|(database, reason)| {
-            Takeover::run(Rc::clone(node), database, generation.0, reason)
-        }));
-        tokio::select! {
-            _ = replacing => {}
-            () = renew(node, lease) => log::warn!("event=duty_lost generation={}", generation.0),
-            // The lease may be lost, and its identifier granted to another VM.
-            () = node.adapter.store.wait_for_timeline_after(timeline) => {
-                log::warn!("event=duty_outdated generation={}", generation.0);
-                return;
-            }
-        }
-    }
-    if node.adapter.store.timeline() != timeline {
-        return;
-    }
-    if let Err(error) = node.call(PlatformRequest::Revoke { lease }).await {
-        log::warn!("event=duty_not_released lease={lease} error=\"{error}\"");
-    }
-}
-
-async fn claim(node: &Rc<Node>, lease: u64) -> Option<Revision> {
-    let holder = node.settings.vm.clone();
-    let value = serde_json::to_vec(&FailoverLeaseRecord { holder, lease }).ok()?;
-    let request = PlatformRequest::CompareAndSwap {
-        key: keys::FAILOVER_LEASE.to_owned(),
-        expected: Revision(0),
-        value: Some(value),
-        lease: Some(lease),
-    };
-    match node.call(request).await {
-        Ok(PlatformResponse::Swapped { revision }) => Some(revision),
-        Ok(PlatformResponse::Conflict {
-            current: Some(current),
-        }) => {
-            // This record may be newer than what the watch has delivered.
-            synchronization::apply(node, current);
-            let holder = node.state.borrow().failover_holder.clone();
-            log::info!("event=duty_not_taken holder={holder:?}");
-            None
-        }
-        response => {
-            log::info!("event=duty_not_taken answer={response:?}");
-            None
-        }
-    }
-}
-
-/// Renews the failover lease; returns once it has lapsed or can't be relied on any longer.
-async fn renew(node: &Rc<Node>, lease: u64) {
-    let ttl = node.settings.failover_lease_ttl;
-    let mut held_until = clock::now() + ttl / 2;
-    loop {
-        sleep(ttl / 5).await;
-        let sent_at = clock::now();
-        match node.call(PlatformRequest::KeepAlive { lease }).await {
-            Ok(PlatformResponse::Lease { .. }) => held_until = sent_at + ttl.mul_f64(0.8),
-            Ok(PlatformResponse::LeaseLapsed) => return,
-            response => log::warn!("event=duty_renewal_failed lease={lease} answer={response:?}"),
-        }
-        if clock::now() >= held_until {
-            return;
-        }
-    }
-}
--- /dev/null
+++ b/src/entry/tenure.rs
@@ -0,0 +1,171 @@
+//! Tenure of the failover lease: replaces the primaries that are due, side by side.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+
+use super::clock;
+use super::keys;
+use super::node::Node;
+use super::record::FailoverLeaseRecord;
+use super::synchronization;
+use super::takeover::{Reason, Takeover};
+use crate::configuration::Revision;
+use crate::control::command::PlatformRequest;
+use crate::control::event::PlatformResponse;
+use crate::name::DatabaseName;
+
+/// Delay after an attempt to acquire the failover lease, before the next one.
+const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(150);
+
+/// Database whose primary must be replaced, with the reason.
+pub type Due = (DatabaseName, Reason);
+
+/// Tenure of the failover lease by this VM.
+///
+/// When a zone is lost, the failures of its primaries are detected one after the other, and each
+/// replacement may have to wait for the leases of the zone's VMs. A database that becomes due
+/// meanwhile is therefore added to the tenure instead of waiting for the next one.
+#[derive(Debug, Default)]
+pub struct Tenure {
+    is_active: Cell<bool>,
+    /// Databases whose replacement hasn't begun yet.
+    due: RefCell<Vec<Due>>,
+    /// Databases of this tenure. Each is replaced once, so that another VM gets its turn if this one
+    /// can't.
+    databases: RefCell<HashSet<DatabaseName>>,
+    added: Notify,
+}
+
+impl Tenure {
+    /// Returns whether this VM holds the failover lease or tries to acquire it.
+    pub fn is_active(&self) -> bool {
+        self.is_active.get()
+    }
+
+    /// Acquires the failover lease, replaces the primaries that are due, and releases the lease.
+    pub fn begin(self: &Rc<Self>, node: &Rc<Node>, due: Vec<Due>) {
+        self.is_active.set(true);
+        self.add(due);
+        let (tenure, node) = (Rc::clone(self), Rc::clone(node));
+        tokio::task::spawn_local(async move {
+            tenure.hold(&node).await;
+            sleep(CLAIM_RETRY_DELAY).await;
+            tenure.due.borrow_mut().clear();
+            tenure.databases.borrow_mut().clear();
+            tenure.is_active.set(false);
+        });
+    }
+
+    /// Adds databases to the tenure, except those that it has replaced or replaces already.
+    pub fn add(&self, due: Vec<Due>) {
+        let mut databases = self.databases.borrow_mut();
+        let added = due.into_iter();
+        let added = added.filter(|(database, _)| databases.insert(database.clone()));
+        self.due.borrow_mut().extend(added);
+        self.added.notify_one();
+    }
+
+    async fn hold(&self, node: &Rc<Node>) {
+        let ttl = node.settings.failover_lease_ttl;
+        let timeline = node.adapter.store.timeline();
+        let granted = node.call(PlatformRequest::GrantLease { ttl }).await;
+        let Ok(PlatformResponse::Lease { lease, .. }) = granted else {
+            log::warn!("event=duty_lease_not_granted answer={granted:?}");
+            return;
+        };
+        if let Some(generation) = claim(node, lease).await {
+            log::info!(
+                "event=duty_taken generation={} databases={}",
+                generation.0,
+                self.due.borrow().len()
+            );
+            tokio::select! {
+                () = self.replace(node, generation) => {}
+                () = renew(node, lease) => log::warn!("event=duty_lost generation={}", generation.0),
+                // The lease may be lost, and its identifier granted to another VM.
+                () = node.adapter.store.wait_for_timeline_after(timeline) => {
+                    log::warn!("event=duty_outdated generation={}", generation.0);
+                    return;
+                }
+            }
+        }
+        if node.adapter.store.timeline() != timeline {
+            return;
+        }
+        if let Err(error) = node.call(PlatformRequest::Revoke { lease }).await {
+            log::warn!("event=duty_not_released lease={lease} error=\"{error}\"");
+        }
+    }
+
+    /// Replaces the primaries that are due, and those that become due meanwhile.
+    async fn replace(&self, node: &Rc<Node>, generation: Revision) {
+        let mut running = FuturesUnordered::new();
+        loop {
+            let due = std::mem::take(&mut *self.due.borrow_mut());
+            let started = due.into_iter().map(|(database, reason)| {
+                Takeover::run(Rc::clone(node), database, generation.0, reason)
+            });
+            running.extend(started);
+            tokio::select! {
+                ended = running.next() => {
+                    if ended.is_none() && self.due.borrow().is_empty() {
+                        return;
+                    }
+                }
+                () = self.added.notified() => {}
+            }
+        }
+    }
+}
+
+async fn claim(node: &Rc<Node>, lease: u64) -> Option<Revision> {
+    let holder = node.settings.vm.clone();
+    let value = serde_json::to_vec(&FailoverLeaseRecord { holder, lease }).ok()?;
+    let request = PlatformRequest::CompareAndSwap {
+        key: keys::FAILOVER_LEASE.to_owned(),
+        expected: Revision(0),
+        value: Some(value),
+        lease: Some(lease),
+    };
+    match node.call(request).await {
+        Ok(PlatformResponse::Swapped { revision }) => Some(revision),
+        Ok(PlatformResponse::Conflict {
+            current: Some(current),
+        }) => {
+            // This record may be newer than what the watch has delivered.
+            synchronization::apply(node, current);
+            let holder = node.state.borrow().failover_holder.clone();
+            log::info!("event=duty_not_taken holder={holder:?}");
+            None
+        }
+        response => {
+            log::info!("event=duty_not_taken answer={response:?}");
+            None
+        }
+    }
+}
+
+/// Renews the failover lease; returns once it has lapsed or can't be relied on any longer.
+async fn renew(node: &Rc<Node>, lease: u64) {
+    let ttl = node.settings.failover_lease_ttl;
+    let mut held_until = clock::now() + ttl / 2;
+    loop {
+        sleep(ttl / 5).await;
+        let sent_at = clock::now();
+        match node.call(PlatformRequest::KeepAlive { lease }).await {
+            Ok(PlatformResponse::Lease { .. }) => held_until = sent_at + ttl.mul_f64(0.8),
+            Ok(PlatformResponse::LeaseLapsed) => return,
+            response => log::warn!("event=duty_renewal_failed lease={lease} answer={response:?}"),
+        }
+        if clock::now() >= held_until {
+            return;
+        }
+    }
+}
