Create no pool while the state is being changed

Cause: the response to a save looked up the instance's pool while the state was borrowed for changes. If the instance's announcement had been removed while the save ran, the pool was created again, which reads the state: the process would have ended with a panic. Found by reading.

Change: the pool is looked up before.

--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -333,14 +333,15 @@
     if !target.is_primary {
         return;
     }
-    let mut state = node.state.borrow_mut();
-    let had_validity_lease = state.has_validity_lease(sent_at);
-    let known = state.database(&target.instance.database);
     let done = matches!(response.outcome, Outcome::Done(_));
     if context.access == Access::Write && !context.starts_transaction && done {
+        // The pool is created again, which reads the state, if the instance was removed meanwhile.
         node.pool(&target.instance)
             .record_health(|health, _| health.on_save(true));
     }
+    let mut state = node.state.borrow_mut();
+    let had_validity_lease = state.has_validity_lease(sent_at);
+    let known = state.database(&target.instance.database);
     if let Some(position) = response
         .position
         .filter(|_| had_validity_lease && leads(response))
