Compare instances by route, leave a contended primary, avoid herds

Cause: an instance's latency was a mean over routes whose statements differ by a factor of five; rejections and failures lowered it, so that an instance that rejected looked fast; a slow one decayed to 15 ms, whatever its route. Reads used the primary while its slots were needed, and all VMs chose the same instance by the same old view. Change: entry::latency keeps the usual time of each route and kind (a running median) and the slowdown of each instance against it, which rises with rejections and lost responses. The primary costs twice, and five times while statements wait for its slots, fill most of them, or were rejected within 500 ms. With no response for 200 ms, two candidates of similar cost are drawn and the cheaper one is taken.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -31,6 +31,7 @@
 pub mod health;
 pub mod instance;
 pub mod keys;
+pub mod latency;
 pub mod link;
 pub mod listener;
 pub mod node;
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -9,6 +9,7 @@
 use super::catalog::Route;
 use super::clock;
 use super::health::Health;
+use super::latency::StatementKind;
 use super::link::{LinkError, Setup};
 use super::node::Node;
 use super::pool::{Answer, LinkRequest, Pool, PooledLink};
@@ -62,6 +63,17 @@
     pub deadline: Instant,
 }
 
+impl StatementContext<'_> {
+    /// Returns the kind of the statement.
+    pub const fn kind(&self) -> StatementKind {
+        match (self.starts_transaction, self.access) {
+            (true, _) => StatementKind::Begin,
+            (false, Access::Write) => StatementKind::Save,
+            (false, Access::Read) => StatementKind::Read,
+        }
+    }
+}
+
 /// Response of an instance, with the connection that it was received on.
 #[derive(Debug)]
 pub struct Executed {
@@ -126,7 +138,7 @@
         };
         record_response(node, context, &target, &response, sent_at);
         let elapsed = clock::now().since(sent_at);
-        let answer = answer(context, &target, &response, elapsed);
+        let answer = answer(node, context, &target, &response, elapsed);
         pool.statement_answered(&answer);
         target::record_lag(node, &target, &answer);
         metrics().record_step(route, Step::Run, elapsed);
@@ -142,6 +154,7 @@
 }
 
 fn answer<'a>(
+    node: &Node,
     context: &'a StatementContext<'_>,
     target: &Target,
     response: &StatementResponse,
@@ -151,10 +164,19 @@
         Outcome::Done(_) => None,
         Outcome::Failed(failure) => Some(failure.kind),
     };
+    let route = &context.route.name;
+    let usual = match failure {
+        None => node
+            .route_times
+            .borrow_mut()
+            .record(route, context.kind(), taken),
+        Some(_) => node.route_times.borrow().usual(route, context.kind()),
+    };
     Answer {
-        route: &context.route.name,
+        route,
         workspace: context.workspace,
         taken,
+        usual,
         position: response.position,
         min_position: target.min_position,
         failure,
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -17,6 +17,7 @@
 use super::gateways::Gateways;
 use super::health::Verdict;
 use super::instance::{Change, Instance};
+use super::latency::RouteTimes;
 use super::pool::{Limits, Pool, Sharing};
 use super::settings::EntrySettings;
 use super::state::{State, StopPhase};
@@ -59,6 +60,8 @@
     pub sessions: Cell<usize>,
     /// Number of tasks running for other VMs.
     pub tasks: Cell<usize>,
+    /// Usual times of the routes' statements.
+    pub route_times: RefCell<RouteTimes>,
     pools: RefCell<HashMap<InstanceName, Rc<Pool>>>,
 }
 
@@ -80,6 +83,7 @@
             gateways: Gateways::default(),
             sessions: Cell::new(0),
             tasks: Cell::new(0),
+            route_times: RefCell::default(),
             pools: RefCell::default(),
         })
     }
@@ -269,6 +273,10 @@
             connections += pool.open();
         }
         metrics().set_open_counts(self.sessions.get(), connections);
+        if let Some(catalog) = self.catalog() {
+            let mut route_times = self.route_times.borrow_mut();
+            route_times.retain(catalog.routes.values().map(|route| &route.name));
+        }
     }
 
     fn limits(&self, instance: &Instance) -> Limits {
--- a/src/entry/placement.rs
+++ b/src/entry/placement.rs
@@ -9,7 +9,7 @@
 const CONNECT_COST: Duration = Duration::from_millis(15);
 
 /// Factor on the cost of the primary, because its slots are needed for saves.
-const PRIMARY_FACTOR: f64 = 1.5;
+const PRIMARY_FACTOR: f64 = 2.0;
 
 /// Longest time for which a read waits until a replica has reached its position, while the primary
 /// can run it.
@@ -22,14 +22,14 @@
 /// zones.
 const ZONE_COST: Duration = Duration::from_millis(4);
 
-/// Assumed time of a statement on an instance without recent measurements.
-const ASSUMED_LATENCY: Duration = Duration::from_millis(15);
+/// Factor on the cost of the primary while statements that need it wait or fill most of its slots.
+const CONTENDED_FACTOR: f64 = 5.0;
 
-/// Time in which the weight of a measured latency falls by half.
-const LATENCY_HALF_LIFE: Duration = Duration::from_secs(2);
+/// Time since the last response of an instance after which the view of it is old.
+const OLD_VIEW: Duration = Duration::from_millis(200);
 
-/// Weight of a new measurement in the mean.
-const LATENCY_GAIN: f64 = 0.2;
+/// Factor on the lowest cost, up to which candidates are drawn from if the view is old.
+const TIE_FACTOR: f64 = 1.3;
 
 /// Availability of a connection to an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -53,8 +53,14 @@
     pub load: u32,
     /// Availability of a connection.
     pub connection: Availability,
-    /// Expected time of one statement.
+    /// Expected time of the statement at the instance.
     pub latency: Duration,
+    /// Expected time of each other statement of this VM at the instance.
+    pub mean_latency: Duration,
+    /// Whether statements that need the primary wait for its slots or fill most of them.
+    pub is_contended: bool,
+    /// Time since the last response of the instance to this VM.
+    pub view_age: Duration,
     /// Expected time until the instance has reached the required position.
     pub lag_wait: Duration,
 }
@@ -73,10 +79,13 @@
 
 /// Returns the index of the candidate that is expected to complete a read at the lowest cost.
 ///
+/// If the view of that candidate is old, the other VMs may have chosen it too. Then two of those that
+/// cost about as much are drawn, by `random` from 0 to 1, and the cheaper one is taken.
+///
 /// # Errors
 ///
 /// Fails without candidates, and when none reaches the required position soon.
-pub fn choose(candidates: &[Candidate]) -> Result<usize> {
+pub fn choose(candidates: &[Candidate], random: f64) -> Result<usize> {
     let has_primary = candidates.iter().any(|candidate| candidate.is_primary);
     let max_wait = if has_primary {
         MAX_LAG_WAIT
@@ -85,10 +94,25 @@
     };
     let in_time = candidates.iter().enumerate();
     let in_time = in_time.filter(|(_, candidate)| candidate.lag_wait <= max_wait);
-    let costs = in_time.map(|(index, candidate)| (index, cost(candidate)));
-    let best = costs.min_by(|(_, a), (_, b)| a.total_cmp(b));
-    best.map(|(index, _)| index)
-        .ok_or_else(|| no_candidate(candidates))
+    let mut costs: Vec<_> = in_time
+        .map(|(index, candidate)| (cost(candidate), index))
+        .collect();
+    costs.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+    let Some((lowest, best)) = costs.first().copied() else {
+        return Err(no_candidate(candidates));
+    };
+    if candidates[best].view_age < OLD_VIEW {
+        return Ok(best);
+    }
+    costs.retain(|(cost, _)| *cost <= lowest * TIE_FACTOR);
+    Ok(costs[cheaper_of_two(costs.len(), random)].1)
+}
+
+/// Draws two of `count` places in the order of their costs, and returns the cheaper one.
+fn cheaper_of_two(count: usize, random: f64) -> usize {
+    let drawn = (random.clamp(0.0, 1.0) * (count * count) as f64) as usize;
+    let drawn = drawn.min(count * count - 1);
+    (drawn / count).min(drawn % count)
 }
 
 fn no_candidate(candidates: &[Candidate]) -> NoCandidate {
@@ -100,10 +124,12 @@
 
 fn cost(candidate: &Candidate) -> f64 {
     let latency = candidate.latency.as_secs_f64();
-    let mut cost = latency * f64::from(candidate.load + 1);
-    if candidate.is_primary {
-        cost *= PRIMARY_FACTOR;
-    }
+    let mut cost = latency + candidate.mean_latency.as_secs_f64() * f64::from(candidate.load);
+    cost *= match (candidate.is_primary, candidate.is_contended) {
+        (false, _) => 1.0,
+        (true, false) => PRIMARY_FACTOR,
+        (true, true) => CONTENDED_FACTOR,
+    };
     cost += candidate.lag_wait.as_secs_f64();
     if !candidate.is_same_zone {
         cost += ZONE_COST.as_secs_f64();
@@ -111,42 +137,7 @@
     cost + match candidate.connection {
         Availability::Idle => 0.0,
         Availability::NotOpen => CONNECT_COST.as_secs_f64(),
-        Availability::Exhausted => latency,
-    }
-}
-
-/// Moving average of the time of statements on one instance.
-#[derive(Debug, Clone, Copy)]
-pub struct Latency {
-    mean_s: f64,
-}
-
-impl Default for Latency {
-    fn default() -> Self {
-        Self {
-            mean_s: ASSUMED_LATENCY.as_secs_f64(),
-        }
-    }
-}
-
-impl Latency {
-    /// Adds a measurement to the mean.
-    pub fn record(&mut self, taken: Duration) {
-        self.mean_s += LATENCY_GAIN * (taken.as_secs_f64() - self.mean_s);
-    }
-
-    /// Moves the mean towards the assumed latency as time passes, so that an instance that was slow
-    /// is used again.
-    pub fn decay(&mut self, by: Duration) {
-        let half_lives = by.as_secs_f64() / LATENCY_HALF_LIFE.as_secs_f64();
-        let kept = 0.5_f64.powf(half_lives);
-        let assumed = ASSUMED_LATENCY.as_secs_f64();
-        self.mean_s = assumed + (self.mean_s - assumed) * kept;
-    }
-
-    /// Returns the expected time of one statement.
-    pub fn expected(&self) -> Duration {
-        Duration::from_secs_f64(self.mean_s.max(0.001))
+        Availability::Exhausted => candidate.mean_latency.as_secs_f64(),
     }
 }
 
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -11,8 +11,9 @@
 use super::clock;
 use super::health::{Health, Verdict};
 use super::instance::Instance;
+use super::latency::InstanceLatency;
 use super::link::{Link, LinkError, rejection};
-use super::placement::{Availability, Latency};
+use super::placement::Availability;
 use super::position::Position;
 use super::replica_lag::ReplicaLag;
 use super::slots::Slots;
@@ -37,6 +38,9 @@
 /// left: as long as the instance counts lost connections.
 const CROWDED_PERIOD: Duration = Duration::from_secs(3);
 
+/// Time after a rejection for lack of capacity for which an instance counts as contended.
+const CONTENDED_PERIOD: Duration = Duration::from_millis(500);
+
 /// Half-life of the uses counted for a workspace.
 const USES_HALF_LIFE: Duration = Duration::from_secs(5);
 
@@ -68,7 +72,9 @@
     open: Cell<usize>,
     full_at: Cell<Option<Instant>>,
     released: Notify,
-    latency: Cell<Latency>,
+    latency: Cell<InstanceLatency>,
+    answered_at: Cell<Option<Instant>>,
+    rejected_at: Cell<Option<Instant>>,
     position: Cell<Option<Position>>,
     lag: Cell<ReplicaLag>,
     in_flight: Cell<u32>,
@@ -85,6 +91,8 @@
     pub workspace: &'a WorkspaceName,
     /// Time from sending the statement to its response.
     pub taken: Duration,
+    /// Usual time of such statements, over all instances.
+    pub usual: Duration,
     /// Position that the instance reported.
     pub position: Option<Position>,
     /// Position that the statement required; `None` if it required none.
@@ -115,6 +123,8 @@
             full_at: Cell::new(None),
             released: Notify::new(),
             latency: Cell::default(),
+            answered_at: Cell::new(None),
+            rejected_at: Cell::new(None),
             position: Cell::new(None),
             lag: Cell::default(),
             in_flight: Cell::new(0),
@@ -124,7 +134,7 @@
     }
 
     /// Applies a new announcement of the instance. If its process, address or database changed,
-    /// idle connections are closed and position, lag and health are reset.
+    /// idle connections are closed and all measurements and the health are reset.
     pub fn update(&self, instance: &Rc<Instance>) {
         self.slots.set_count(instance.slots);
         let previous = self.instance.replace(Rc::clone(instance));
@@ -135,6 +145,9 @@
             self.close_idle();
             self.position.set(None);
             self.lag.take();
+            self.latency.take();
+            self.answered_at.take();
+            self.rejected_at.take();
             self.clear_health();
         }
     }
@@ -153,9 +166,7 @@
     /// Closes connections that exceeded the idle time limit, and decays measurements by the time
     /// elapsed.
     pub fn maintain(&self, elapsed: Duration) {
-        let mut latency = self.latency.get();
-        latency.decay(elapsed);
-        self.latency.set(latency);
+        self.update_latency(|latency| latency.decay(elapsed));
         self.update_lag(|lag| lag.decay(elapsed));
         let kept = 0.5_f64.powf(elapsed.as_secs_f64() / USES_HALF_LIFE.as_secs_f64());
         self.uses.borrow_mut().retain(|_, uses| {
@@ -185,9 +196,31 @@
         self.open.get()
     }
 
-    /// Returns the expected duration of a statement on the instance.
-    pub fn latency(&self) -> Duration {
-        self.latency.get().expected()
+    /// Returns the measured latency of the instance.
+    pub fn latency(&self) -> InstanceLatency {
+        self.latency.get()
+    }
+
+    fn update_latency(&self, update: impl FnOnce(&mut InstanceLatency)) {
+        let mut latency = self.latency.get();
+        update(&mut latency);
+        self.latency.set(latency);
+    }
+
+    /// Returns the time since the last response to a statement; `Duration::MAX` if there was none.
+    pub fn view_age(&self) -> Duration {
+        self.answered_at
+            .get()
+            .map_or(Duration::MAX, |at| at.elapsed())
+    }
+
+    /// Returns whether statements wait for the instance's slots or use most of them, or it rejected
+    /// one for lack of capacity lately: the load of other VMs shows only in rejections.
+    pub fn is_contended(&self) -> bool {
+        let rejected_at = self.rejected_at.get();
+        let rejected = rejected_at.is_some_and(|at| at.elapsed() < CONTENDED_PERIOD);
+        let most = (self.instance.borrow().slots * 3).div_ceil(4).max(1);
+        rejected || self.slots.waiting() > 0 || self.in_flight.get() >= most
     }
 
     /// Returns the last position that the instance reported, `None` if it is unknown.
@@ -259,9 +292,16 @@
     pub fn statement_answered(&self, answer: &Answer<'_>) {
         self.in_flight.set(self.in_flight.get().saturating_sub(1));
         self.record_health(Health::on_statement_response);
-        let mut latency = self.latency.get();
-        latency.record(answer.taken);
-        self.latency.set(latency);
+        self.answered_at.set(Some(Instant::now()));
+        match answer.failure {
+            None => self.update_latency(|latency| latency.record(answer.taken, answer.usual)),
+            Some(FailureKind::Busy) => {
+                self.rejected_at.set(Some(Instant::now()));
+                self.update_latency(InstanceLatency::record_rejection);
+            }
+            // Other failures are sent before the statement has run to its end, and tell no latency.
+            Some(_) => {}
+        }
         if answer.position.is_some() {
             self.position.set(answer.position);
         }
@@ -271,6 +311,7 @@
     pub fn statement_lost(&self) {
         self.in_flight.set(self.in_flight.get().saturating_sub(1));
         self.record_health(Health::on_statement_failed);
+        self.update_latency(InstanceLatency::record_loss);
     }
 
     /// Takes an idle connection that was opened for the workspace, or opens one.
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -142,7 +142,7 @@
         .collect();
     let freshness = freshness.filter(|_| has_validity_lease);
     let renewing = renewing_primary(node, context, freshness, &instances, &candidates);
-    let chosen = renewing.map_or_else(|| choose(&candidates), Ok);
+    let chosen = renewing.map_or_else(|| choose(&candidates, rand::random()), Ok);
     let index = chosen.map_err(|cause| match (cause, position) {
         (NoCandidate::Lagging { after }, _) => NoTarget::Lagging { after },
         (NoCandidate::Missing, _) if !tried.is_empty() => NoTarget::AllTried,
@@ -224,6 +224,9 @@
     is_primary: bool,
 ) -> Candidate {
     let pool = node.pool(instance);
+    let latency = pool.latency();
+    let route_times = node.route_times.borrow();
+    let usual = route_times.usual(&context.route.name, context.kind());
     let missing = need.filter(|need| pool.position().is_none_or(|at| at < need.position));
     let lag_wait = match missing {
         Some(need) if !is_primary => pool.lag().wait(need.age),
@@ -234,7 +237,10 @@
         is_same_zone: instance.availability_zone == node.settings.availability_zone,
         load: pool.load(),
         connection: pool.availability(context.workspace, claim(context, is_primary)),
-        latency: pool.latency(),
+        latency: latency.expected(usual),
+        mean_latency: latency.mean(),
+        is_contended: pool.is_contended(),
+        view_age: pool.view_age(),
         lag_wait,
     }
 }
