Eject outliers among the replicas of a database from reads

Cause: an instance that fails, hangs or slows part of its statements counted as healthy, because any response clears its failures. Change: entry::outlier keeps the shares of failed, hung and slow reads of each instance, compares them with the best peer and with the instance's own past, and needs evidence from several workspaces. entry::ejection takes reads from an outlier for 2 s, doubled with each further ejection up to 32 s, then gives it 5% of its reads for 1 s and a growing share for 4 s. At most a third of a database's instances are ejected, never a primary, and none if all look bad. Suspicion in entry::health and the replacement of primaries are unchanged.

--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -126,7 +126,7 @@
         let response = match result {
             Ok(response) => response,
             Err(error) => {
-                pool.statement_lost();
+                pool.statement_lost(context.kind(), context.workspace);
                 pooled.close();
                 record_missing_response(node, context, &target, &error);
                 if repeatable && Instant::now() < selection_deadline {
@@ -175,6 +175,7 @@
     Answer {
         route,
         workspace: context.workspace,
+        kind: context.kind(),
         taken,
         usual,
         position: response.position,
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -13,6 +13,7 @@
 use super::clock;
 use super::confirmation_tracker::ConfirmationTracker;
 use super::datagram::Outbox;
+use super::ejection;
 use super::follow::Progress;
 use super::gateways::Gateways;
 use super::health::Verdict;
@@ -272,6 +273,7 @@
             pool.maintain(elapsed);
             connections += pool.open();
         }
+        ejection::update(self, elapsed);
         metrics().set_open_counts(self.sessions.get(), connections);
         if let Some(catalog) = self.catalog() {
             let mut route_times = self.route_times.borrow_mut();
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -11,8 +11,9 @@
 use super::clock;
 use super::health::{Health, Verdict};
 use super::instance::Instance;
-use super::latency::InstanceLatency;
+use super::latency::{InstanceLatency, StatementKind};
 use super::link::{Link, LinkError, rejection};
+use super::outlier::{OutlierRecord, ReadOutcome};
 use super::placement::Availability;
 use super::position::Position;
 use super::replica_lag::ReplicaLag;
@@ -77,6 +78,7 @@
     rejected_at: Cell<Option<Instant>>,
     position: Cell<Option<Position>>,
     lag: Cell<ReplicaLag>,
+    outlier: RefCell<OutlierRecord>,
     in_flight: Cell<u32>,
     health: RefCell<Health>,
     became_unreachable: Notify,
@@ -89,6 +91,8 @@
     pub route: &'a RouteName,
     /// Workspace of the statement.
     pub workspace: &'a WorkspaceName,
+    /// Kind of the statement.
+    pub kind: StatementKind,
     /// Time from sending the statement to its response.
     pub taken: Duration,
     /// Usual time of such statements, over all instances.
@@ -127,6 +131,7 @@
             rejected_at: Cell::new(None),
             position: Cell::new(None),
             lag: Cell::default(),
+            outlier: RefCell::default(),
             in_flight: Cell::new(0),
             health: RefCell::default(),
             became_unreachable: Notify::new(),
@@ -145,6 +150,7 @@
             self.close_idle();
             self.position.set(None);
             self.lag.take();
+            self.outlier.take();
             self.latency.take();
             self.answered_at.take();
             self.rejected_at.take();
@@ -168,6 +174,7 @@
     pub fn maintain(&self, elapsed: Duration) {
         self.update_latency(|latency| latency.decay(elapsed));
         self.update_lag(|lag| lag.decay(elapsed));
+        self.outlier.borrow_mut().decay(elapsed, clock::now());
         let kept = 0.5_f64.powf(elapsed.as_secs_f64() / USES_HALF_LIFE.as_secs_f64());
         self.uses.borrow_mut().retain(|_, uses| {
             *uses *= kept;
@@ -302,13 +309,28 @@
             // Other failures are sent before the statement has run to its end, and tell no latency.
             Some(_) => {}
         }
+        if let Some(outcome) = outcome(answer) {
+            self.record_read(answer.kind, answer.workspace, outcome);
+        }
         if answer.position.is_some() {
             self.position.set(answer.position);
         }
     }
 
+    fn record_read(&self, kind: StatementKind, workspace: &WorkspaceName, outcome: ReadOutcome) {
+        if kind == StatementKind::Read {
+            self.outlier.borrow_mut().record(workspace, outcome);
+        }
+    }
+
+    /// Returns what is known of the instance's reads and ejections.
+    pub const fn outlier(&self) -> &RefCell<OutlierRecord> {
+        &self.outlier
+    }
+
     /// Records that the wait for the response to a statement ended without one.
-    pub fn statement_lost(&self) {
+    pub fn statement_lost(&self, kind: StatementKind, workspace: &WorkspaceName) {
+        self.record_read(kind, workspace, ReadOutcome::Failed);
         self.in_flight.set(self.in_flight.get().saturating_sub(1));
         self.record_health(Health::on_statement_failed);
         self.update_latency(InstanceLatency::record_loss);
@@ -456,6 +478,18 @@
     }
 }
 
+/// Returns what a response to a read shows about its instance; `None` for a rejection, which isn't a
+/// fault of it.
+fn outcome(answer: &Answer<'_>) -> Option<ReadOutcome> {
+    match answer.failure {
+        None => Some(ReadOutcome::of_completed(answer.taken, answer.usual)),
+        Some(
+            FailureKind::Failed | FailureKind::TimedOut | FailureKind::Unknown | FailureKind::Other,
+        ) => Some(ReadOutcome::Failed),
+        Some(_) => None,
+    }
+}
+
 impl PooledLink {
     /// Returns the connection itself.
     ///
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -130,6 +130,7 @@
         .in_database(&context.route.database)
         .filter(usable)
         .collect();
+    let instances = admitted(node, instances, &is_primary);
     let known = state.databases.get(&context.route.database);
     let freshness = known.map(|known| &known.freshness);
     let need = position.map(|position| Need {
@@ -162,6 +163,27 @@
     })
 }
 
+/// Removes the instances that are ejected as outliers, or return from it and don't get this read. If
+/// none is left, all remain.
+fn admitted<'a>(
+    node: &Node,
+    instances: Vec<&'a Rc<Instance>>,
+    is_primary: &dyn Fn(&Rc<Instance>) -> bool,
+) -> Vec<&'a Rc<Instance>> {
+    let now = clock::now();
+    let is_admitted = |instance: &&&Rc<Instance>| {
+        let pool = node.pool(instance);
+        let share = pool.outlier().borrow().admitted_share(now);
+        share >= 1.0 || is_primary(instance) || rand::random::<f64>() < share
+    };
+    let admitted: Vec<_> = instances.iter().filter(is_admitted).copied().collect();
+    if admitted.is_empty() {
+        instances
+    } else {
+        admitted
+    }
+}
+
 /// Position that a read must see.
 #[derive(Debug, Clone, Copy)]
 struct Need {
