Metrics and log events of placement

Cause: an operator couldn't see ejections, lag estimates, waits for lag, or why connections are opened. Change: counters currantlb.entry.connections_opened (reason) and currantlb.entry.ejections (database, symptom), histogram currantlb.entry.lag_wait (route), gauge currantlb.entry.replica_lag (instance); event replica_lag_changed when the estimate crosses 500 ms.

--- a/src/entry/ejection.rs
+++ b/src/entry/ejection.rs
@@ -10,6 +10,7 @@
 use super::node::Node;
 use super::outlier::{Member, find};
 use super::pool::Pool;
+use crate::telemetry::metrics::metrics;
 use crate::time::Timestamp;
 
 /// Ejects instances that have become outliers. `elapsed` is the time since the last call.
@@ -64,6 +65,7 @@
     drop(records);
     let ejection = pools[index].outlier().borrow_mut().eject(now);
     let instance = pools[index].instance();
+    metrics().count_ejection(&instance.database, symptom.to_string());
     log::warn!(
         "event=instance_ejected database={} instance={} symptom={symptom} share_percent={:.0} \
          for_ms={}",
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -237,6 +237,7 @@
             }
         };
         if !target.delay.is_zero() {
+            metrics().record_lag_wait(&context.route.name, target.delay);
             sleep(target.delay).await;
         }
         let pool = node.pool(&target.instance);
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -272,6 +272,10 @@
             pool.set_limits(self.limits(&pool.instance()));
             pool.maintain(elapsed);
             connections += pool.open();
+            let instance = pool.instance();
+            if !instance.is_primary {
+                metrics().set_replica_lag(&instance.name, pool.lag().estimate());
+            }
         }
         ejection::update(self, elapsed);
         metrics().set_open_counts(self.sessions.get(), connections);
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -20,6 +20,7 @@
 use super::slots::Slots;
 use super::statement::{FailureKind, Protocol};
 use crate::name::{RouteName, WorkspaceName};
+use crate::telemetry::metrics::{OpenReason, metrics};
 use crate::time::Timestamp;
 
 mod limits;
@@ -42,6 +43,9 @@
 /// Time after a rejection for lack of capacity for which an instance counts as contended.
 const CONTENDED_PERIOD: Duration = Duration::from_millis(500);
 
+/// Estimated lag from which a replica's lag is logged.
+const LONG_LAG: Duration = Duration::from_millis(500);
+
 /// Half-life of the uses counted for a workspace.
 const USES_HALF_LIFE: Duration = Duration::from_secs(5);
 
@@ -240,11 +244,21 @@
         self.lag.get()
     }
 
-    /// Changes the estimated lag.
+    /// Changes the estimated lag. Logs when it begins or ceases to be long.
     pub fn update_lag(&self, update: impl FnOnce(&mut ReplicaLag)) {
         let mut lag = self.lag.get();
+        let was_long = lag.estimate() >= LONG_LAG;
         update(&mut lag);
         self.lag.set(lag);
+        if was_long != (lag.estimate() >= LONG_LAG) {
+            let instance = self.instance.borrow();
+            log::info!(
+                "event=replica_lag_changed database={} instance={} lag_ms={}",
+                instance.database,
+                instance.name,
+                lag.estimate().as_millis()
+            );
+        }
     }
 
     /// Returns the number of statements that run on the instance or wait for one of its slots.
@@ -348,11 +362,11 @@
             if let Some(link) = self.take_idle(workspace) {
                 return Ok(self.pooled(link));
             }
-            if self.may_open(request.claim) || self.evict_idle() {
+            if let Some(reason) = self.make_room(request.claim) {
                 let until = request
                     .deadline
                     .min(Instant::now() + request.connect_timeout);
-                match self.connect(workspace, until).await {
+                match self.connect(workspace, reason, until).await {
                     Err(error) if rejection(&error) == Some(FailureKind::TooManyConnections) => {
                         self.full_at.set(Some(Instant::now()));
                     }
@@ -373,7 +387,7 @@
         workspace: &WorkspaceName,
         deadline: Instant,
     ) -> Result<PooledLink> {
-        self.connect(workspace, deadline).await
+        self.connect(workspace, OpenReason::Control, deadline).await
     }
 
     async fn wait_for_release(&self, deadline: Instant) -> Result<()> {
@@ -388,8 +402,10 @@
     async fn connect(
         self: &Rc<Self>,
         workspace: &WorkspaceName,
+        reason: OpenReason,
         deadline: Instant,
     ) -> Result<PooledLink> {
+        metrics().count_connection_opened(reason);
         self.open.set(self.open.get() + 1);
         let mut pooled = PooledLink {
             pool: Rc::clone(self),
@@ -420,6 +436,15 @@
         None
     }
 
+    /// Makes room for another connection, by closing an idle one if necessary. Returns why one is
+    /// opened; `None` if there is no room.
+    fn make_room(&self, claim: Claim) -> Option<OpenReason> {
+        if self.may_open(claim) {
+            return Some(OpenReason::NoneIdle);
+        }
+        self.evict_idle().then_some(OpenReason::Replaced)
+    }
+
     fn may_open(&self, claim: Claim) -> bool {
         let max_open = self.limits.get().max_open_for(claim);
         self.open.get() < max_open && !self.was_full_within(FULL_RETRY_DELAY)
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -11,7 +11,7 @@
 use strum::Display;
 
 use crate::configuration::RouteClass;
-use crate::name::{DatabaseName, RouteName, WorkspaceName};
+use crate::name::{DatabaseName, InstanceName, RouteName, WorkspaceName};
 use crate::traffic::RefusalReason;
 
 /// Upper bounds of the latency histograms, in seconds.
@@ -54,10 +54,32 @@
     store_calls: Counter<u64>,
     store_timelines: Counter<u64>,
     takeovers: Counter<u64>,
+    placement: PlacementMetrics,
     sessions: Gauge<u64>,
     connections: Gauge<u64>,
 }
 
+/// Instruments of the choice of instances and of the connections to them.
+#[derive(Debug)]
+struct PlacementMetrics {
+    connections_opened: Counter<u64>,
+    ejections: Counter<u64>,
+    lag_wait_seconds: Histogram<f64>,
+    replica_lag_seconds: Gauge<f64>,
+}
+
+/// Why a connection to an instance is opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum OpenReason {
+    /// None of the workspace's connections is idle, and there is room for another one.
+    NoneIdle,
+    /// None of the workspace's connections is idle; that of another workspace was closed.
+    Replaced,
+    /// A control command needs a connection.
+    Control,
+}
+
 /// Phase of the execution of a statement at an entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[strum(serialize_all = "snake_case")]
@@ -223,6 +245,39 @@
         self.entry.takeovers.add(1, &labels);
     }
 
+    /// Counts a connection to an instance that an entry opens.
+    pub fn count_connection_opened(&self, reason: OpenReason) {
+        let labels = [KeyValue::new("reason", reason.to_string())];
+        self.entry.placement.connections_opened.add(1, &labels);
+    }
+
+    /// Counts an instance that an entry ejects from reads, by symptom.
+    pub fn count_ejection(&self, database: &DatabaseName, symptom: String) {
+        let labels = [
+            KeyValue::new("database", database.to_string()),
+            KeyValue::new("symptom", symptom),
+        ];
+        self.entry.placement.ejections.add(1, &labels);
+    }
+
+    /// Records how long a read waits until a replica is expected to have reached its position.
+    pub fn record_lag_wait(&self, route: &RouteName, wait: Duration) {
+        let labels = [KeyValue::new("route", route.to_string())];
+        self.entry
+            .placement
+            .lag_wait_seconds
+            .record(wait.as_secs_f64(), &labels);
+    }
+
+    /// Sets the estimated lag of a replica.
+    pub fn set_replica_lag(&self, instance: &InstanceName, lag: Duration) {
+        let labels = [KeyValue::new("instance", instance.to_string())];
+        self.entry
+            .placement
+            .replica_lag_seconds
+            .record(lag.as_secs_f64(), &labels);
+    }
+
     /// Sets the number of connected callers and of open connections to instances.
     pub fn set_open_counts(&self, sessions: usize, connections: usize) {
         self.entry.sessions.record(sessions as u64, &[]);
@@ -274,6 +329,7 @@
                 "currantlb.entry.takeovers",
                 "Replacements of primaries by this VM, by reason",
             ),
+            placement: PlacementMetrics::new(meter),
             sessions: meter
                 .u64_gauge("currantlb.entry.sessions")
                 .with_description("Callers connected")
@@ -286,6 +342,33 @@
     }
 }
 
+impl PlacementMetrics {
+    fn new(meter: &Meter) -> Self {
+        Self {
+            connections_opened: counter(
+                meter,
+                "currantlb.entry.connections_opened",
+                "Connections to instances opened, by reason",
+            ),
+            ejections: counter(
+                meter,
+                "currantlb.entry.ejections",
+                "Ejections of instances from reads, by database and symptom",
+            ),
+            lag_wait_seconds: histogram(
+                meter,
+                "currantlb.entry.lag_wait",
+                "Time that a read waits for a replica to reach its position, by route",
+            ),
+            replica_lag_seconds: meter
+                .f64_gauge("currantlb.entry.replica_lag")
+                .with_description("Estimated lag of a replica")
+                .with_unit("s")
+                .build(),
+        }
+    }
+}
+
 fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
     meter
         .u64_counter(name)
