--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -9,6 +9,7 @@
 use super::catalog::Route;
 use super::clock;
 use super::health::Health;
+use super::latency::StatementKind;
 use super::link::{LinkError, Setup};
 use super::node::Node;
 use super::pool::{Answer, LinkRequest, Pool, PooledLink};
@@ -67,6 +68,17 @@
     pub deadline: Instant,
 }
 
+impl StatementContext<'_> {
+    /// Returns the kind of the statement.
+    pub const fn kind(&self) -> StatementKind {
+        match (self.starts_transaction, self.access) {
+            (true, _) => StatementKind::Begin,
+            (false, Access::Write) => StatementKind::Save,
+            (false, Access::Read) => StatementKind::Read,
+        }
+    }
+}
+
 /// Response of an instance, with the connection that it was received on.
 #[derive(Debug)]
 pub struct Executed {
@@ -138,7 +150,7 @@
         let response = match result {
             Ok(response) => response,
             Err(error) => {
-                pool.statement_lost();
+                pool.statement_lost(context.kind(), context.workspace);
                 pooled.close();
                 record_missing_response(node, context, &target, &error);
                 let failure = missing_response_failure(context, command, &error);
@@ -153,7 +165,7 @@
         };
         record_response(node, context, &target, &response, sent_at);
         let elapsed = clock::now().since(sent_at);
-        let answer = answer(context, &target, &response, elapsed);
+        let answer = answer(node, context, &target, &response, elapsed);
         pool.statement_answered(&answer);
         target::record_lag(node, &target, &answer);
         metrics().record_step(route, Step::Run, elapsed);
@@ -180,6 +192,7 @@
 }
 
 fn answer<'a>(
+    node: &Node,
     context: &'a StatementContext<'_>,
     target: &Target,
     response: &StatementResponse,
@@ -189,10 +202,20 @@
         Outcome::Done(_) => None,
         Outcome::Failed(failure) => Some(failure.kind),
     };
+    let route = &context.route.name;
+    let usual = match failure {
+        None => node
+            .route_times
+            .borrow_mut()
+            .record(route, context.kind(), taken),
+        Some(_) => node.route_times.borrow().usual(route, context.kind()),
+    };
     Answer {
-        route: &context.route.name,
+        route,
         workspace: context.workspace,
+        kind: context.kind(),
         taken,
+        usual,
         position: response.position,
         min_position: target.min_position,
         failure,
@@ -253,12 +276,13 @@
             }
         };
         if !target.delay.is_zero() {
+            metrics().record_lag_wait(&context.route.name, target.delay);
             sleep(target.delay).await;
         }
         let pool = node.pool(&target.instance);
         let request = slot_request(node, context, due);
         let may_leave = target::may_leave(context, &target);
-        let slot = match take_slot(&pool, &request, may_leave).await {
+        let mut slot = match take_slot(&pool, &request, may_leave).await {
             Ok(slot) => slot,
             Err(_) if may_leave && tried.len() < MAX_FULL_INSTANCES => {
                 tried.push(target.instance.name.clone());
@@ -278,6 +302,7 @@
         let taken = pool.take(&link_request).await;
         match taken {
             Ok(pooled) if target::is_still_valid(node, context, &target) => {
+                slot.set_connected();
                 return Ok((target, slot, pooled));
             }
             Ok(_) => {}
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -13,12 +13,14 @@
 use super::confirmation_tracker::ConfirmationTracker;
 use super::connections::Connections;
 use super::datagram::Outbox;
+use super::ejection;
 use super::follow::Progress;
 use super::gateways::Gateways;
 use super::health::Verdict;
 use super::idle_transactions::IdleTransactions;
 use super::input_budget::InputLimits;
 use super::instance::{Change, Instance};
+use super::latency::RouteTimes;
 use super::limiter::Limiter;
 use super::pool::{Limits, Pool, Sharing};
 use super::quota::Quota;
@@ -68,6 +70,8 @@
     pub tasks: Cell<usize>,
     /// Open transactions whose callers are between two statements.
     pub idle_transactions: IdleTransactions,
+    /// Usual times of the routes' statements.
+    pub route_times: RefCell<RouteTimes>,
     pools: RefCell<HashMap<InstanceName, Rc<Pool>>>,
 }
 
@@ -100,6 +104,7 @@
             sessions: Cell::new(0),
             tasks: Cell::new(0),
             idle_transactions: IdleTransactions::default(),
+            route_times: RefCell::default(),
             pools: RefCell::default(),
         })
     }
@@ -268,9 +273,18 @@
             self.update_warmth(&pool);
             pool.maintain(elapsed);
             connections += pool.open();
+            let instance = pool.instance();
+            if !instance.is_primary {
+                metrics().set_replica_lag(&instance.name, pool.lag().estimate());
+            }
         }
+        ejection::update(self, elapsed);
         metrics().set_open_counts(self.sessions.get(), connections);
         metrics().set_pending_input(self.connections.pending_bytes());
+        if let Some(catalog) = self.catalog() {
+            let mut route_times = self.route_times.borrow_mut();
+            route_times.retain(catalog.routes.values().map(|route| &route.name));
+        }
     }
 
     /// Applies to a pool how far its instance may be used now: fewer slots while it is cold, or after
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -150,6 +150,7 @@
         .in_database(&context.route.database)
         .filter(usable)
         .collect();
+    let instances = admitted(node, instances, &is_primary);
     let known = state.databases.get(&context.route.database);
     let freshness = known.map(|known| &known.freshness);
     let need = position.map(|position| Need {
@@ -162,7 +163,7 @@
         .collect();
     let freshness = freshness.filter(|_| has_validity_lease);
     let renewing = renewing_primary(node, context, freshness, &instances, &candidates);
-    let chosen = renewing.map_or_else(|| choose(&candidates), Ok);
+    let chosen = renewing.map_or_else(|| choose(&candidates, rand::random()), Ok);
     let index = chosen.map_err(|cause| match (cause, position) {
         (NoCandidate::Lagging { after }, _) => NoTarget::Lagging { after },
         (NoCandidate::Missing, _) if !tried.is_empty() => NoTarget::AllTried,
@@ -182,6 +183,27 @@
     })
 }
 
+/// Removes the instances that are ejected as outliers, or return from it and don't get this read. If
+/// none is left, all remain.
+fn admitted<'a>(
+    node: &Node,
+    instances: Vec<&'a Rc<Instance>>,
+    is_primary: &dyn Fn(&Rc<Instance>) -> bool,
+) -> Vec<&'a Rc<Instance>> {
+    let now = clock::now();
+    let is_admitted = |instance: &&&Rc<Instance>| {
+        let pool = node.pool(instance);
+        let share = pool.outlier().borrow().admitted_share(now);
+        share >= 1.0 || is_primary(instance) || rand::random::<f64>() < share
+    };
+    let admitted: Vec<_> = instances.iter().filter(is_admitted).copied().collect();
+    if admitted.is_empty() {
+        instances
+    } else {
+        admitted
+    }
+}
+
 /// Position that a read must see.
 #[derive(Debug, Clone, Copy)]
 struct Need {
@@ -251,6 +273,9 @@
     is_primary: bool,
 ) -> Candidate {
     let pool = node.pool(instance);
+    let latency = pool.latency();
+    let route_times = node.route_times.borrow();
+    let usual = route_times.usual(&context.route.name, context.kind());
     let missing = need.filter(|need| pool.position().is_none_or(|at| at < need.position));
     let lag_wait = match missing {
         Some(need) if !is_primary => pool.lag().wait(need.age),
@@ -261,7 +286,10 @@
         is_same_zone: instance.availability_zone == node.settings.availability_zone,
         load: pool.load(),
         connection: pool.availability(context.workspace, claim(context, is_primary)),
-        latency: pool.latency(),
+        latency: latency.expected(usual),
+        mean_latency: latency.mean(),
+        is_contended: pool.is_contended(),
+        view_age: pool.view_age(),
         lag_wait,
     }
 }
