Uneven VMs: work follows the delay of a VM's own event loop

Cause: VMs of 0.084 core get as many callers and tasks as those of 0.5, and a VM that turns several times slower keeps its share.

Change: entry::overload, a pure module, averages how late the event loop comes to a tick. From a quarter of the smallest latency objective on, a gateway declines an eighth of the tasks that could still run elsewhere, a quarter while statements wait at it; never those of open transactions, nor tasks that no other gateway took. Metrics of protection have a struct of their own.

Result: tables of entry::overload and entry::withdrawal, the latter over ten minutes of ticks.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -36,6 +36,7 @@
 pub mod link;
 pub mod listener;
 pub mod node;
+pub mod overload;
 pub mod peers;
 pub mod placement;
 pub mod pool;
@@ -63,6 +64,7 @@
 pub mod task;
 pub mod transaction;
 pub mod validity;
+pub mod withdrawal;
 pub mod worker;
 
 pub use adapter::Adapter;
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -19,6 +19,7 @@
 use super::health::Verdict;
 use super::input_budget::InputLimits;
 use super::instance::{Change, Instance};
+use super::overload::{Load, Overload};
 use super::pool::{Limits, Pool};
 use super::settings::EntrySettings;
 use super::state::{State, StopPhase};
@@ -57,6 +58,8 @@
     pub sessions_must_move: Notify,
     /// Gateways that this VM forwards to.
     pub gateways: Gateways,
+    /// Load of this VM, by its own measurements.
+    pub overload: RefCell<Overload>,
     /// Connections of callers and other VMs.
     pub connections: Rc<Connections>,
     /// Number of connected callers.
@@ -73,6 +76,7 @@
         Rc::new(Self {
             settings,
             adapter,
+            overload: RefCell::default(),
             connections: Connections::new(limits),
             state: RefCell::default(),
             changed: Notify::new(),
@@ -92,6 +96,11 @@
 
     /// Returns whether the balancer should send callers here.
     pub fn is_ready(&self) -> bool {
+        self.can_serve() && !self.overload.borrow().is_withdrawn()
+    }
+
+    /// Returns whether this VM can serve callers, and isn't stopping.
+    fn can_serve(&self) -> bool {
         let state = self.state.borrow();
         let now = clock::now();
         let can_serve = if state.gateway {
@@ -106,7 +115,8 @@
     /// once the balancer has had time to detect it, so that callers aren't sent back here.
     pub fn shed_if_isolated(&self) {
         let now = clock::now();
-        let ready = self.is_ready();
+        // The sessions of an overloaded VM stay: others may be no better off.
+        let ready = self.can_serve();
         let mut state = self.state.borrow_mut();
         if ready || state.stop != StopPhase::Running {
             state.unready_since = None;
@@ -161,6 +171,35 @@
         state.has_initial_data(clock::now()) || (state.catalog.is_some() && forwards())
     }
 
+    /// Takes a measurement of this VM's own load into account. `loop_delay` tells how much later than
+    /// due the event loop came to it.
+    pub fn observe_load(&self, loop_delay: Duration) {
+        let waiting = self.pools().iter().map(|pool| pool.slots().waiting()).sum();
+        let catalog = self.catalog();
+        let routes = catalog.iter().flat_map(|catalog| catalog.routes.values());
+        let load = Load {
+            loop_delay,
+            waiting,
+            objective: routes.map(|route| route.latency_objective).min(),
+            can_serve: self.can_serve(),
+            only_forwards: !self.state.borrow().gateway,
+        };
+        let mut overload = self.overload.borrow_mut();
+        let (was_overloaded, was_withdrawn) = (overload.is_overloaded(), overload.is_withdrawn());
+        overload.observe(&load, clock::now());
+        metrics().set_loop_delay(overload.loop_delay());
+        let loop_delay_ms = overload.loop_delay().as_millis();
+        let (is_overloaded, is_withdrawn) = (overload.is_overloaded(), overload.is_withdrawn());
+        if is_overloaded != was_overloaded {
+            let event = ["overload_ended", "overload_started"][usize::from(is_overloaded)];
+            log::info!("event={event} loop_delay_ms={loop_delay_ms} waiting={waiting}");
+        }
+        if is_withdrawn != was_withdrawn {
+            let event = ["readiness_restored", "readiness_withdrawn"][usize::from(is_withdrawn)];
+            log::info!("event={event} loop_delay_ms={loop_delay_ms}");
+        }
+    }
+
     /// Recomputes this VM's share of the workspaces' limits. Does nothing unless this VM is a
     /// gateway.
     pub fn divide_limits(&self) {
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -16,6 +16,7 @@
 use super::state::StopPhase;
 use super::task::{Action, Reply, Task};
 use super::worker::Worker;
+use crate::telemetry::metrics::metrics;
 
 /// Idle time after which a connection is closed. It is longer than the idle time limit at the other
 /// end, so that the requesting VM closes first.
@@ -124,7 +125,14 @@
 async fn run_task(node: &Rc<Node>, worker: &mut Worker, task: &Task, force: bool) -> PeerResponse {
     let in_transaction = worker.is_open() || matches!(task.action, Action::InTransaction(_));
     let is_closing = node.state.borrow().stop == StopPhase::Closing;
-    if !in_transaction && (is_closing || !force && !accepts_tasks(node)) {
+    let may_decline = !in_transaction && !force;
+    let is_unable = may_decline && !accepts_tasks(node);
+    if is_unable || (is_closing && !in_transaction) {
+        metrics().count_declined_task("unable");
+        return PeerResponse::Declined;
+    }
+    if may_decline && node.overload.borrow_mut().declines_task() {
+        metrics().count_declined_task("overloaded");
         return PeerResponse::Declined;
     }
     if is_closing {
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -7,7 +7,7 @@
 use futures::future::LocalBoxFuture;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep_until};
 
 use super::failover::FailoverMonitor;
 use super::node::Node;
@@ -100,7 +100,9 @@
     let monitor = Rc::new(FailoverMonitor::default());
     let mut undersized_since = directory::UndersizedSince::new();
     loop {
-        sleep(node.settings.tick).await;
+        let due_at = Instant::now() + node.settings.tick;
+        sleep_until(due_at).await;
+        node.observe_load(due_at.elapsed());
         directory::remove_missing(&node, &mut undersized_since);
         monitor.tick(&node);
         node.divide_limits();
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -42,6 +42,7 @@
     failover_gap_seconds: Histogram<f64>,
     gate_seconds: Histogram<f64>,
     entry: EntryMetrics,
+    protection: ProtectionMetrics,
 }
 
 /// Instruments of an entry, which serves the callers connected to this VM.
@@ -54,11 +55,18 @@
     store_calls: Counter<u64>,
     store_timelines: Counter<u64>,
     takeovers: Counter<u64>,
+    sessions: Gauge<u64>,
+    connections: Gauge<u64>,
+}
+
+/// Instruments of what protects a VM from its peers, from its own load and from errors.
+#[derive(Debug)]
+struct ProtectionMetrics {
     task_failures: Counter<u64>,
     closed_connections: Counter<u64>,
     pending_input_bytes: Gauge<u64>,
-    sessions: Gauge<u64>,
-    connections: Gauge<u64>,
+    declined_tasks: Counter<u64>,
+    loop_delay_seconds: Gauge<f64>,
 }
 
 /// Phase of the execution of a statement at an entry.
@@ -126,6 +134,7 @@
                 "Time that answers of saves waited for a second instance",
             ),
             entry: EntryMetrics::new(&meter),
+            protection: ProtectionMetrics::new(&meter),
             _provider: provider,
         }
     }
@@ -229,18 +238,33 @@
     /// Counts a panic of a background task, which is then started anew.
     pub fn count_task_failure(&self, task: &'static str) {
         let labels = [KeyValue::new("task", task)];
-        self.entry.task_failures.add(1, &labels);
+        self.protection.task_failures.add(1, &labels);
     }
 
     /// Counts a connection that was closed because it cost too much, by the bound it exceeded.
     pub fn count_closed_connection(&self, cause: &'static str) {
         let labels = [KeyValue::new("cause", cause)];
-        self.entry.closed_connections.add(1, &labels);
+        self.protection.closed_connections.add(1, &labels);
     }
 
     /// Sets the bytes of incomplete messages that callers and other VMs have sent.
     pub fn set_pending_input(&self, bytes: usize) {
-        self.entry.pending_input_bytes.record(bytes as u64, &[]);
+        self.protection
+            .pending_input_bytes
+            .record(bytes as u64, &[]);
+    }
+
+    /// Counts a task of another VM that this VM declined, by reason.
+    pub fn count_declined_task(&self, reason: &'static str) {
+        let labels = [KeyValue::new("reason", reason)];
+        self.protection.declined_tasks.add(1, &labels);
+    }
+
+    /// Sets the average delay of the event loop.
+    pub fn set_loop_delay(&self, delay: Duration) {
+        self.protection
+            .loop_delay_seconds
+            .record(delay.as_secs_f64(), &[]);
     }
 
     /// Sets the number of connected callers and of open connections to instances.
@@ -294,6 +318,21 @@
                 "currantlb.entry.takeovers",
                 "Replacements of primaries by this VM, by reason",
             ),
+            sessions: meter
+                .u64_gauge("currantlb.entry.sessions")
+                .with_description("Callers connected")
+                .build(),
+            connections: meter
+                .u64_gauge("currantlb.entry.connections")
+                .with_description("Connections to instances")
+                .build(),
+        }
+    }
+}
+
+impl ProtectionMetrics {
+    fn new(meter: &Meter) -> Self {
+        Self {
             task_failures: counter(
                 meter,
                 "currantlb.entry.task_failures",
@@ -308,13 +347,15 @@
                 .u64_gauge("currantlb.entry.pending_input_bytes")
                 .with_description("Bytes of incomplete messages of callers and other VMs")
                 .build(),
-            sessions: meter
-                .u64_gauge("currantlb.entry.sessions")
-                .with_description("Callers connected")
-                .build(),
-            connections: meter
-                .u64_gauge("currantlb.entry.connections")
-                .with_description("Connections to instances")
+            declined_tasks: counter(
+                meter,
+                "currantlb.entry.declined_tasks",
+                "Tasks of other VMs that this VM declined, by reason",
+            ),
+            loop_delay_seconds: meter
+                .f64_gauge("currantlb.entry.loop_delay")
+                .with_description("Average delay of the event loop")
+                .with_unit("s")
                 .build(),
         }
     }
