Move the measurement of load and the counting guard out of node.rs

Change: service.rs measures the load at its tick; counted.rs holds the guard that counts sessions and tasks. No change of behaviour.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -17,6 +17,7 @@
 pub mod confirmation_tracker;
 pub mod connections;
 pub mod control;
+pub mod counted;
 pub mod datagram;
 pub mod directory;
 pub mod discovery;
--- a/src/entry/listener.rs
+++ b/src/entry/listener.rs
@@ -12,8 +12,9 @@
 
 use super::clock;
 use super::connections::Tracked;
+use super::counted::Counted;
 use super::input_budget::{Cause, Peer};
-use super::node::{Counted, Node};
+use super::node::Node;
 use super::session::Session;
 use super::state::StopPhase;
 use super::statement::{CallerMessage, SessionState, StatementResponse};
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -19,7 +19,7 @@
 use super::health::Verdict;
 use super::input_budget::InputLimits;
 use super::instance::{Change, Instance};
-use super::overload::{Load, Overload};
+use super::overload::Overload;
 use super::pool::{Limits, Pool};
 use super::settings::EntrySettings;
 use super::state::{State, StopPhase};
@@ -100,7 +100,7 @@
     }
 
     /// Returns whether this VM can serve callers, and isn't stopping.
-    fn can_serve(&self) -> bool {
+    pub fn can_serve(&self) -> bool {
         let state = self.state.borrow();
         let now = clock::now();
         let can_serve = if state.gateway {
@@ -171,35 +171,6 @@
         state.has_initial_data(clock::now()) || (state.catalog.is_some() && forwards())
     }
 
-    /// Takes a measurement of this VM's own load into account. `loop_delay` tells how much later than
-    /// due the event loop came to it.
-    pub fn observe_load(&self, loop_delay: Duration) {
-        let waiting = self.pools().iter().map(|pool| pool.slots().waiting()).sum();
-        let catalog = self.catalog();
-        let routes = catalog.iter().flat_map(|catalog| catalog.routes.values());
-        let load = Load {
-            loop_delay,
-            waiting,
-            objective: routes.map(|route| route.latency_objective).min(),
-            can_serve: self.can_serve(),
-            only_forwards: !self.state.borrow().gateway,
-        };
-        let mut overload = self.overload.borrow_mut();
-        let (was_overloaded, was_withdrawn) = (overload.is_overloaded(), overload.is_withdrawn());
-        overload.observe(&load, clock::now());
-        metrics().set_loop_delay(overload.loop_delay());
-        let loop_delay_ms = overload.loop_delay().as_millis();
-        let (is_overloaded, is_withdrawn) = (overload.is_overloaded(), overload.is_withdrawn());
-        if is_overloaded != was_overloaded {
-            let event = ["overload_ended", "overload_started"][usize::from(is_overloaded)];
-            log::info!("event={event} loop_delay_ms={loop_delay_ms} waiting={waiting}");
-        }
-        if is_withdrawn != was_withdrawn {
-            let event = ["readiness_restored", "readiness_withdrawn"][usize::from(is_withdrawn)];
-            log::info!("event={event} loop_delay_ms={loop_delay_ms}");
-        }
-    }
-
     /// Recomputes this VM's share of the workspaces' limits. Does nothing unless this VM is a
     /// gateway.
     pub fn divide_limits(&self) {
@@ -326,29 +297,6 @@
     }
 }
 
-/// Counts a session or the work of another VM for as long as it exists, also when a fault ends it.
-#[derive(Debug)]
-pub struct Counted {
-    node: Rc<Node>,
-    counter: fn(&Node) -> &Cell<usize>,
-}
-
-impl Counted {
-    /// Counts one more.
-    pub fn new(node: Rc<Node>, counter: fn(&Node) -> &Cell<usize>) -> Self {
-        let count = counter(&node);
-        count.set(count.get() + 1);
-        Self { node, counter }
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        let count = (self.counter)(&self.node);
-        count.set(count.get().saturating_sub(1));
-    }
-}
-
 fn kind(request: &PlatformRequest) -> &'static str {
     match request {
         PlatformRequest::Get { .. } => "get",
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
@@ -9,12 +10,15 @@
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep_until};
 
+use super::clock;
 use super::failover::FailoverMonitor;
 use super::node::Node;
+use super::overload::Load;
 use super::peers::Peers;
 use super::{
     directory, discovery, listener, registration, relay, restoration, supervision, synchronization,
 };
+use crate::telemetry::metrics::metrics;
 
 /// Result of starting an entry.
 pub type Result<T, E = StartError> = std::result::Result<T, E>;
@@ -102,7 +106,7 @@
     loop {
         let due_at = Instant::now() + node.settings.tick;
         sleep_until(due_at).await;
-        node.observe_load(due_at.elapsed());
+        observe_load(&node, due_at.elapsed());
         directory::remove_missing(&node, &mut undersized_since);
         monitor.tick(&node);
         node.divide_limits();
@@ -111,3 +115,32 @@
         node.shed_if_isolated();
     }
 }
+
+/// Takes a measurement of this VM's own load into account. `loop_delay` tells how much later than
+/// due the event loop came to it.
+fn observe_load(node: &Node, loop_delay: Duration) {
+    let waiting = node.pools().iter().map(|pool| pool.slots().waiting()).sum();
+    let catalog = node.catalog();
+    let routes = catalog.iter().flat_map(|catalog| catalog.routes.values());
+    let load = Load {
+        loop_delay,
+        waiting,
+        objective: routes.map(|route| route.latency_objective).min(),
+        can_serve: node.can_serve(),
+        only_forwards: !node.state.borrow().gateway,
+    };
+    let mut overload = node.overload.borrow_mut();
+    let (was_overloaded, was_withdrawn) = (overload.is_overloaded(), overload.is_withdrawn());
+    overload.observe(&load, clock::now());
+    metrics().set_loop_delay(overload.loop_delay());
+    let loop_delay_ms = overload.loop_delay().as_millis();
+    let (is_overloaded, is_withdrawn) = (overload.is_overloaded(), overload.is_withdrawn());
+    if is_overloaded != was_overloaded {
+        let event = ["overload_ended", "overload_started"][usize::from(is_overloaded)];
+        log::info!("event={event} loop_delay_ms={loop_delay_ms} waiting={waiting}");
+    }
+    if is_withdrawn != was_withdrawn {
+        let event = ["readiness_restored", "readiness_withdrawn"][usize::from(is_withdrawn)];
+        log::info!("event={event} loop_delay_ms={loop_delay_ms}");
+    }
+}
