--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -22,6 +22,7 @@
 use super::instance::{Change, Instance};
 use super::latency::RouteTimes;
 use super::limiter::Limiter;
+use super::overload::Overload;
 use super::pool::{Limits, Pool, Sharing};
 use super::quota::Quota;
 use super::settings::EntrySettings;
@@ -62,6 +63,8 @@
     pub sessions_must_move: Notify,
     /// Gateways that this VM forwards to.
     pub gateways: Gateways,
+    /// Load of this VM, by its own measurements.
+    pub overload: RefCell<Overload>,
     /// Connections of callers and other VMs.
     pub connections: Rc<Connections>,
     /// Number of connected callers.
@@ -90,6 +93,7 @@
         Rc::new(Self {
             settings,
             adapter,
+            overload: RefCell::default(),
             connections: Connections::new(input_limits),
             state: RefCell::new(state),
             changed: Notify::new(),
@@ -111,6 +115,11 @@
 
     /// Returns whether the balancer should send callers here.
     pub fn is_ready(&self) -> bool {
+        self.can_serve() && !self.overload.borrow().is_withdrawn()
+    }
+
+    /// Returns whether this VM can serve callers, and isn't stopping.
+    pub fn can_serve(&self) -> bool {
         let state = self.state.borrow();
         let now = clock::now();
         let can_serve = if state.gateway {
@@ -125,7 +134,8 @@
     /// once the balancer has had time to detect it, so that callers aren't sent back here.
     pub fn shed_if_isolated(&self) {
         let now = clock::now();
-        let ready = self.is_ready();
+        // The sessions of an overloaded VM stay: others may be no better off.
+        let ready = self.can_serve();
         let mut state = self.state.borrow_mut();
         if ready || state.stop != StopPhase::Running {
             state.unready_since = None;
@@ -323,29 +333,6 @@
     }
 }
 
-/// Counts a session or the work of another VM for as long as it exists, also when a fault ends it.
-#[derive(Debug)]
-pub struct Counted {
-    node: Rc<Node>,
-    counter: fn(&Node) -> &Cell<usize>,
-}
-
-impl Counted {
-    /// Counts one more.
-    pub fn new(node: Rc<Node>, counter: fn(&Node) -> &Cell<usize>) -> Self {
-        let count = counter(&node);
-        count.set(count.get() + 1);
-        Self { node, counter }
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        let count = (self.counter)(&self.node);
-        count.set(count.get().saturating_sub(1));
-    }
-}
-
 fn kind(request: &PlatformRequest) -> &'static str {
     match request {
         PlatformRequest::Get { .. } => "get",
