--- a/src/entry/limiter.rs
+++ b/src/entry/limiter.rs
@@ -211,11 +211,10 @@
             counts.handed_over
         );
     }
-    if counts.fallbacks_started + counts.fallbacks_ended > 0 {
+    if counts.fallbacks_started > 0 {
         log::warn!(
-            "event=limit_fallback_changed started={} ended={}",
-            counts.fallbacks_started,
-            counts.fallbacks_ended
+            "event=limit_fallback_started workspaces={}",
+            counts.fallbacks_started
         );
     }
 }
--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -83,8 +83,6 @@
     pub handed_over: usize,
     /// Workspaces whose fallback share came into use.
     pub fallbacks_started: usize,
-    /// Workspaces whose owner granted tokens again, or which nobody uses any more.
-    pub fallbacks_ended: usize,
 }
 
 #[derive(Debug)]
@@ -114,6 +112,8 @@
     is_leaving: bool,
     must_reassign: bool,
     announces_fallback: bool,
+    /// Part of the limits of which this VM may use its share without the owners.
+    fallback_factor: Option<f64>,
     counts: Counts,
 }
 
@@ -146,6 +146,7 @@
             is_leaving: false,
             must_reassign: false,
             announces_fallback: false,
+            fallback_factor: None,
             counts: Counts::default(),
         }
     }
@@ -216,23 +217,15 @@
             .retain(|nonce, _| is_recent(nonce) < RESPONSE_RETENTION);
         let mut due: BTreeMap<SocketAddr, Vec<(Candidate, WorkspaceName)>> = BTreeMap::new();
         for name in self.active.iter().cloned().collect::<Vec<_>>() {
-            let ranks = self.ownership.ranks(&name);
-            let Some(holding) = self.holdings.get_mut(&name) else {
-                self.active.remove(&name);
-                continue;
-            };
-            let Some(rank) = holding.rank_to_ask(ranks.len(), now) else {
-                if !holding.is_active() {
-                    self.active.remove(&name);
-                }
+            let Some(target) = self.next_target(&name, now) else {
                 continue;
             };
-            let target = &ranks[rank];
-            if self.is_own(target) {
-                self.ask_own(&name, ranks.len(), now);
+            if self.is_own(&target) {
+                let ranks = self.ownership.ranks(&name).len();
+                self.ask_own(&name, ranks, now);
             } else {
                 let asked = due.entry(target.address).or_default();
-                asked.push((target.clone(), name));
+                asked.push((target, name));
             }
         }
         let mut outgoing = Vec::new();
@@ -351,7 +344,12 @@
                 ledger.set_limit(kept, now);
             }
         }
-        self.update_fallback(view.workspaces, now);
+        for (name, holding) in &mut self.holdings {
+            if let Some(workspace) = view.workspaces.get(name) {
+                holding.set_limit(limit_of(workspace));
+            }
+        }
+        self.update_fallback(now);
         hand_overs
     }
 
@@ -452,6 +450,26 @@
         holding.receive(nonce, answer, ranks, now);
     }
 
+    /// Returns the gateway of which tokens must be requested now. Also starts or ends the use of the
+    /// fallback share.
+    fn next_target(&mut self, name: &WorkspaceName, now: Timestamp) -> Option<Candidate> {
+        let ranks = self.ownership.ranks(name);
+        let Some(holding) = self.holdings.get_mut(name) else {
+            self.active.remove(name);
+            return None;
+        };
+        let is_silent = |first: &Candidate| self.fallback.is_silent(&first.vm, now);
+        holding.set_owner_silent(ranks.first().is_some_and(is_silent));
+        let rank = holding.rank_to_ask(ranks.len(), now);
+        let (factor, gateways) = (self.fallback_factor, self.ownership.gateway_count());
+        let share = factor.map(|factor| fallback::share(holding.limit(), factor, gateways));
+        self.counts.fallbacks_started += usize::from(holding.use_fallback(share, now));
+        if rank.is_none() && !holding.is_active() {
+            self.active.remove(name);
+        }
+        rank.map(|rank| ranks[rank].clone())
+    }
+
     fn build_request(
         &mut self,
         to: SocketAddr,
@@ -564,29 +582,13 @@
         hand_overs
     }
 
-    fn update_fallback(&mut self, workspaces: &Workspaces, now: Timestamp) {
-        let active = self
-            .active
-            .iter()
-            .filter_map(|name| self.holdings.get(name));
-        let needs_fallback = active.into_iter().any(|held| held.is_without_owner(now));
+    fn update_fallback(&mut self, now: Timestamp) {
+        let active = self.active.iter();
+        let needs_fallback = active
+            .filter_map(|name| self.holdings.get(name))
+            .any(|holding| holding.needs_fallback(now));
         self.announces_fallback = self.fallback.announce(needs_fallback, now);
-        let is_allowed = self.fallback.is_allowed(self.ownership.others(), now);
-        let gateways = self.ownership.gateway_count();
-        for name in &self.active {
-            let Some(workspace) = workspaces.get(name) else {
-                continue;
-            };
-            let limit = limit_of(workspace);
-            let share = is_allowed.then(|| fallback::share(limit, gateways));
-            if let Some(holding) = self.holdings.get_mut(name) {
-                holding.set_limit(limit);
-                if holding.use_fallback(share, now) {
-                    self.counts.fallbacks_started += usize::from(share.is_some());
-                    self.counts.fallbacks_ended += usize::from(share.is_none());
-                }
-            }
-        }
+        self.fallback_factor = self.fallback.factor(self.ownership.others(), now);
     }
 }
 
--- a/src/entry/quota/fallback.rs
+++ b/src/entry/quota/fallback.rs
@@ -10,8 +10,12 @@
 /// Part of the limit that all fallback shares add up to.
 const FALLBACK_FACTOR: f64 = 0.8;
 
+/// As [`FALLBACK_FACTOR`], for the time until the fallback has been announced. In a window of 5 s,
+/// one second of it and [`TOLERANCE`] stay below 8% of the rate.
+const EARLY_FACTOR: f64 = 0.2;
+
 /// Part of the limit that may be used in addition to it while VMs can't reach each other.
-const TOLERANCE: f64 = 0.08;
+const TOLERANCE: f64 = 0.04;
 
 /// Time without a status after which a gateway may be using its fallback share unnoticed. Three
 /// intervals of a busy gateway.
@@ -21,7 +25,7 @@
 /// as a lease lasts beyond [`MAX_UNCERTAIN`].
 const LEFT_RETENTION: Duration = Duration::from_secs(15);
 
-/// Time for which a gateway must have announced its fallback before it uses it: until then all
+/// Time for which a gateway must have announced its fallback before it uses all of it: until then all
 /// tokens granted before have expired, and the owner has lowered its rate.
 const ANNOUNCEMENT_LEAD: Duration = Duration::from_secs(1);
 
@@ -36,9 +40,10 @@
 /// are certain of their registration grant tokens.
 const EXPECTED_LOSS_RETENTION: Duration = Duration::from_millis(500);
 
-/// Returns the share of a limit that each of `gateways` may use without the owner.
-pub fn share(limit: Limit, gateways: usize) -> Limit {
-    let factor = FALLBACK_FACTOR / gateways.max(1) as f64;
+/// Returns the share of a limit that each of `gateways` may use without the owner, if all of them
+/// may use the part `factor`.
+pub fn share(limit: Limit, factor: f64, gateways: usize) -> Limit {
+    let factor = factor / gateways.max(1) as f64;
     Limit {
         rate_per_s: limit.rate_per_s * factor,
         burst: (limit.burst * factor).max(1.0),
@@ -182,16 +187,26 @@
         self.announced_since.is_some()
     }
 
-    /// Returns whether this VM may use its fallback shares. `others` are the gateways in the list
-    /// beside this one.
-    pub fn is_allowed<'a>(&self, others: impl Iterator<Item = &'a VmName>, now: Timestamp) -> bool {
+    /// Returns the part of the limits of which this VM may use its share without the owner; `None`
+    /// if it may use nothing. `others` are the gateways in the list beside this one.
+    pub fn factor<'a>(
+        &self,
+        others: impl Iterator<Item = &'a VmName>,
+        now: Timestamp,
+    ) -> Option<f64> {
+        let was_registered = self.certain_until > Timestamp::ZERO;
+        let is_recent = now.since(self.certain_until) < MAX_UNCERTAIN;
+        if !was_registered || !(is_recent || self.most_use_fallback(others, now)) {
+            return None;
+        }
         let is_announced = self
             .announced_since
             .is_some_and(|since| now.since(since) >= ANNOUNCEMENT_LEAD);
-        if !is_announced || self.certain_until == Timestamp::ZERO {
-            return false;
-        }
-        now.since(self.certain_until) < MAX_UNCERTAIN || self.most_use_fallback(others, now)
+        Some(if is_announced {
+            FALLBACK_FACTOR
+        } else {
+            EARLY_FACTOR
+        })
     }
 
     /// Returns whether most gateways, this one included, are known to use their fallback: then it is
@@ -212,6 +227,12 @@
         using * 2 > gateways
     }
 
+    /// Returns whether a gateway has sent no status for long enough to count as unreachable.
+    pub fn is_silent(&self, vm: &VmName, now: Timestamp) -> bool {
+        let peer = self.peers.get(vm);
+        peer.is_some_and(|peer| peer.is_silent(now))
+    }
+
     fn may_use(&self, vm: &VmName, now: Timestamp) -> bool {
         let peer = self.peers.get(vm);
         peer.is_none_or(|peer| peer.uses_fallback || peer.is_silent(now))
--- a/src/entry/quota/holding.rs
+++ b/src/entry/quota/holding.rs
@@ -21,22 +21,27 @@
 /// fewer ahead, those of a chance accumulation of requests often expire unspent.
 const MAX_PROMPT_NEED: f64 = 2.0;
 
-/// Time without a response after which a request counts as lost: a round trip between zones, and
-/// the processing at a VM with a small part of a core.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(30);
+/// Shortest time without a response after which a request counts as lost: a round trip between
+/// zones, and the processing at a VM with a small part of a core.
+const MIN_RESPONSE_TIMEOUT: Duration = Duration::from_millis(30);
+
+/// Longest such time. It doubles with each lost request, because the grants of a slow owner would
+/// otherwise all come too late.
+const MAX_RESPONSE_TIMEOUT: Duration = Duration::from_millis(240);
 
 /// Number of lost requests in a row after which the next-ranked gateway is asked.
 const MAX_LOST: u32 = 2;
 
-/// Longest interval at which an owner that doesn't respond is asked again.
-const MAX_RETRY_INTERVAL: Duration = Duration::from_millis(250);
-
 /// Delay before the first-ranked gateway is asked again when all have said that they aren't the
 /// owner.
 const NO_OWNER_DELAY: Duration = Duration::from_millis(40);
 
-/// Time without a grant after which the owner counts as unreachable.
-const UNREACHABLE_AFTER: Duration = Duration::from_millis(150);
+/// Time without a response after which the owner counts as unreachable: that of two lost requests.
+const UNREACHABLE_AFTER: Duration = Duration::from_millis(60);
+
+/// Time without a grant after which the fallback is announced. Longer than the response of an
+/// overloaded owner takes, because owners lower their rate for those who announce it.
+const ANNOUNCED_AFTER: Duration = Duration::from_millis(250);
 
 /// Time without requests after which an unreachable owner is no longer asked.
 const IDLE_AFTER: Duration = Duration::from_secs(3);
@@ -98,9 +103,11 @@
     in_flight: Option<InFlight>,
     ask_at: Timestamp,
     lost: u32,
+    response_timeout: Duration,
     /// Rank of the gateway that is asked; above 0 while those before it aren't the owner.
     rank: usize,
     without_grant_since: Option<Timestamp>,
+    is_owner_silent: bool,
     /// Requests refused since the last grant; their retries need tokens.
     unmet: u32,
     /// Rate of tokens that this VM can expect while the owner has too few; `None` otherwise.
@@ -122,8 +129,10 @@
             in_flight: None,
             ask_at: now,
             lost: 0,
+            response_timeout: MIN_RESPONSE_TIMEOUT,
             rank: 0,
             without_grant_since: None,
+            is_owner_silent: false,
             unmet: 0,
             share_per_s: None,
             fallback: None,
@@ -216,7 +225,7 @@
             return None;
         }
         if let Some(in_flight) = &self.in_flight {
-            if now.since(in_flight.sent_at) < RESPONSE_TIMEOUT {
+            if now.since(in_flight.sent_at) < self.response_timeout {
                 return None;
             }
             self.in_flight = None;
@@ -281,6 +290,7 @@
             return 0;
         };
         self.without_grant_since = None;
+        self.response_timeout = (self.response_timeout / 2).max(MIN_RESPONSE_TIMEOUT);
         self.fallback = None;
         if tokens > 0 {
             self.unmet = 0;
@@ -300,23 +310,40 @@
         tokens
     }
 
-    /// Returns whether the owner has granted nothing for long enough to count as unreachable.
+    /// Returns whether the owner counts as unreachable: it has granted nothing for some time, or
+    /// sends no status either.
     pub fn is_without_owner(&self, now: Timestamp) -> bool {
         self.without_grant_since
-            .is_some_and(|since| now.since(since) >= UNREACHABLE_AFTER)
+            .is_some_and(|since| self.is_owner_silent || now.since(since) >= UNREACHABLE_AFTER)
+    }
+
+    /// Returns whether the use of the fallback share must be announced.
+    pub fn needs_fallback(&self, now: Timestamp) -> bool {
+        self.without_grant_since
+            .is_some_and(|since| self.is_owner_silent || now.since(since) >= ANNOUNCED_AFTER)
     }
 
-    /// Starts or ends the use of the fallback share; returns whether that changed. It starts
+    /// Records whether the first-ranked gateway sends no status.
+    pub const fn set_owner_silent(&mut self, is_silent: bool) {
+        self.is_owner_silent = is_silent;
+    }
+
+    /// Returns the limit.
+    pub const fn limit(&self) -> Limit {
+        self.limit
+    }
+
+    /// Starts or ends the use of the fallback share; returns whether it was started. It starts
     /// without tokens, because those granted before may still be unspent.
     pub fn use_fallback(&mut self, share: Option<Limit>, now: Timestamp) -> bool {
         let share = share.filter(|_| self.is_without_owner(now));
-        let is_changed = share.is_some() != self.fallback.is_some();
+        let is_started = share.is_some() && self.fallback.is_none();
         match (share, &mut self.fallback) {
             (Some(share), Some(bucket)) => bucket.set_share(share, now),
             (Some(share), None) => self.fallback = Some(FallbackBucket::empty(share, now)),
             (None, _) => self.fallback = None,
         }
-        is_changed
+        is_started
     }
 
     /// Returns whether something is to be done without a further request or response.
@@ -418,10 +445,7 @@
         if self.lost.is_multiple_of(MAX_LOST) {
             self.try_next(ranks, now);
         }
-        if self.lost > MAX_LOST {
-            let delay = RESPONSE_TIMEOUT.saturating_mul(1 << self.lost.min(8));
-            self.ask_at = now + delay.min(MAX_RETRY_INTERVAL);
-        }
+        self.response_timeout = (self.response_timeout * 2).min(MAX_RESPONSE_TIMEOUT);
     }
 
     /// Asks the next-ranked gateway next, or the first one again after a delay.
--- a/src/entry/quota/tests.rs
+++ b/src/entry/quota/tests.rs
@@ -213,6 +213,30 @@
         max_refused: 0.25,
         settled_ms: 0,
     },
+    Failure {
+        name: "all VMs are restarted",
+        demand_per_s: 6.0,
+        changes: &[
+            (2_000, Kill(0)),
+            (2_000, Kill(1)),
+            (2_000, Kill(2)),
+            (2_000, Kill(3)),
+            (2_000, Kill(4)),
+            (2_000, Kill(5)),
+            (2_000, Kill(6)),
+            (2_000, Kill(7)),
+            (3_000, Start(0)),
+            (3_000, Start(1)),
+            (3_100, Start(2)),
+            (3_100, Start(3)),
+            (3_200, Start(4)),
+            (3_300, Start(5)),
+            (3_400, Start(6)),
+            (3_500, Start(7)),
+        ],
+        max_refused: 0.1,
+        settled_ms: 0,
+    },
     Failure {
         name: "the limit is lowered while in use",
         demand_per_s: 100.0,
@@ -246,6 +270,20 @@
     }
 }
 
+#[test]
+fn a_slow_owner_still_grants() {
+    // Failure: a response that comes after its request counts as lost is dropped, and so is the next.
+    let setup = Setup {
+        demand_per_s: vec![20.0, 20.0, 20.0],
+        max_delay_ms: 80,
+        ..Setup::default()
+    };
+    let outcome = run(&setup);
+    assert_bounded(&setup, &outcome, TOLERANCE);
+    let refused = outcome.refused_fraction(0);
+    assert!(refused < 0.05, "{refused}");
+}
+
 #[test]
 fn retries_at_the_told_time_find_a_token() {
     struct Case {
