--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -22,7 +22,7 @@
 use crate::name::VmName;
 use crate::time::Timestamp;
 
-/// Interval at which a gateway announces a status that has changed.
+/// Interval at which a busy gateway, or one whose status has changed, announces it.
 const STATUS_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Interval at which a sublease is requested while the store doesn't respond.
@@ -43,8 +43,8 @@
 /// Time without contact with any gateway after which requests also go to those of other zones.
 const NEARBY_SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
 
-/// Number of status intervals between two announcements of a gateway whose status is unchanged.
-const UNCHANGED_INTERVALS: u32 = 2;
+/// Number of status intervals between two announcements of an idle gateway.
+const IDLE_INTERVALS: u32 = 2;
 
 /// Sends and handles datagrams between this VM and the others.
 #[derive(Debug)]
@@ -84,11 +84,13 @@
         loop {
             sleep(STATUS_INTERVAL).await;
             round += 1;
-            let (gateway, limits) = {
-                let state = self.node.state.borrow();
-                (state.gateway, state.quota.status())
+            let (gateway, is_busy, limits) = {
+                let mut state = self.node.state.borrow_mut();
+                let is_busy = state.quota.take_busy();
+                (state.gateway, is_busy, state.quota.status())
             };
-            if gateway && (limits != announced || round % UNCHANGED_INTERVALS == 0) {
+            let is_due = is_busy || limits != announced || round % IDLE_INTERVALS == 0;
+            if gateway && is_due {
                 send_status(&self.node);
                 announced = limits;
             } else if !gateway && round % VERSION_INTERVALS == 0 {
--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -110,6 +110,7 @@
     version: u64,
     valid_until: Timestamp,
     is_leaving: bool,
+    is_busy: bool,
     must_reassign: bool,
     announces_fallback: bool,
     /// Part of the limits of which this VM may use its share without the owners.
@@ -144,6 +145,7 @@
             version: 0,
             valid_until: Timestamp::ZERO,
             is_leaving: false,
+            is_busy: false,
             must_reassign: false,
             announces_fallback: false,
             fallback_factor: None,
@@ -174,6 +176,7 @@
             .entry(name.clone())
             .or_insert_with(|| Holding::new(limit, now));
         holding.count(now);
+        self.is_busy = true;
         let lacks_token = holding.lacks_token(now);
         let ranks = self.ownership.ranks(name);
         if lacks_token && ranks.first().is_some_and(|first| self.is_own(first)) {
@@ -293,6 +296,11 @@
         settled
     }
 
+    /// Returns whether requests have arrived since the last call.
+    pub fn take_busy(&mut self) -> bool {
+        std::mem::take(&mut self.is_busy)
+    }
+
     /// Returns whether something is to be done soon without a further request or response.
     pub fn is_active(&self) -> bool {
         !self.active.is_empty()
--- a/src/entry/quota/fallback.rs
+++ b/src/entry/quota/fallback.rs
@@ -1,6 +1,6 @@
 //! Share of a limit that a holder may use without its owner.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use super::ledger::Limit;
@@ -163,11 +163,24 @@
     ) -> f64 {
         self.left
             .retain(|_, left_at| now.since(*left_at) < LEFT_RETENTION);
-        let mut gateways = 1 + self.left.len();
-        let mut suspected = self.left.keys().filter(|vm| self.may_use(vm, now)).count();
+        let mut gateways = 1;
+        let mut suspected = 0;
+        let mut listed = HashSet::new();
         for vm in others {
             gateways += 1;
             suspected += usize::from(self.may_use(vm, now));
+            listed.insert(vm);
+        }
+        // Gateways that aren't in the list: those that left it, and those that announce a fallback
+        // to a VM that has restarted since.
+        let left = self.left.keys();
+        let announcing = self.peers.iter().filter(|(_, peer)| {
+            peer.uses_fallback && now.since(peer.heard_at) < LEFT_RETENTION
+        });
+        let unlisted: HashSet<_> = left.chain(announcing.map(|(vm, _)| vm)).collect();
+        for vm in unlisted.difference(&listed) {
+            gateways += 1;
+            suspected += usize::from(self.may_use(vm, now));
         }
         let sum = FALLBACK_FACTOR * suspected as f64 / gateways as f64;
         1.0 - (sum - TOLERANCE).max(0.0)
