--- a/src/entry/quota/fallback.rs
+++ b/src/entry/quota/fallback.rs
@@ -163,8 +163,8 @@
     ) -> f64 {
         self.left
             .retain(|_, left_at| now.since(*left_at) < LEFT_RETENTION);
-        let mut gateways = 1;
-        let mut suspected = 0;
+        let mut gateways = 1_usize;
+        let mut suspected = 0_usize;
         let mut listed = HashSet::new();
         for vm in others {
             gateways += 1;
@@ -174,9 +174,10 @@
         // Gateways that aren't in the list: those that left it, and those that announce a fallback
         // to a VM that has restarted since.
         let left = self.left.keys();
-        let announcing = self.peers.iter().filter(|(_, peer)| {
-            peer.uses_fallback && now.since(peer.heard_at) < LEFT_RETENTION
-        });
+        let announcing = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.uses_fallback && now.since(peer.heard_at) < LEFT_RETENTION);
         let unlisted: HashSet<_> = left.chain(announcing.map(|(vm, _)| vm)).collect();
         for vm in unlisted.difference(&listed) {
             gateways += 1;
@@ -186,9 +187,9 @@
         1.0 - (sum - TOLERANCE).max(0.0)
     }
 
-    /// Starts or ends the announcement of this VM's fallback; returns whether to announce it.
-    /// `needs_fallback` tells whether an owner is unreachable.
-    pub fn announce(&mut self, needs_fallback: bool, now: Timestamp) -> bool {
+    /// Starts or ends the announcement of this VM's fallback. `needs_fallback` tells whether an owner
+    /// is unreachable.
+    pub fn announce(&mut self, needs_fallback: bool, now: Timestamp) {
         let left = self.certain_until.since(now);
         let ended = now.since(self.certain_until);
         let expects_loss = left < EXPECTED_LOSS_LEAD && ended < EXPECTED_LOSS_RETENTION;
@@ -197,6 +198,10 @@
         } else {
             self.announced_since = None;
         }
+    }
+
+    /// Returns whether this VM announces its fallback.
+    pub const fn is_announced(&self) -> bool {
         self.announced_since.is_some()
     }
 
--- a/src/entry/quota/tests.rs
+++ b/src/entry/quota/tests.rs
@@ -281,7 +281,6 @@
     let outcome = run(&setup);
     assert_bounded(&setup, &outcome, TOLERANCE);
     let refused = outcome.refused_fraction(0);
-    println!("slow {refused}");
     assert!(refused < 0.15, "refused {refused}");
 }
 
