Retries: delays from their causes, one budget over VM, gateway and instance

Cause: callers were told fixed delays (100, 250, 500 ms), used up their retries before the cause was over and returned together. Nothing bounded the retries of a VM, its gateways and their instances together; a read whose reply was lost could be reported as not run when the next gateway or instance refused it.

What is denied is refused with the delay of its cause, unless an attempt may have run.

--- a/src/control/fairness/estimate.rs
+++ b/src/control/fairness/estimate.rs
@@ -37,6 +37,11 @@
         self.stall(now) + (backlog + self.late_backlog + self.mean_cost / 2) / self.slots()
     }
 
+    /// Returns the mean time between two statements that end while all slots are taken.
+    pub fn interval(&self) -> Duration {
+        self.mean_cost / self.slots()
+    }
+
     /// Refuses requests of a waiting request's flow that can't start in time any more, those with
     /// the most time left first: they are the ones that others delay, and their callers have the
     /// time to retry. To be called now and then for each waiting request, because estimates change
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -4,15 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::catalog::Route;
 use super::clock;
 use super::health::Health;
 use super::link::{LinkError, Setup};
 use super::node::Node;
-use super::pool::{Answer, Pool, PooledLink};
+use super::pool::{Answer, PooledLink};
 use super::position::Position;
+use super::refusal::{Cause, refuse};
 use super::slots::{Slot, SlotRequest};
 use super::statement::{Access, Failure, FailureKind, InstanceCommand, Outcome, StatementResponse};
 use super::target::{self, NoTarget, Target};
@@ -21,11 +22,12 @@
 use crate::telemetry::metrics::{Step, metrics};
 use crate::time::Timestamp;
 
-/// Delay before a statement is retried on a primary that had no capacity.
+/// Delay before the first retry on a primary that had no capacity; doubles with each further one.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(15);
 
 /// Maximum time between two attempts to select an instance while none is eligible, for example
-/// because a primary is being replaced.
+/// because a primary is being replaced. An instance that says that it isn't the primary is tried
+/// again after this time, and after four times as long with each further retry.
 const TARGET_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Time for which a statement that can't meet its latency objective any more waits for a slot, as a
@@ -35,9 +37,6 @@
 /// Number of instances without capacity that are tried for one statement.
 const MAX_FULL_INSTANCES: usize = 2;
 
-/// Retry delay suggested to a refused caller, after which there may be capacity.
-const RETRY_AFTER_BUSY: Duration = Duration::from_millis(100);
-
 /// Fraction of a statement's time limit for which it waits for an instance that accepts it: less
 /// than half, so that a refused caller has time to try another VM.
 const TARGET_WAIT_FRACTION: f64 = 0.2;
@@ -61,6 +60,8 @@
     pub setup: Setup<'a>,
     /// End of the statement's time limit.
     pub deadline: Instant,
+    /// Number of attempts that other VMs have made.
+    pub attempts: u8,
 }
 
 /// Response of an instance, with the connection that it was received on.
@@ -72,6 +73,60 @@
     pub pooled: PooledLink,
 }
 
+/// What has been done for a statement so far.
+#[derive(Debug)]
+struct Progress {
+    /// Instances that are left out of the next selection.
+    tried: Vec<InstanceName>,
+    /// Number of attempts, including those of other VMs.
+    attempts: u8,
+    /// Failure to report if there is no further attempt: that of an attempt that may have run.
+    may_have_run: Option<Failure>,
+    /// Time by which the response is due.
+    due: Instant,
+    /// Time until which an instance is sought.
+    selection_deadline: Instant,
+}
+
+impl Progress {
+    fn new(node: &Node, context: &StatementContext<'_>) -> Self {
+        let now = Instant::now();
+        let wait_limit = context
+            .route
+            .statement_timeout
+            .mul_f64(TARGET_WAIT_FRACTION);
+        let wait_limit = wait_limit.min(node.settings.target_wait_limit);
+        Self {
+            tried: Vec::new(),
+            attempts: context.attempts.saturating_add(1),
+            may_have_run: None,
+            due: now + context.route.latency_objective,
+            selection_deadline: context.deadline.min(now + wait_limit),
+        }
+    }
+
+    /// Takes a retry within the statement's attempts and the budget of its database; returns whether
+    /// there was one.
+    fn take_retry(
+        &mut self,
+        node: &Node,
+        context: &StatementContext<'_>,
+        reason: &'static str,
+    ) -> bool {
+        if Instant::now() >= self.selection_deadline {
+            return false;
+        }
+        // Preparing a statement again takes no capacity from others.
+        if reason == <&str>::from(FailureKind::NoSuchStatement) {
+            return true;
+        }
+        let database = &context.route.database;
+        let taken = node.take_retry(context.id, database, self.attempts, reason);
+        self.attempts += u8::from(taken);
+        taken
+    }
+}
+
 /// Runs a command on an eligible instance. If the instance didn't run it, or if running it twice is
 /// safe, the command is retried, on another instance where possible.
 ///
@@ -83,35 +138,20 @@
     context: &StatementContext<'_>,
     command: &InstanceCommand,
 ) -> Result<Executed, Failure> {
-    let mut tried = Vec::new();
-    let wait_limit = context
-        .route
-        .statement_timeout
-        .mul_f64(TARGET_WAIT_FRACTION);
-    let selection_deadline = context
-        .deadline
-        .min(Instant::now() + wait_limit.min(node.settings.target_wait_limit));
-    let due = Instant::now() + context.route.latency_objective;
+    let mut progress = Progress::new(node, context);
+    if context.attempts == 0 {
+        node.record_first_attempt(&context.route.database);
+    }
     let started_at = clock::now();
     loop {
+        let acquired = acquire(node, context, &mut progress).await;
         let (target, slot, mut pooled) =
-            acquire(node, context, &mut tried, due, selection_deadline).await?;
+            acquired.map_err(|refused| progress.may_have_run.take().unwrap_or(refused))?;
         let sent_at = clock::now();
         let route = &context.route.name;
         metrics().record_step(route, Step::Connect, sent_at.since(started_at));
         let pool = Rc::clone(pooled.pool());
-        pool.statement_started();
-        let running = pooled.link().run(
-            &context.setup,
-            command,
-            target.min_position,
-            context.deadline,
-        );
-        let repeatable = context.access == Access::Read || context.starts_transaction;
-        let result = tokio::select! {
-            result = running => result,
-            () = pool.wait_until_unreachable(), if repeatable => Err(LinkError::TimedOut),
-        };
+        let result = send(context, command, &target, &mut pooled).await;
         drop(slot);
         let response = match result {
             Ok(response) => response,
@@ -119,11 +159,13 @@
                 pool.statement_lost();
                 pooled.close();
                 record_missing_response(node, context, &target, &error);
-                if repeatable && Instant::now() < selection_deadline {
-                    tried.push(target.instance.name.clone());
+                let failure = missing_response_failure(context, command, &error);
+                if is_repeatable(context) && progress.take_retry(node, context, "answer_missing") {
+                    progress.tried.push(target.instance.name.clone());
+                    progress.may_have_run = Some(failure);
                     continue;
                 }
-                return Err(missing_response_failure(context, command, &error));
+                return Err(failure);
             }
         };
         record_response(node, context, &target, &response, sent_at);
@@ -133,11 +175,80 @@
         let Outcome::Failed(failure) = &response.outcome else {
             return Ok(Executed { response, pooled });
         };
-        let retryable = is_retryable(context, failure, tried.len());
-        if !retryable || Instant::now() >= selection_deadline {
+        if !is_retryable(context, failure, progress.tried.len()) {
             return Ok(Executed { response, pooled });
         }
-        prepare_retry(context, &target, failure.kind, &mut pooled, &mut tried).await;
+        if !progress.take_retry(node, context, failure.kind.into()) {
+            return last_failure(node, context, progress, Executed { response, pooled });
+        }
+        if !failure.not_run() {
+            progress.may_have_run = Some(failure.clone());
+        }
+        prepare_retry(
+            node,
+            context,
+            &target,
+            failure.kind,
+            &mut pooled,
+            &mut progress,
+        )
+        .await;
+    }
+}
+
+/// Sends a command and waits for the response; if the command may run elsewhere, only while the
+/// instance isn't unreachable.
+async fn send(
+    context: &StatementContext<'_>,
+    command: &InstanceCommand,
+    target: &Target,
+    pooled: &mut PooledLink,
+) -> Result<StatementResponse, LinkError> {
+    let pool = Rc::clone(pooled.pool());
+    pool.statement_started();
+    let running = pooled.link().run(
+        &context.setup,
+        command,
+        target.min_position,
+        context.deadline,
+    );
+    tokio::select! {
+        result = running => result,
+        () = pool.wait_until_unreachable(), if is_repeatable(context) => Err(LinkError::TimedOut),
+    }
+}
+
+/// Returns whether a command may be sent again after its response was lost.
+fn is_repeatable(context: &StatementContext<'_>) -> bool {
+    context.access == Access::Read || context.starts_transaction
+}
+
+/// Reports a retryable failure that isn't retried. A statement that no instance can have run is
+/// refused with the time at which to retry.
+fn last_failure(
+    node: &Node,
+    context: &StatementContext<'_>,
+    progress: Progress,
+    executed: Executed,
+) -> Result<Executed, Failure> {
+    if let Some(failure) = progress.may_have_run {
+        return Err(failure);
+    }
+    let Outcome::Failed(failure) = &executed.response.outcome else {
+        return Ok(executed);
+    };
+    match failure.kind {
+        FailureKind::Busy
+        | FailureKind::Lagging
+        | FailureKind::Misrouted
+        | FailureKind::TooManyConnections => {
+            if failure.kind == FailureKind::Busy {
+                executed.pooled.pool().slots().on_rejected();
+            }
+            Err(refuse(node, context, Cause::RetriesUsedUp))
+        }
+        FailureKind::ReadOnly => Err(refuse(node, context, Cause::Replacement)),
+        _ => Ok(executed),
     }
 }
 
@@ -163,32 +274,58 @@
 
 /// Prepares the next attempt after a retryable failure: waits, or excludes the instance.
 async fn prepare_retry(
+    node: &Node,
     context: &StatementContext<'_>,
     target: &Target,
     kind: FailureKind,
     pooled: &mut PooledLink,
-    tried: &mut Vec<InstanceName>,
+    progress: &mut Progress,
 ) {
     metrics().count_retry(kind.into());
     log::info!(
-        "event=statement_moved id={} from={} reason={kind}",
+        "event=statement_moved id={} from={} reason={kind} attempts={}",
         context.id,
-        target.instance.name
+        target.instance.name,
+        progress.attempts
     );
     if kind == FailureKind::Busy {
         pooled.pool().slots().on_rejected();
     }
+    let retries = u32::from(progress.attempts - context.attempts).saturating_sub(2);
     match kind {
         FailureKind::NoSuchStatement => pooled.link().forget_prepared(),
         FailureKind::ReadOnly => {
             pooled.pool().record_health(|health, _| health.on_deposed());
-            sleep(TARGET_POLL_INTERVAL).await;
+            await_other_primary(
+                node,
+                context,
+                target,
+                TARGET_POLL_INTERVAL * 4_u32.pow(retries),
+            )
+            .await;
+        }
+        FailureKind::Busy if !target::may_leave(context, target) => {
+            sleep(BUSY_RETRY_DELAY * 2_u32.pow(retries)).await;
         }
-        FailureKind::Busy if !target::may_leave(context, target) => sleep(BUSY_RETRY_DELAY).await,
-        _ => tried.push(target.instance.name.clone()),
+        _ => progress.tried.push(target.instance.name.clone()),
     }
 }
 
+/// Waits until another instance, or none, is recorded as the primary, at most for `limit`.
+async fn await_other_primary(
+    node: &Node,
+    context: &StatementContext<'_>,
+    target: &Target,
+    limit: Duration,
+) {
+    let replaced = node.wait_until(|state| {
+        let primary = state.primary(&context.route.database);
+        primary.is_none_or(|primary| primary.name != target.instance.name)
+    });
+    // The record may be right after all; the statement is then sent to the same instance again.
+    let _ = timeout(limit, replaced).await;
+}
+
 /// Returns whether the same command may be retried after a failure. A read that failed on
 /// the instance is retried unless another instance has been tried before.
 fn is_retryable(context: &StatementContext<'_>, failure: &Failure, tried_count: usize) -> bool {
@@ -201,16 +338,14 @@
 async fn acquire(
     node: &Rc<Node>,
     context: &StatementContext<'_>,
-    tried: &mut Vec<InstanceName>,
-    due: Instant,
-    selection_deadline: Instant,
+    progress: &mut Progress,
 ) -> Result<(Target, Slot, PooledLink), Failure> {
     loop {
-        let chosen = target::select(&node.state.borrow(), node, context, tried);
+        let chosen = target::select(&node.state.borrow(), node, context, &progress.tried);
         let target = match chosen {
             Ok(target) => target,
             Err(cause) => {
-                wait_for_target(node, context, cause, tried, selection_deadline).await?;
+                wait_for_target(node, context, cause, progress).await?;
                 continue;
             }
         };
@@ -218,67 +353,77 @@
             sleep(target.delay).await;
         }
         let pool = node.pool(&target.instance);
-        let request = slot_request(node, context, due);
-        let slot = match take_slot(&pool, &request).await {
+        let slot = match take_slot(node, context, &target, progress.due).await {
             Ok(slot) => slot,
-            Err(_) if target::may_leave(context, &target) && tried.len() < MAX_FULL_INSTANCES => {
-                tried.push(target.instance.name.clone());
+            Err(_)
+                if target::may_leave(context, &target)
+                    && progress.tried.len() < MAX_FULL_INSTANCES =>
+            {
+                progress.tried.push(target.instance.name.clone());
                 continue;
             }
-            Err(after) => {
-                let reason = "the instance has no capacity";
-                return Err(refusal(node, context, reason, after));
-            }
+            Err(cause) => return Err(refuse(node, context, cause)),
         };
         let connect_timeout = node.settings.connect_timeout;
         let taken = pool
-            .take(context.workspace, connect_timeout, selection_deadline)
+            .take(
+                context.workspace,
+                connect_timeout,
+                progress.selection_deadline,
+            )
             .await;
         match taken {
             Ok(pooled) if target::is_still_valid(node, context, &target) => {
+                record_available_primary(node, context, &target);
                 return Ok((target, slot, pooled));
             }
             Ok(_) => {}
             Err(error) => {
                 record_connect_failure(node, context, &target, &error);
-                if Instant::now() >= selection_deadline {
-                    return Err(refusal(
-                        node,
-                        context,
-                        "no connection to an instance is free",
-                        RETRY_AFTER_BUSY,
-                    ));
+                if Instant::now() >= progress.selection_deadline {
+                    return Err(refuse(node, context, Cause::Connections));
                 }
-                tried.push(target.instance.name.clone());
+                progress.tried.push(target.instance.name.clone());
             }
         }
     }
 }
 
+fn record_available_primary(node: &Node, context: &StatementContext<'_>, target: &Target) {
+    let database = &context.route.database;
+    if target.is_primary && node.state.borrow().primary(database).is_some() {
+        let mut delays = node.retry_delays.borrow_mut();
+        delays.on_primary_available(database, clock::now());
+    }
+}
+
 /// Waits until an instance may be eligible, or refuses the statement.
 async fn wait_for_target(
     node: &Rc<Node>,
     context: &StatementContext<'_>,
-    cause: NoTarget,
-    tried: &mut Vec<InstanceName>,
-    selection_deadline: Instant,
+    no_target: NoTarget,
+    progress: &mut Progress,
 ) -> Result<(), Failure> {
-    let reason = match cause {
-        NoTarget::NoValidityLease => "this VM can't tell which instance is the primary",
-        NoTarget::PrimaryUnavailable => "the primary is being replaced",
-        NoTarget::AllTried => "no instance has capacity",
+    let cause = match no_target {
+        NoTarget::NoValidityLease => Cause::NoValidityLease,
+        NoTarget::PrimaryUnavailable => Cause::Replacement,
+        NoTarget::AllTried => Cause::AllTried,
     };
-    if cause == NoTarget::NoValidityLease
-        || Instant::now() + TARGET_POLL_INTERVAL >= selection_deadline
+    if cause == Cause::Replacement {
+        let mut delays = node.retry_delays.borrow_mut();
+        delays.on_primary_unavailable(&context.route.database, clock::now());
+    }
+    if cause == Cause::NoValidityLease
+        || Instant::now() + TARGET_POLL_INTERVAL >= progress.selection_deadline
     {
-        return Err(refusal(node, context, reason, RETRY_AFTER_BUSY));
+        return Err(refuse(node, context, cause));
     }
     let pause = sleep_until(Instant::now() + TARGET_POLL_INTERVAL);
     tokio::select! {
         () = pause => {}
         () = node.changed.notified() => {}
     }
-    tried.clear();
+    progress.tried.clear();
     Ok(())
 }
 
@@ -377,36 +522,32 @@
 ///
 /// # Errors
 ///
-/// Fails with the time after which there may be one.
-async fn take_slot(pool: &Pool, request: &SlotRequest) -> Result<Slot, Duration> {
-    let taken = tokio::select! {
-        taken = pool.slots().take(request) => taken,
-        () = pool.wait_until_unreachable() => return Err(RETRY_AFTER_BUSY),
-    };
-    taken.map_err(|refused| refused.retry_after.unwrap_or(RETRY_AFTER_BUSY))
-}
-
-/// Builds the failure for a refused statement that hasn't run, and logs the refusal.
-pub fn refusal(
+/// Fails with the cause to refuse the statement with when no slot is expected in time, or the
+/// instance has become unreachable.
+async fn take_slot(
     node: &Node,
     context: &StatementContext<'_>,
-    reason: &str,
-    retry_after: Duration,
-) -> Failure {
-    metrics().count_entry_refusal(&context.route.name, reason);
-    let retry_ms = retry_after.as_millis();
-    log::info!(
-        "event=request_refused id={} route={} workspace={} reason=\"{reason}\" vm={} \
-         retry_ms={retry_ms}",
-        context.id,
-        context.route.name,
-        context.workspace,
-        node.settings.vm
-    );
-    Failure::local(
-        FailureKind::Busy,
-        format!("not run: {reason}; retry in {retry_ms} ms"),
-    )
+    target: &Target,
+    due: Instant,
+) -> Result<Slot, Cause> {
+    let pool = node.pool(&target.instance);
+    let request = slot_request(node, context, due);
+    let waiting_since = Instant::now();
+    let unreachable = if target.is_primary {
+        Cause::Replacement
+    } else {
+        Cause::AllTried
+    };
+    let taken = tokio::select! {
+        taken = pool.slots().take(&request) => taken,
+        () = pool.wait_until_unreachable() => return Err(unreachable),
+    };
+    metrics().record_step(&context.route.name, Step::Wait, waiting_since.elapsed());
+    taken.map_err(|refused| {
+        let mut drain = pool.slots().drain();
+        drain.expected = refused.retry_after.unwrap_or(drain.expected);
+        Cause::Slots(drain)
+    })
 }
 
 /// Builds the failure for a statement without a response. Reads and transaction starts have kept
--- a/src/entry/forwarding.rs
+++ b/src/entry/forwarding.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use super::channel::{ChannelError, PeerRequest, PeerResponse};
+use super::clock;
 use super::gateway::{Gateway, PooledChannel};
 use super::health::Health;
 use super::node::Node;
@@ -21,9 +22,6 @@
 /// itself replies when the limit is reached.
 const REPLY_MARGIN: Duration = Duration::from_millis(150);
 
-/// Retry delay suggested to a refused caller, after which a gateway may be reachable.
-const RETRY_AFTER: Duration = Duration::from_millis(250);
-
 /// VM that runs the tasks of an open transaction.
 #[derive(Debug)]
 pub enum Executor {
@@ -33,48 +31,95 @@
     Remote(PooledChannel),
 }
 
+/// Result of an attempt to run a task at a gateway.
+#[derive(Debug)]
+enum Attempt {
+    /// The gateway replied.
+    Replied(Box<Reply>, PooledChannel),
+    /// The gateway declined the task: it didn't run.
+    Declined,
+    /// The gateway can't be reached: nothing was sent.
+    Unreached,
+    /// The reply was lost: the task may have run.
+    Lost,
+}
+
 /// Runs a task of a session without an open transaction. Returns the reply and the VM that runs the
 /// following tasks if the task opened a transaction.
-pub async fn start(node: &Rc<Node>, task: Task) -> (Reply, Option<Executor>) {
+pub async fn start(node: &Rc<Node>, mut task: Task) -> (Reply, Option<Executor>) {
     if node.state.borrow().gateway {
         let mut worker = Worker::new(Rc::clone(node));
         let reply = worker.run(&task).await;
         return (reply, Some(Executor::Local(worker)));
     }
     let deadline = deadline(&task);
+    node.record_first_attempt(&task.route.database);
     let mut gateways = node.gateways.ranked(node, &task.workspace);
     gateways.truncate(MAX_TRIED);
-    for gateway in gateways.iter().filter(|gateway| gateway.accepts_tasks()) {
-        if let Some((reply, pooled)) = try_gateway(&task, gateway, false, deadline).await {
-            return (reply, pooled.map(Executor::Remote));
+    let mut may_have_run = false;
+    let mut force = false;
+    while let Some(gateway) = next_gateway(&mut gateways, &mut force) {
+        match try_gateway(&task, &gateway, force, deadline).await {
+            Attempt::Replied(reply, pooled) => {
+                let mut delays = node.retry_delays.borrow_mut();
+                delays.on_gateway_reached(clock::now());
+                let is_refused = may_have_run && reply.is_not_run();
+                let reply = if is_refused {
+                    task.lost_reply()
+                } else {
+                    *reply
+                };
+                return (reply, Some(Executor::Remote(pooled)));
+            }
+            Attempt::Declined => gateways.push(Rc::clone(&gateway)),
+            Attempt::Unreached => {}
+            Attempt::Lost if task.is_repeatable() => may_have_run |= task.runs_statement(),
+            Attempt::Lost => return (task.lost_reply(), None),
         }
-        if Instant::now() >= deadline {
-            return (task.lost_reply(), None);
+        if force || gateways.is_empty() || !may_move(node, &mut task, &gateway, deadline) {
+            break;
         }
-        log::info!(
-            "event=task_moved id={} from={} kind=forward",
-            task.id,
-            gateway.vm()
-        );
-        metrics().count_retry("forward");
     }
-    // No gateway took the task: force it on the best-ranked one that has recently declined tasks.
-    if let Some(gateway) = gateways.iter().find(|gateway| !gateway.accepts_tasks())
-        && let Some((reply, pooled)) = try_gateway(&task, gateway, true, deadline).await
-    {
-        return (reply, pooled.map(Executor::Remote));
+    if may_have_run || Instant::now() >= deadline {
+        return (task.lost_reply(), None);
     }
     (no_gateway_reply(node, &task), None)
 }
 
-/// Runs a task at a gateway; `None` if it may be retried on another gateway, because it didn't run
-/// or writes nothing.
+/// Removes the gateway to try next: the first one that accepts tasks. Without one, the task is
+/// forced on the first that has declined tasks recently, and no other is tried after it.
+fn next_gateway(gateways: &mut Vec<Rc<Gateway>>, force: &mut bool) -> Option<Rc<Gateway>> {
+    let accepting = gateways.iter().position(|gateway| gateway.accepts_tasks());
+    *force = accepting.is_none();
+    let place = accepting.unwrap_or_default();
+    (!gateways.is_empty()).then(|| gateways.remove(place))
+}
+
+/// Takes a retry for a task that is moved to another gateway; returns whether there was one.
+fn may_move(node: &Node, task: &mut Task, from: &Gateway, deadline: Instant) -> bool {
+    task.attempts = task.attempts.saturating_add(1);
+    let database = &task.route.database;
+    if Instant::now() >= deadline || !node.take_retry(&task.id, database, task.attempts, "forward")
+    {
+        return false;
+    }
+    metrics().count_retry("forward");
+    log::info!(
+        "event=task_moved id={} from={} kind=forward attempts={}",
+        task.id,
+        from.vm(),
+        task.attempts
+    );
+    true
+}
+
+/// Runs a task at a gateway.
 async fn try_gateway(
     task: &Task,
     gateway: &Rc<Gateway>,
     force: bool,
     deadline: Instant,
-) -> Option<(Reply, Option<PooledChannel>)> {
+) -> Attempt {
     let mut pooled = match gateway.take().await {
         Ok(pooled) => pooled,
         Err(error) => {
@@ -84,15 +129,15 @@
                 gateway.vm()
             );
             gateway.record_health(Health::on_failed);
-            return None;
+            return Attempt::Unreached;
         }
     };
     match run_on(&mut pooled, task, force, deadline).await {
-        Ok(Some(reply)) => Some((reply, Some(pooled))),
-        Ok(None) => None,
+        Ok(Some(reply)) => Attempt::Replied(Box::new(reply), pooled),
+        Ok(None) => Attempt::Declined,
         Err(error) => {
             log_gateway_loss(task, gateway, &error);
-            (!task.is_repeatable()).then(|| (task.lost_reply(), None))
+            Attempt::Lost
         }
     }
 }
@@ -166,16 +211,18 @@
 }
 
 fn no_gateway_reply(node: &Node, task: &Task) -> Reply {
+    let delay = node.retry_delays.borrow_mut().no_gateway(clock::now());
+    let retry_ms = delay.as_millis();
     metrics().count_entry_refusal(&task.route.name, "no gateway");
     log::info!(
         "event=request_refused id={} route={} workspace={} reason=\"no gateway can be reached\" \
-         vm={}",
+         vm={} attempts={} retry_ms={retry_ms}",
         task.id,
         task.route.name,
         task.workspace,
-        node.settings.vm
+        node.settings.vm,
+        task.attempts
     );
-    let retry_ms = RETRY_AFTER.as_millis();
     let text = format!("not run: no VM with connections can be reached; retry in {retry_ms} ms");
     Reply::failed(Failure::local(FailureKind::Busy, text), task.failed_state())
 }
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -18,6 +18,8 @@
 use super::health::Verdict;
 use super::instance::{Change, Instance};
 use super::pool::{Limits, Pool};
+use super::retry_budget::{RetryBudgetSettings, RetryBudgets};
+use super::retry_delay::{RetryDelaySettings, RetryDelays};
 use super::settings::EntrySettings;
 use super::state::{State, StopPhase};
 use crate::configuration::Timeline;
@@ -55,6 +57,10 @@
     pub sessions_must_move: Notify,
     /// Gateways that this VM forwards to.
     pub gateways: Gateways,
+    /// Retry delays for refused callers.
+    pub retry_delays: RefCell<RetryDelays>,
+    /// Budgets of this VM's own retries.
+    pub retry_budgets: RefCell<RetryBudgets>,
     /// Number of connected callers.
     pub sessions: Cell<usize>,
     /// Number of tasks running for other VMs.
@@ -78,6 +84,11 @@
             outbox: Outbox::default(),
             sessions_must_move: Notify::new(),
             gateways: Gateways::default(),
+            retry_delays: RefCell::new(RetryDelays::new(
+                RetryDelaySettings::default(),
+                clock::now(),
+            )),
+            retry_budgets: RefCell::new(RetryBudgets::new(RetryBudgetSettings::default())),
             sessions: Cell::new(0),
             tasks: Cell::new(0),
             pools: RefCell::default(),
@@ -175,6 +186,29 @@
             .divide(workspaces, registered, registration_valid, now);
     }
 
+    /// Records the first attempt of a statement, which allows retries.
+    pub fn record_first_attempt(&self, database: &DatabaseName) {
+        self.retry_budgets.borrow_mut().on_first_attempt(database);
+    }
+
+    /// Takes a retry for a statement that has had `attempts` attempts; returns whether there was one.
+    pub fn take_retry(
+        &self,
+        id: &str,
+        database: &DatabaseName,
+        attempts: u8,
+        reason: &'static str,
+    ) -> bool {
+        let taken = self.retry_budgets.borrow_mut().take(database, attempts);
+        let Err(denial) = taken else { return true };
+        metrics().count_retry_denied(reason, denial.into());
+        log::info!(
+            "event=retry_denied id={id} database={database} reason={reason} denied_by={denial} \
+             attempts={attempts}"
+        );
+        false
+    }
+
     /// Returns the configuration in force; `None` until it has been read.
     pub fn catalog(&self) -> Option<Rc<Catalog>> {
         self.state.borrow().catalog.clone()
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -3,9 +3,9 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use super::catalog::{Catalog, Route};
+use super::clock;
 use super::forwarding::{self, Executor};
 use super::link::{SessionValues, shared_name};
 use super::node::Node;
@@ -24,9 +24,6 @@
 /// Maximum number of values set in one session; further ones are refused.
 const MAX_VALUES: usize = 64;
 
-/// Retry delay suggested to a caller of a VM that has just started.
-const STARTING_RETRY_DELAY: Duration = Duration::from_millis(500);
-
 /// Request identifier of tasks that don't come from a request of the caller.
 const NO_REQUEST_ID: &str = "-";
 
@@ -98,7 +95,7 @@
     /// Fails when there is no such route, when the key belongs to no workspace, or when this VM can't
     /// tell because it has no configuration yet.
     pub fn open(node: Rc<Node>, route: Arc<str>, key: Arc<str>) -> Result<Self, Failure> {
-        let catalog = node.catalog().ok_or_else(no_configuration)?;
+        let catalog = node.catalog().ok_or_else(|| no_configuration(&node))?;
         let known = catalog.routes.get(&route).ok_or_else(no_such_route)?;
         let workspace = workspace(&catalog, known, &key).ok_or_else(unauthorized)?;
         Ok(Self {
@@ -358,6 +355,7 @@
             mark: self.mark,
             values: Arc::clone(&self.values),
             action,
+            attempts: 0,
         }
     }
 
@@ -388,8 +386,9 @@
     })
 }
 
-fn no_configuration() -> Failure {
-    let retry_ms = STARTING_RETRY_DELAY.as_millis();
+fn no_configuration(node: &Node) -> Failure {
+    let delay = node.retry_delays.borrow_mut().starting(clock::now());
+    let retry_ms = delay.as_millis();
     Failure::local(
         FailureKind::Busy,
         format!("not run: this VM is starting; retry in {retry_ms} ms"),
--- a/src/entry/slots.rs
+++ b/src/entry/slots.rs
@@ -13,6 +13,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep_until};
 
+use super::retry_delay::Drain;
 use crate::control::fairness::{
     Arrival, FairQueue, FairQueueSettings, QueueClass, RunKey, Shed, WaiterKey,
 };
@@ -118,6 +119,15 @@
         self.queue.borrow().waiting()
     }
 
+    /// Returns in which time what waits now gets a slot.
+    pub fn drain(&self) -> Drain {
+        let queue = self.queue.borrow();
+        Drain {
+            expected: queue.drain(self.now()),
+            interval: queue.interval(),
+        }
+    }
+
     /// Records that the instance rejected a statement for lack of capacity.
     pub fn on_rejected(&self) {
         self.queue.borrow_mut().on_rejected();
--- a/src/entry/task.rs
+++ b/src/entry/task.rs
@@ -28,6 +28,9 @@
     pub values: Arc<SessionValues>,
     /// Operation to perform.
     pub action: Action,
+    /// Number of attempts that have been made before, so that the retries of the VMs it passes don't
+    /// multiply.
+    pub attempts: u8,
 }
 
 /// Operation of a [`Task`].
@@ -90,6 +93,11 @@
         }
     }
 
+    /// Returns whether the task runs a statement on an instance.
+    pub const fn runs_statement(&self) -> bool {
+        !matches!(self.action, Action::Admit)
+    }
+
     /// Returns the state of the session after the task has failed.
     pub const fn failed_state(&self) -> SessionState {
         match &self.action {
@@ -127,6 +135,14 @@
         }
     }
 
+    /// Returns whether the reply says that the task didn't run.
+    pub const fn is_not_run(&self) -> bool {
+        match &self.response.outcome {
+            Outcome::Failed(failure) => failure.not_run(),
+            Outcome::Done(_) => false,
+        }
+    }
+
     /// Builds a successful reply of the VM itself, without a response of an instance.
     pub const fn done(state: SessionState) -> Self {
         Self {
--- a/src/entry/worker.rs
+++ b/src/entry/worker.rs
@@ -177,6 +177,7 @@
             in_transaction: false,
         },
         deadline: Instant::now() + task.route.statement_timeout,
+        attempts: task.attempts,
     }
 }
 
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -51,6 +51,7 @@
     statement_seconds: Histogram<f64>,
     refusals: Counter<u64>,
     moves: Counter<u64>,
+    retries_denied: Counter<u64>,
     store_calls: Counter<u64>,
     store_timelines: Counter<u64>,
     takeovers: Counter<u64>,
@@ -62,6 +63,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum Step {
+    /// Waiting for a slot of the instance.
+    Wait,
     /// Choosing an instance and getting a connection to it.
     Connect,
     /// Executing the statement on the instance.
@@ -203,6 +206,15 @@
         self.entry.moves.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a retry that an entry denied, by what it was for and what denied it.
+    pub fn count_retry_denied(&self, reason: &'static str, denied_by: &'static str) {
+        let labels = [
+            KeyValue::new("reason", reason),
+            KeyValue::new("denied_by", denied_by),
+        ];
+        self.entry.retries_denied.add(1, &labels);
+    }
+
     /// Counts a call to the store, and whether the store responded.
     pub fn count_store_call(&self, kind: &'static str, answered: bool) {
         let labels = [
@@ -259,6 +271,11 @@
                 "currantlb.entry.moves",
                 "Statements offered to another instance, by reason",
             ),
+            retries_denied: counter(
+                meter,
+                "currantlb.entry.retries_denied",
+                "Retries that the budget or the attempts of a statement denied, by reason",
+            ),
             store_calls: counter(
                 meter,
                 "currantlb.entry.store_calls",
