--- a/src/control/fairness/tests.rs
+++ b/src/control/fairness/tests.rs
@@ -552,3 +552,46 @@
         prop_assert!(queue.classes.iter().all(|class| class.backlog.is_zero()));
     }
 }
+
+/// Guards against decisions whose cost grows with the number of waiting requests. To be run alone and
+/// optimised: `cargo test --release -p currantlb --lib -- --ignored a_decision`.
+#[test]
+#[ignore = "measures time"]
+fn a_decision_at_1000_waiting_requests_takes_less_than_2_us() {
+    const ROUNDS: u32 = 100_000;
+    let limit = if cfg!(debug_assertions) {
+        Duration::from_micros(20)
+    } else {
+        Duration::from_micros(2)
+    };
+    let mut queue = FairQueue::new(FairQueueSettings::default(), 4);
+    let enter = |queue: &mut FairQueue<()>, place: u32, now: Timestamp| {
+        let arrival = Arrival {
+            workspace: format!("workspace-{}", place % 80).into(),
+            class: QueueClass::of_priority((place % 3) as u8),
+            weight: 1 + place % 7,
+            due: Some(now + Duration::from_secs(5)),
+            deadline: now + Duration::from_secs(10),
+        };
+        queue.enter(&arrival, (), now).map(|entered| entered.waiter)
+    };
+    let mut waiter = enter(&mut queue, 0, at(0)).unwrap();
+    for place in 1..1_000 {
+        waiter = enter(&mut queue, place, at(0)).unwrap();
+    }
+    let mut runs: Vec<_> = std::iter::from_fn(|| queue.start(at(0))).collect();
+    let mut decisions = 0;
+    let begun = std::time::Instant::now();
+    for round in 0..ROUNDS {
+        let now = at(u64::from(round) / 100);
+        let run = runs.remove(0).run;
+        queue.finish(run, Duration::from_millis(1), now);
+        runs.extend(queue.start(now));
+        waiter = enter(&mut queue, round, now).unwrap_or(waiter);
+        queue.review(waiter, now);
+        decisions += 4;
+    }
+    let mean = begun.elapsed() / decisions;
+    println!("{mean:?} a decision, {} waiting", queue.waiting());
+    assert!(queue.waiting() > 900 && mean < limit, "{mean:?}");
+}
