Concurrency limit: compare a statement with its kind, without connection time

Cause: all statements of a flow shared one usual duration, and the whole time of the slot counted. The start of a transaction beside a save, or the 12 ms for a connection, looked like a slow instance: the limit fell to one and stayed there. Rejections, which are fast, lowered the usual duration further.

Change: usual durations are kept by kind (route, access, start of a transaction); only the time between sending a statement and its response counts, and only if the instance ran it. Slot time is charged as before.

Result: in the table of cases the limit stays at 4 (1 by the former rule) for statements of 1 and 18 ms in turn and for connections opened for every other statement, and still falls to 1 for a slow instance.

--- a/src/control/fairness.rs
+++ b/src/control/fairness.rs
@@ -72,6 +72,8 @@
     pub workspace: WorkspaceName,
     /// Class of its route.
     pub class: QueueClass,
+    /// Kind of the statement; statements of one kind usually take equally long.
+    pub kind: u64,
     /// Weight of the workspace.
     pub weight: u32,
     /// Time by which its response must arrive to meet the latency objective; `None` if there is no
@@ -81,6 +83,24 @@
     pub deadline: Timestamp,
 }
 
+/// What a statement took.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Cost {
+    /// Time for which it held its slot.
+    pub held: Duration,
+    /// Time that the instance took for it, without that for a connection; `None` if it wasn't sent.
+    pub duration: Option<Duration>,
+}
+
+impl From<Duration> for Cost {
+    fn from(held: Duration) -> Self {
+        Self {
+            held,
+            duration: Some(held),
+        }
+    }
+}
+
 /// Request that is refused.
 #[derive(Debug)]
 pub struct Shed<T> {
@@ -112,6 +132,7 @@
 struct Waiter<T> {
     flow: FlowKey,
     ticket: T,
+    kind: u64,
     place: Place,
     deadline: Timestamp,
     /// Estimated cost when the request became late; `None` while it can meet its objective.
@@ -121,6 +142,7 @@
 #[derive(Debug)]
 struct Run {
     flow: FlowKey,
+    kind: u64,
     charged: Duration,
 }
 
@@ -229,6 +251,7 @@
         let waiter = self.next_in_time(now).or_else(|| self.next_late())?;
         let key = self.waiters[waiter].flow;
         let is_late = self.waiters[waiter].late_cost.is_some();
+        let kind = self.waiters[waiter].kind;
         let ticket = self.remove(waiter)?;
         let cost = self.flows[key].estimate;
         if !is_late {
@@ -244,13 +267,19 @@
         }
         let run = self.runs.insert(Run {
             flow: key,
+            kind,
             charged: cost,
         });
         Some(Started { ticket, run })
     }
 
-    /// Releases a slot and charges the actual cost of the statement.
-    pub fn finish(&mut self, run: RunKey, cost: Duration, now: Timestamp) {
+    /// Releases a slot and charges the actual cost of the statement. Only the time that the instance
+    /// took counts as evidence that it is slow.
+    pub fn finish(&mut self, run: RunKey, cost: impl Into<Cost>, now: Timestamp) {
+        let Cost {
+            held: cost,
+            duration,
+        } = cost.into();
         let Some(run) = self.runs.remove(run) else {
             return;
         };
@@ -263,9 +292,12 @@
         flow.running -= 1;
         let class = &mut self.classes[flow.class.rank()];
         class.backlog = class.backlog.saturating_sub(flow.backlog());
-        let usual = flow.record_cost(cost);
+        flow.record_cost(cost);
         class.backlog += flow.backlog();
-        self.concurrency.observe(cost, usual);
+        if let Some(duration) = duration {
+            let usual = flow.record_duration(run.kind, duration);
+            self.concurrency.observe(duration, usual);
+        }
         self.mean_cost = match self.mean_cost {
             Duration::ZERO => cost,
             mean => (mean * 31 + cost) / 32,
@@ -336,6 +368,7 @@
         let waiter = self.waiters.insert(Waiter {
             flow: key,
             ticket,
+            kind: arrival.kind,
             place,
             deadline: arrival.deadline,
             late_cost: None,
--- a/src/control/fairness/flow.rs
+++ b/src/control/fairness/flow.rs
@@ -31,8 +31,9 @@
     pub(super) running: usize,
     /// Mean cost of recent statements.
     pub(super) estimate: Duration,
-    /// Long-term mean cost, which a slowdown of the instance hardly changes.
-    pub(super) baseline: Duration,
+    /// Long-term mean duration of each kind of statement, which a slowdown of the instance hardly
+    /// changes.
+    baselines: BTreeMap<u64, Duration>,
 }
 
 impl Flow {
@@ -46,7 +47,7 @@
             late: 0,
             running: 0,
             estimate: FIRST_ESTIMATE,
-            baseline: FIRST_ESTIMATE,
+            baselines: BTreeMap::new(),
         }
     }
 
@@ -77,18 +78,23 @@
         micros.saturating_mul(VIRTUAL_UNITS_PER_US) / u64::from(self.weight.max(1))
     }
 
-    /// Records the cost of a statement; returns the long-term mean before it, or `cost` for the
-    /// first statement.
-    pub(super) fn record_cost(&mut self, cost: Duration) -> Duration {
-        let usual = self.baseline;
-        if self.baseline == FIRST_ESTIMATE && self.estimate == FIRST_ESTIMATE {
-            self.estimate = cost;
-            self.baseline = cost;
-            return cost;
-        }
-        self.estimate = mean(self.estimate, cost, 8);
-        let samples = if cost < self.baseline { 16 } else { 256 };
-        self.baseline = mean(self.baseline, cost, samples);
+    /// Records the cost of a statement.
+    pub(super) fn record_cost(&mut self, cost: Duration) {
+        let is_first = self.baselines.is_empty() && self.estimate == FIRST_ESTIMATE;
+        self.estimate = if is_first {
+            cost
+        } else {
+            mean(self.estimate, cost, 8)
+        };
+    }
+
+    /// Records the duration of a statement; returns the long-term mean of its kind before it, or
+    /// `duration` for the first statement.
+    pub(super) fn record_duration(&mut self, kind: u64, duration: Duration) -> Duration {
+        let baseline = self.baselines.entry(kind).or_insert(duration);
+        let usual = *baseline;
+        let samples = if duration < usual { 16 } else { 256 };
+        *baseline = mean(usual, duration, samples);
         usual
     }
 }
--- a/src/control/fairness/tests.rs
+++ b/src/control/fairness/tests.rs
@@ -16,6 +16,7 @@
     Arrival {
         workspace: workspace.into(),
         class: class.into(),
+        kind: 0,
         weight: 1,
         due: None,
         deadline: FAR,
@@ -451,6 +452,62 @@
     }
 }
 
+/// Guards against a limit that falls, and stays low, at an instance that is as fast as ever: because
+/// short and long statements alternate, or because connections are opened.
+#[test]
+fn only_an_instance_that_is_slower_than_usual_lowers_the_limit() {
+    struct Case {
+        name: &'static str,
+        /// Kind, time that the slot was held, and time that the instance took, in ms, in turn.
+        statements: [(u64, u64, u64); 2],
+        limit: usize,
+    }
+    let cases = [
+        Case {
+            name: "short and long statements",
+            statements: [(1, 1, 1), (2, 18, 18)],
+            limit: 4,
+        },
+        Case {
+            name: "connections opened for every other statement",
+            statements: [(1, 6, 6), (1, 30, 6)],
+            limit: 4,
+        },
+        Case {
+            name: "a slow instance",
+            statements: [(1, 6, 6), (1, 30, 30)],
+            limit: 1,
+        },
+    ];
+    // Runs the statements with the cost and kind that are given.
+    let limit = |statements: &[(u64, Cost)]| {
+        let mut queue = FairQueue::new(FairQueueSettings::default(), 4);
+        for (kind, cost) in statements.iter().cycle().take(200).copied() {
+            let arrival = Arrival {
+                kind,
+                ..normal("a")
+            };
+            queue.enter(&arrival, "a", at(0)).unwrap();
+            let run = queue.start(at(0)).unwrap().run;
+            queue.finish(run, cost, at(0));
+        }
+        queue.concurrency()
+    };
+    for case in cases {
+        let current = case.statements.map(|(kind, held_ms, duration_ms)| {
+            let cost = Cost {
+                held: Duration::from_millis(held_ms),
+                duration: Some(Duration::from_millis(duration_ms)),
+            };
+            (kind, cost)
+        });
+        let former = case.statements;
+        let former = former.map(|(_, held_ms, _)| (0, Duration::from_millis(held_ms).into()));
+        assert_eq!(limit(&current), case.limit, "{}", case.name);
+        assert_eq!(limit(&former), 1, "{}, by the former rule", case.name);
+    }
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     Enter {
@@ -500,6 +557,7 @@
                     let arrival = Arrival {
                         workspace: format!("workspace-{workspace}").into(),
                         class: QueueClass::of_priority(class),
+                        kind: 0,
                         weight: 1 + u32::from(workspace),
                         due: due_ms.map(|millis| now + Duration::from_millis(millis)),
                         deadline: now + Duration::from_millis(deadline_ms),
@@ -569,6 +627,7 @@
         let arrival = Arrival {
             workspace: format!("workspace-{}", place % 80).into(),
             class: QueueClass::of_priority((place % 3) as u8),
+            kind: 0,
             weight: 1 + place % 7,
             due: Some(now + Duration::from_secs(5)),
             deadline: now + Duration::from_secs(10),
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -151,8 +151,7 @@
         let route = &context.route.name;
         metrics().record_step(route, Step::Connect, sent_at.since(started_at));
         let pool = Rc::clone(pooled.pool());
-        let result = send(context, command, &target, &mut pooled).await;
-        drop(slot);
+        let result = send(context, command, &target, slot, &mut pooled).await;
         let response = match result {
             Ok(response) => response,
             Err(error) => {
@@ -196,12 +195,13 @@
     }
 }
 
-/// Sends a command and waits for the response; if the command may run elsewhere, only while the
-/// instance isn't unreachable.
+/// Sends a command, waits for the response and releases the slot. If the command may run elsewhere,
+/// it waits only while the instance isn't unreachable.
 async fn send(
     context: &StatementContext<'_>,
     command: &InstanceCommand,
     target: &Target,
+    mut slot: Slot,
     pooled: &mut PooledLink,
 ) -> Result<StatementResponse, LinkError> {
     let pool = Rc::clone(pooled.pool());
@@ -212,10 +212,15 @@
         target.min_position,
         context.deadline,
     );
-    tokio::select! {
+    slot.statement_sent();
+    let result = tokio::select! {
         result = running => result,
         () = pool.wait_until_unreachable(), if is_repeatable(context) => Err(LinkError::TimedOut),
+    };
+    if result.as_ref().is_ok_and(StatementResponse::is_not_run) {
+        slot.statement_rejected();
     }
+    result
 }
 
 /// Returns whether a command may be sent again after its response was lost.
@@ -513,11 +518,19 @@
         workspace: context.workspace.clone(),
         class: QueueClass::of_priority(context.route.priority),
         weight: (rate_per_s as u32).max(1),
+        kind: kind(context),
         due_in,
         max_wait: due_in.max(late_wait),
     }
 }
 
+/// Returns a number for the statements of the same route, access and place in a transaction.
+fn kind(context: &StatementContext<'_>) -> u64 {
+    let form = u64::from(context.access == Access::Write);
+    let form = form | (u64::from(context.starts_transaction) << 1);
+    xxhash_rust::xxh3::xxh3_64_with_seed(context.route.name.as_bytes(), form)
+}
+
 /// Waits for a slot of an instance.
 ///
 /// # Errors
--- a/src/entry/slots.rs
+++ b/src/entry/slots.rs
@@ -15,7 +15,7 @@
 
 use super::retry_delay::Drain;
 use crate::control::fairness::{
-    Arrival, FairQueue, FairQueueSettings, QueueClass, RunKey, Shed, WaiterKey,
+    Arrival, Cost, FairQueue, FairQueueSettings, QueueClass, RunKey, Shed, WaiterKey,
 };
 use crate::name::WorkspaceName;
 use crate::time::Timestamp;
@@ -40,6 +40,8 @@
     pub workspace: WorkspaceName,
     /// Class of its route.
     pub class: QueueClass,
+    /// Kind of the statement; statements of one kind usually take equally long.
+    pub kind: u64,
     /// Weight of the workspace.
     pub weight: u32,
     /// Time that is left until its response is due by the latency objective.
@@ -61,11 +63,30 @@
     slots: Rc<Slots>,
     run: RunKey,
     since: Instant,
+    sent_at: Option<Instant>,
+}
+
+impl Slot {
+    /// Records that the statement is sent now: the time before, for a connection, says nothing about
+    /// the speed of the instance.
+    pub fn statement_sent(&mut self) {
+        self.sent_at = Some(Instant::now());
+    }
+
+    /// Records that the instance didn't run the statement: how fast it rejects says nothing about the
+    /// statements that it runs.
+    pub fn statement_rejected(&mut self) {
+        self.sent_at = None;
+    }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        let (cost, now) = (self.since.elapsed(), self.slots.now());
+        let now = self.slots.now();
+        let cost = Cost {
+            held: self.since.elapsed(),
+            duration: self.sent_at.map(|at| at.elapsed()),
+        };
         self.slots.queue.borrow_mut().finish(self.run, cost, now);
         self.slots.start_waiting();
     }
@@ -84,6 +105,7 @@
             slots: Rc::clone(self.slots),
             run,
             since: Instant::now(),
+            sent_at: None,
         }
     }
 }
@@ -145,6 +167,7 @@
         let arrival = Arrival {
             workspace: request.workspace.clone(),
             class: request.class,
+            kind: request.kind,
             weight: request.weight,
             due: Some(now + request.due_in),
             deadline: now + request.max_wait,
--- a/src/entry/slots/tests.rs
+++ b/src/entry/slots/tests.rs
@@ -146,6 +146,7 @@
         let request = SlotRequest {
             workspace: route.workspace.into(),
             class: QueueClass::of_priority(route.priority),
+            kind: 0,
             weight: route.weight,
             due_in,
             max_wait: due_in.max(route.objective / 2),
@@ -155,13 +156,17 @@
             Rule::Former => Some(slots.take(&former(request, route)).await),
             Rule::Current => Some(slots.take(&request).await),
         };
-        let Ok(slot) = slot.transpose() else {
+        let Ok(mut slot) = slot.transpose() else {
             return false;
         };
+        if let Some(slot) = &mut slot {
+            slot.statement_sent();
+        }
         if instance.run(work).await {
             return true;
         }
-        if slot.is_some() {
+        if let Some(slot) = &mut slot {
+            slot.statement_rejected();
             slots.on_rejected();
         }
         drop(slot);
@@ -185,6 +190,7 @@
     SlotRequest {
         workspace: workspace.into(),
         class: QueueClass::of_priority(priority),
+        kind: 0,
         weight: 10,
         due_in: 2 * max_wait,
         max_wait,
@@ -389,6 +395,7 @@
             "{}, {}: {former:.3?} -> {current:.3?}",
             case.deployment.name, case.name
         );
+        println!("{report}");
         let meets = |served: &[f64]| {
             let mut pairs = served.iter().zip(&case.min_served);
             pairs.all(|(served, min)| served >= min)
--- a/src/entry/statement.rs
+++ b/src/entry/statement.rs
@@ -218,6 +218,14 @@
 }
 
 impl StatementResponse {
+    /// Returns whether the statement definitely didn't run and may succeed if it is repeated.
+    pub const fn is_not_run(&self) -> bool {
+        match &self.outcome {
+            Outcome::Failed(failure) => failure.not_run(),
+            Outcome::Done(_) => false,
+        }
+    }
+
     /// Builds a response of this VM, without rows and position.
     pub const fn local(outcome: Outcome, state: SessionState) -> Self {
         Self {
--- a/src/entry/task.rs
+++ b/src/entry/task.rs
@@ -137,10 +137,7 @@
 
     /// Returns whether the reply says that the task didn't run.
     pub const fn is_not_run(&self) -> bool {
-        match &self.response.outcome {
-            Outcome::Failed(failure) => failure.not_run(),
-            Outcome::Done(_) => false,
-        }
+        self.response.is_not_run()
     }
 
     /// Builds a successful reply of the VM itself, without a response of an instance.
--- a/src/traffic/home/exchange.rs
+++ b/src/traffic/home/exchange.rs
@@ -220,6 +220,7 @@
             workspace: self.head.workspace.clone(),
             class: self.admitted.policy.class.into(),
             weight: self.admitted.weight,
+            kind: 0,
             due: None,
             deadline: home.clock.now() + left,
         }
