--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::catalog::Route;
 use super::clock;
@@ -12,8 +12,9 @@
 use super::latency::StatementKind;
 use super::link::{LinkError, Setup};
 use super::node::Node;
-use super::pool::{Answer, LinkRequest, Pool, PooledLink};
+use super::pool::{Answer, LinkRequest, PooledLink};
 use super::position::Position;
+use super::refusal::{Cause, refuse};
 use super::slots::{Slot, SlotRequest};
 use super::statement::{Access, Failure, FailureKind, InstanceCommand, Outcome, StatementResponse};
 use super::target::{self, NoTarget, Target};
@@ -22,11 +23,12 @@
 use crate::telemetry::metrics::{Step, metrics};
 use crate::time::Timestamp;
 
-/// Delay before a statement is retried on a primary that had no capacity.
+/// Delay before the first retry on a primary that had no capacity; doubles with each further one.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(15);
 
 /// Maximum time between two attempts to select an instance while none is eligible, for example
-/// because a primary is being replaced.
+/// because a primary is being replaced. An instance that says that it isn't the primary is tried
+/// again after this time, and after four times as long with each further retry.
 const TARGET_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Time for which a statement that can't meet its latency objective any more waits for a slot, as a
@@ -36,13 +38,6 @@
 /// Number of instances without capacity that are tried for one statement.
 const MAX_FULL_INSTANCES: usize = 2;
 
-/// Retry delay suggested to a refused caller, after which there may be capacity.
-const RETRY_AFTER_BUSY: Duration = Duration::from_millis(100);
-
-/// Retry delay suggested to a refused caller whose primary is in an evacuated zone: the usual time in
-/// which another instance is promoted.
-const RETRY_AFTER_EVACUATION: Duration = Duration::from_secs(1);
-
 /// Fraction of a statement's time limit for which it waits for an instance that accepts it: less
 /// than half, so that a refused caller has time to try another VM.
 const TARGET_WAIT_FRACTION: f64 = 0.2;
@@ -66,6 +61,8 @@
     pub setup: Setup<'a>,
     /// End of the statement's time limit.
     pub deadline: Instant,
+    /// Number of attempts that other VMs have made.
+    pub attempts: u8,
 }
 
 impl StatementContext<'_> {
@@ -88,6 +85,60 @@
     pub pooled: PooledLink,
 }
 
+/// What has been done for a statement so far.
+#[derive(Debug)]
+struct Progress {
+    /// Instances that are left out of the next selection.
+    tried: Vec<InstanceName>,
+    /// Number of attempts, including those of other VMs.
+    attempts: u8,
+    /// Failure to report if there is no further attempt: that of an attempt that may have run.
+    may_have_run: Option<Failure>,
+    /// Time by which the response is due.
+    due: Instant,
+    /// Time until which an instance is sought.
+    selection_deadline: Instant,
+}
+
+impl Progress {
+    fn new(node: &Node, context: &StatementContext<'_>) -> Self {
+        let now = Instant::now();
+        let wait_limit = context
+            .route
+            .statement_timeout
+            .mul_f64(TARGET_WAIT_FRACTION);
+        let wait_limit = wait_limit.min(node.settings.target_wait_limit);
+        Self {
+            tried: Vec::new(),
+            attempts: context.attempts.saturating_add(1),
+            may_have_run: None,
+            due: now + context.route.latency_objective,
+            selection_deadline: context.deadline.min(now + wait_limit),
+        }
+    }
+
+    /// Takes a retry within the statement's attempts and the budget of its database; returns whether
+    /// there was one.
+    fn take_retry(
+        &mut self,
+        node: &Node,
+        context: &StatementContext<'_>,
+        reason: &'static str,
+    ) -> bool {
+        if Instant::now() >= self.selection_deadline {
+            return false;
+        }
+        // Preparing a statement again takes no capacity from others.
+        if reason == <&str>::from(FailureKind::NoSuchStatement) {
+            return true;
+        }
+        let database = &context.route.database;
+        let taken = node.take_retry(context.id, database, self.attempts, reason);
+        self.attempts += u8::from(taken);
+        taken
+    }
+}
+
 /// Runs a command on an eligible instance. If the instance didn't run it, or if running it twice is
 /// safe, the command is retried, on another instance where possible.
 ///
@@ -99,54 +150,20 @@
     context: &StatementContext<'_>,
     command: &InstanceCommand,
 ) -> Result<Executed, Failure> {
-    let mut possibly_run = None;
-    let result = attempt(node, context, command, &mut possibly_run).await;
-    let failure = match &result {
-        Ok(executed) => match &executed.response.outcome {
-            Outcome::Done(_) => None,
-            Outcome::Failed(failure) => Some(failure),
-        },
-        Err(failure) => Some(failure),
-    };
-    let is_refused = failure.is_some_and(Failure::not_run);
-    match possibly_run.filter(|_| is_refused) {
-        Some(failure) => Err(failure),
-        None => result,
+    let mut progress = Progress::new(node, context);
+    if context.attempts == 0 {
+        node.record_first_attempt(&context.route.database);
     }
-}
-
-/// Attempts to run a command, on one instance after the other. Stores the failure of an attempt that
-/// may have run in `possibly_run`: the statement can't be reported as not run any more.
-async fn attempt(
-    node: &Rc<Node>,
-    context: &StatementContext<'_>,
-    command: &InstanceCommand,
-    possibly_run: &mut Option<Failure>,
-) -> Result<Executed, Failure> {
-    let mut tried = Vec::new();
-    let selection_deadline = selection_deadline(node, context);
-    let due = Instant::now() + context.route.latency_objective;
     let started_at = clock::now();
     loop {
+        let acquired = acquire(node, context, &mut progress).await;
         let (target, slot, mut pooled) =
-            acquire(node, context, &mut tried, due, selection_deadline).await?;
+            acquired.map_err(|refused| progress.may_have_run.take().unwrap_or(refused))?;
         let sent_at = clock::now();
         let route = &context.route.name;
         metrics().record_step(route, Step::Connect, sent_at.since(started_at));
         let pool = Rc::clone(pooled.pool());
-        pool.statement_started();
-        let running = pooled.link().run(
-            &context.setup,
-            command,
-            target.min_position,
-            context.deadline,
-        );
-        let repeatable = context.access == Access::Read || context.starts_transaction;
-        let result = tokio::select! {
-            result = running => result,
-            () = pool.wait_until_unreachable(), if repeatable => Err(LinkError::TimedOut),
-        };
-        drop(slot);
+        let result = send(context, command, &target, slot, &mut pooled).await;
         let response = match result {
             Ok(response) => response,
             Err(error) => {
@@ -154,10 +171,10 @@
                 pooled.close();
                 record_missing_response(node, context, &target, &error);
                 let failure = missing_response_failure(context, command, &error);
-                if repeatable && Instant::now() < selection_deadline {
-                    tried.push(target.instance.name.clone());
+                if is_repeatable(context) && progress.take_retry(node, context, "answer_missing") {
+                    progress.tried.push(target.instance.name.clone());
                     // The start of a transaction runs nothing of the caller.
-                    *possibly_run = Some(failure).filter(|_| !context.starts_transaction);
+                    progress.may_have_run = Some(failure).filter(|_| !context.starts_transaction);
                     continue;
                 }
                 return Err(failure);
@@ -172,23 +189,87 @@
         let Outcome::Failed(failure) = &response.outcome else {
             return Ok(Executed { response, pooled });
         };
-        let retryable = is_retryable(context, failure, tried.len());
-        if !retryable || Instant::now() >= selection_deadline {
+        if !is_retryable(context, failure, progress.tried.len()) {
             return Ok(Executed { response, pooled });
         }
+        if !progress.take_retry(node, context, failure.kind.into()) {
+            return last_failure(node, context, progress, Executed { response, pooled });
+        }
         if !failure.not_run() {
-            *possibly_run = Some(failure.clone());
+            progress.may_have_run = Some(failure.clone());
         }
-        prepare_retry(context, &target, failure.kind, &mut pooled, &mut tried).await;
+        prepare_retry(
+            node,
+            context,
+            &target,
+            failure.kind,
+            &mut pooled,
+            &mut progress,
+        )
+        .await;
     }
 }
 
-/// Returns the time until which instances are selected for a statement.
-fn selection_deadline(node: &Node, context: &StatementContext<'_>) -> Instant {
-    let timeout = context.route.statement_timeout;
-    let wait_limit = timeout.mul_f64(TARGET_WAIT_FRACTION);
-    let wait_limit = wait_limit.min(node.settings.target_wait_limit);
-    context.deadline.min(Instant::now() + wait_limit)
+/// Sends a command, waits for the response and releases the slot. If the command may run elsewhere,
+/// it waits only while the instance isn't unreachable.
+async fn send(
+    context: &StatementContext<'_>,
+    command: &InstanceCommand,
+    target: &Target,
+    mut slot: Slot,
+    pooled: &mut PooledLink,
+) -> Result<StatementResponse, LinkError> {
+    let pool = Rc::clone(pooled.pool());
+    pool.statement_started();
+    let running = pooled.link().run(
+        &context.setup,
+        command,
+        target.min_position,
+        context.deadline,
+    );
+    slot.statement_sent();
+    let result = tokio::select! {
+        result = running => result,
+        () = pool.wait_until_unreachable(), if is_repeatable(context) => Err(LinkError::TimedOut),
+    };
+    if result.as_ref().is_ok_and(StatementResponse::is_not_run) {
+        slot.statement_rejected();
+    }
+    result
+}
+
+/// Returns whether a command may be sent again after its response was lost.
+fn is_repeatable(context: &StatementContext<'_>) -> bool {
+    context.access == Access::Read || context.starts_transaction
+}
+
+/// Reports a retryable failure that isn't retried. A statement that no instance can have run is
+/// refused with the time at which to retry.
+fn last_failure(
+    node: &Node,
+    context: &StatementContext<'_>,
+    progress: Progress,
+    executed: Executed,
+) -> Result<Executed, Failure> {
+    if let Some(failure) = progress.may_have_run {
+        return Err(failure);
+    }
+    let Outcome::Failed(failure) = &executed.response.outcome else {
+        return Ok(executed);
+    };
+    match failure.kind {
+        FailureKind::Busy
+        | FailureKind::Lagging
+        | FailureKind::Misrouted
+        | FailureKind::TooManyConnections => {
+            if failure.kind == FailureKind::Busy {
+                executed.pooled.pool().slots().on_rejected();
+            }
+            Err(refuse(node, context, Cause::RetriesUsedUp))
+        }
+        FailureKind::ReadOnly => Err(refuse(node, context, Cause::Replacement)),
+        _ => Ok(executed),
+    }
 }
 
 fn answer<'a>(
@@ -224,32 +305,58 @@
 
 /// Prepares the next attempt after a retryable failure: waits, or excludes the instance.
 async fn prepare_retry(
+    node: &Node,
     context: &StatementContext<'_>,
     target: &Target,
     kind: FailureKind,
     pooled: &mut PooledLink,
-    tried: &mut Vec<InstanceName>,
+    progress: &mut Progress,
 ) {
     metrics().count_retry(kind.into());
     log::info!(
-        "event=statement_moved id={} from={} reason={kind}",
+        "event=statement_moved id={} from={} reason={kind} attempts={}",
         context.id,
-        target.instance.name
+        target.instance.name,
+        progress.attempts
     );
     if kind == FailureKind::Busy {
         pooled.pool().slots().on_rejected();
     }
+    let retries = u32::from(progress.attempts - context.attempts).saturating_sub(2);
     match kind {
         FailureKind::NoSuchStatement => pooled.link().forget_prepared(),
         FailureKind::ReadOnly => {
             pooled.pool().record_health(|health, _| health.on_deposed());
-            sleep(TARGET_POLL_INTERVAL).await;
+            await_other_primary(
+                node,
+                context,
+                target,
+                TARGET_POLL_INTERVAL * 4_u32.pow(retries),
+            )
+            .await;
         }
-        FailureKind::Busy if !target::may_leave(context, target) => sleep(BUSY_RETRY_DELAY).await,
-        _ => tried.push(target.instance.name.clone()),
+        FailureKind::Busy if !target::may_leave(context, target) => {
+            sleep(BUSY_RETRY_DELAY * 2_u32.pow(retries)).await;
+        }
+        _ => progress.tried.push(target.instance.name.clone()),
     }
 }
 
+/// Waits until another instance, or none, is recorded as the primary, at most for `limit`.
+async fn await_other_primary(
+    node: &Node,
+    context: &StatementContext<'_>,
+    target: &Target,
+    limit: Duration,
+) {
+    let replaced = node.wait_until(|state| {
+        let primary = state.primary(&context.route.database);
+        primary.is_none_or(|primary| primary.name != target.instance.name)
+    });
+    // The record may be right after all; the statement is then sent to the same instance again.
+    let _ = timeout(limit, replaced).await;
+}
+
 /// Returns whether the same command may be retried after a failure. A read that failed on
 /// the instance is retried unless another instance has been tried before.
 fn is_retryable(context: &StatementContext<'_>, failure: &Failure, tried_count: usize) -> bool {
@@ -262,16 +369,14 @@
 async fn acquire(
     node: &Rc<Node>,
     context: &StatementContext<'_>,
-    tried: &mut Vec<InstanceName>,
-    due: Instant,
-    selection_deadline: Instant,
+    progress: &mut Progress,
 ) -> Result<(Target, Slot, PooledLink), Failure> {
     loop {
-        let chosen = target::select(&node.state.borrow(), node, context, tried);
+        let chosen = target::select(&node.state.borrow(), node, context, &progress.tried);
         let target = match chosen {
             Ok(target) => target,
             Err(cause) => {
-                wait_for_target(node, context, cause, tried, selection_deadline).await?;
+                wait_for_target(node, context, cause, progress).await?;
                 continue;
             }
         };
@@ -280,80 +385,79 @@
             sleep(target.delay).await;
         }
         let pool = node.pool(&target.instance);
-        let request = slot_request(node, context, due);
-        let may_leave = target::may_leave(context, &target);
-        let mut slot = match take_slot(&pool, &request, may_leave).await {
+        let slot = match take_slot(node, context, &target, progress.due).await {
             Ok(slot) => slot,
-            Err(_) if may_leave && tried.len() < MAX_FULL_INSTANCES => {
-                tried.push(target.instance.name.clone());
+            Err(_)
+                if target::may_leave(context, &target)
+                    && progress.tried.len() < MAX_FULL_INSTANCES =>
+            {
+                progress.tried.push(target.instance.name.clone());
                 continue;
             }
-            Err(after) => {
-                let reason = "the instance has no capacity";
-                return Err(refusal(node, context, reason, after));
-            }
+            Err(cause) => return Err(refuse(node, context, cause)),
         };
         let link_request = LinkRequest {
             workspace: context.workspace,
             claim: target::claim(context, target.is_primary),
             connect_timeout: node.settings.connect_timeout,
-            deadline: selection_deadline,
+            deadline: progress.selection_deadline,
         };
         let taken = pool.take(&link_request).await;
         match taken {
             Ok(pooled) if target::is_still_valid(node, context, &target) => {
-                slot.set_connected();
+                record_available_primary(node, context, &target);
                 return Ok((target, slot, pooled));
             }
             Ok(_) => {}
             Err(error) => {
                 record_connect_failure(node, context, &target, &error);
-                if Instant::now() >= selection_deadline {
-                    return Err(refusal(
-                        node,
-                        context,
-                        "no connection to an instance is free",
-                        RETRY_AFTER_BUSY,
-                    ));
+                if Instant::now() >= progress.selection_deadline {
+                    return Err(refuse(node, context, Cause::Connections));
                 }
-                tried.push(target.instance.name.clone());
+                progress.tried.push(target.instance.name.clone());
             }
         }
     }
 }
 
+fn record_available_primary(node: &Node, context: &StatementContext<'_>, target: &Target) {
+    let database = &context.route.database;
+    if target.is_primary && node.state.borrow().primary(database).is_some() {
+        let mut delays = node.retry_delays.borrow_mut();
+        delays.on_primary_available(database, clock::now());
+    }
+}
+
 /// Waits until an instance may be eligible, or refuses the statement.
 async fn wait_for_target(
     node: &Rc<Node>,
     context: &StatementContext<'_>,
-    cause: NoTarget,
-    tried: &mut Vec<InstanceName>,
-    selection_deadline: Instant,
+    no_target: NoTarget,
+    progress: &mut Progress,
 ) -> Result<(), Failure> {
-    let reason = match cause {
-        NoTarget::NoValidityLease => "this VM can't tell which instance is the primary",
-        NoTarget::PrimaryUnavailable => "the primary is being replaced",
-        NoTarget::Evacuated => "the primary's zone is evacuated",
-        NoTarget::AllTried => "no instance has capacity",
-        NoTarget::Lagging { .. } => "no instance has reached the required position",
-    };
-    let retry_after = match cause {
-        NoTarget::Lagging { after } => after,
-        NoTarget::Evacuated => RETRY_AFTER_EVACUATION,
-        _ => RETRY_AFTER_BUSY,
+    let cause = match no_target {
+        NoTarget::NoValidityLease => Cause::NoValidityLease,
+        NoTarget::PrimaryUnavailable => Cause::Replacement,
+        NoTarget::Evacuated => Cause::Evacuated,
+        NoTarget::AllTried => Cause::AllTried,
+        NoTarget::Lagging { after } => Cause::Lagging { after },
     };
-    let is_late = |after: Duration| Instant::now() + after >= selection_deadline;
-    let lags_too_long = matches!(cause, NoTarget::Lagging { after } if is_late(after));
-    let is_hopeless = matches!(cause, NoTarget::NoValidityLease | NoTarget::Evacuated);
+    if cause == Cause::Replacement {
+        let mut delays = node.retry_delays.borrow_mut();
+        delays.on_primary_unavailable(&context.route.database, clock::now());
+    }
+    let is_late = |after: Duration| Instant::now() + after >= progress.selection_deadline;
+    let lags_too_long = matches!(cause, Cause::Lagging { after } if is_late(after));
+    let is_hopeless = matches!(cause, Cause::NoValidityLease | Cause::Evacuated);
     if is_hopeless || lags_too_long || is_late(TARGET_POLL_INTERVAL) {
-        return Err(refusal(node, context, reason, retry_after));
+        return Err(refuse(node, context, cause));
     }
     let pause = sleep_until(Instant::now() + TARGET_POLL_INTERVAL);
     tokio::select! {
         () = pause => {}
         () = node.changed.notified() => {}
     }
-    tried.clear();
+    progress.tried.clear();
     Ok(())
 }
 
@@ -444,59 +548,62 @@
         workspace: context.workspace.clone(),
         class: QueueClass::of_priority(context.route.priority),
         weight: (rate_per_s as u32).max(1),
+        kind: kind(context),
         due_in,
         max_wait: due_in.max(late_wait),
     }
 }
 
+/// Returns a number for the statements of the same route, access and place in a transaction.
+fn kind(context: &StatementContext<'_>) -> u64 {
+    let form = u64::from(context.access == Access::Write);
+    let form = form | (u64::from(context.starts_transaction) << 1);
+    xxhash_rust::xxh3::xxh3_64_with_seed(context.route.name.as_bytes(), form)
+}
+
 /// Waits for a place in the rate that a cold instance takes, and for a slot of the instance. A
 /// statement that may leave the instance doesn't wait for the former.
 ///
 /// # Errors
 ///
-/// Fails with the time after which there may be one.
-async fn take_slot(pool: &Pool, request: &SlotRequest, may_leave: bool) -> Result<Slot, Duration> {
-    let max_wait = if may_leave {
+/// Fails with the cause to refuse the statement with when no slot is expected in time, or the
+/// instance has become unreachable.
+async fn take_slot(
+    node: &Node,
+    context: &StatementContext<'_>,
+    target: &Target,
+    due: Instant,
+) -> Result<Slot, Cause> {
+    let pool = node.pool(&target.instance);
+    let mut request = slot_request(node, context, due);
+    let waiting_since = Instant::now();
+    let max_rate_wait = if target::may_leave(context, target) {
         Duration::ZERO
     } else {
         request.max_wait
     };
-    let wait = pool.reserve_rate(max_wait)?;
-    if !wait.is_zero() {
-        sleep(wait).await;
+    let rate_wait = pool
+        .reserve_rate(max_rate_wait)
+        .map_err(|after| Cause::ColdInstance { after })?;
+    if !rate_wait.is_zero() {
+        sleep(rate_wait).await;
     }
-    let request = SlotRequest {
-        max_wait: request.max_wait.saturating_sub(wait),
-        ..request.clone()
+    request.max_wait = request.max_wait.saturating_sub(rate_wait);
+    let unreachable = if target.is_primary {
+        Cause::Replacement
+    } else {
+        Cause::AllTried
     };
     let taken = tokio::select! {
         taken = pool.slots().take(&request) => taken,
-        () = pool.wait_until_unreachable() => return Err(RETRY_AFTER_BUSY),
+        () = pool.wait_until_unreachable() => return Err(unreachable),
     };
-    taken.map_err(|refused| refused.retry_after.unwrap_or(RETRY_AFTER_BUSY))
-}
-
-/// Builds the failure for a refused statement that hasn't run, and logs the refusal.
-pub fn refusal(
-    node: &Node,
-    context: &StatementContext<'_>,
-    reason: &str,
-    retry_after: Duration,
-) -> Failure {
-    metrics().count_entry_refusal(&context.route.name, reason);
-    let retry_ms = retry_after.as_millis();
-    log::info!(
-        "event=request_refused id={} route={} workspace={} reason=\"{reason}\" vm={} \
-         retry_ms={retry_ms}",
-        context.id,
-        context.route.name,
-        context.workspace,
-        node.settings.vm
-    );
-    Failure::local(
-        FailureKind::Busy,
-        format!("not run: {reason}; retry in {retry_ms} ms"),
-    )
+    metrics().record_step(&context.route.name, Step::Wait, waiting_since.elapsed());
+    taken.map_err(|refused| {
+        let mut drain = pool.slots().drain();
+        drain.expected = refused.retry_after.unwrap_or(drain.expected);
+        Cause::Slots(drain)
+    })
 }
 
 /// Builds the failure for a statement without a response. Reads and transaction starts have kept
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -25,13 +25,15 @@
 use super::overload::Overload;
 use super::pool::{Limits, Pool, Sharing};
 use super::quota::Quota;
+use super::retry_budget::{RetryBudgetSettings, RetryBudgets};
+use super::retry_delay::{RetryDelaySettings, RetryDelays};
 use super::settings::EntrySettings;
 use super::state::{State, StopPhase};
 use super::warmup;
 use crate::configuration::Timeline;
 use crate::control::command::PlatformRequest;
 use crate::control::event::PlatformResponse;
-use crate::name::InstanceName;
+use crate::name::{DatabaseName, InstanceName};
 use crate::store;
 use crate::telemetry::metrics::metrics;
 
@@ -67,6 +69,10 @@
     pub overload: RefCell<Overload>,
     /// Connections of callers and other VMs.
     pub connections: Rc<Connections>,
+    /// Retry delays for refused callers.
+    pub retry_delays: RefCell<RetryDelays>,
+    /// Budgets of this VM's own retries.
+    pub retry_budgets: RefCell<RetryBudgets>,
     /// Number of connected callers.
     pub sessions: Cell<usize>,
     /// Number of connections of other VMs that have a running task or an open transaction.
@@ -105,6 +111,11 @@
             outbox: Outbox::default(),
             sessions_must_move: Notify::new(),
             gateways: Gateways::default(),
+            retry_delays: RefCell::new(RetryDelays::new(
+                RetryDelaySettings::default(),
+                clock::now(),
+            )),
+            retry_budgets: RefCell::new(RetryBudgets::new(RetryBudgetSettings::default())),
             sessions: Cell::new(0),
             tasks: Cell::new(0),
             idle_transactions: IdleTransactions::default(),
@@ -187,6 +198,29 @@
         state.has_initial_data(clock::now()) || (state.catalog.is_some() && forwards())
     }
 
+    /// Records the first attempt of a statement, which allows retries.
+    pub fn record_first_attempt(&self, database: &DatabaseName) {
+        self.retry_budgets.borrow_mut().on_first_attempt(database);
+    }
+
+    /// Takes a retry for a statement that has had `attempts` attempts; returns whether there was one.
+    pub fn take_retry(
+        &self,
+        id: &str,
+        database: &DatabaseName,
+        attempts: u8,
+        reason: &'static str,
+    ) -> bool {
+        let taken = self.retry_budgets.borrow_mut().take(database, attempts);
+        let Err(denial) = taken else { return true };
+        metrics().count_retry_denied(reason, denial.into());
+        log::info!(
+            "event=retry_denied id={id} database={database} reason={reason} denied_by={denial} \
+             attempts={attempts}"
+        );
+        false
+    }
+
     /// Returns the configuration in force; `None` until it has been read.
     pub fn catalog(&self) -> Option<Rc<Catalog>> {
         self.state.borrow().catalog.clone()
--- a/src/entry/worker.rs
+++ b/src/entry/worker.rs
@@ -198,6 +198,7 @@
             in_transaction: false,
         },
         deadline: Instant::now() + task.time_limit(),
+        attempts: task.attempts,
     }
 }
 
--- a/tests/decoders.rs
+++ b/tests/decoders.rs
@@ -110,6 +110,7 @@
             workspace: "council".into(),
             mark: Some(Position { term: 3, number: 9 }),
             values: Arc::default(),
+            attempts: 0,
             action,
         }),
         force: true,
