--- a/src/entry.rs
+++ b/src/entry.rs
@@ -9,7 +9,6 @@
 
 pub mod adapter;
 pub mod admission;
-pub mod borrowing;
 pub mod catalog;
 pub mod channel;
 pub mod clock;
@@ -31,6 +30,7 @@
 pub mod health;
 pub mod instance;
 pub mod keys;
+pub mod limiter;
 pub mod link;
 pub mod listener;
 pub mod node;
--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -4,19 +4,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::borrowing;
 use super::catalog::{Route, Workspace};
-use super::clock;
+use super::limiter;
 use super::node::Node;
+use super::quota::holding::{Arrival, Decision};
 use super::statement::{Failure, FailureKind};
 use crate::telemetry::metrics::metrics;
 
 /// Maximum time that a request waits for a token instead of being refused, as a fraction of its
-/// route's latency objective: short enough that a refusal is still sent early.
-const MAX_WAIT_FRACTION: f64 = 0.2;
+/// route's latency objective: the rest is left for running it.
+const MAX_WAIT_FRACTION: f64 = 0.5;
 
-/// Spends a token of the workspace. If this VM has none left, borrows tokens from other VMs, or
-/// else waits briefly for the next one.
+/// Spends a token of the workspace. If this VM has none left, waits for the next one if it is
+/// expected in time.
 ///
 /// # Errors
 ///
@@ -27,38 +27,21 @@
     workspace: &Workspace,
     id: &Arc<str>,
 ) -> Result<(), Failure> {
-    if try_admit(node, workspace).is_ok() {
-        return Ok(());
-    }
-    let borrowed = borrowing::borrow_tokens(node, &workspace.name).await;
-    if borrowed && try_admit(node, workspace).is_ok() {
-        return Ok(());
-    }
-    wait_for_token(node, route, workspace).await;
-    try_admit(node, workspace).map_err(|wait| refusal(route, workspace, id, wait))
-}
-
-fn try_admit(node: &Node, workspace: &Workspace) -> Result<(), Duration> {
-    let mut state = node.state.borrow_mut();
-    state.quota.admit(workspace, clock::now())
-}
-
-/// Waits for the next token if it is due within [`MAX_WAIT_FRACTION`] of the route's latency
-/// objective.
-async fn wait_for_token(node: &Node, route: &Route, workspace: &Workspace) {
     let max_wait = route.latency_objective.mul_f64(MAX_WAIT_FRACTION);
-    let wait = {
-        let mut state = node.state.borrow_mut();
-        state.quota.queue(&workspace.name, max_wait, clock::now())
+    let arrival = Arrival {
+        request: xxhash_rust::xxh3::xxh3_64(id.as_bytes()),
+        priority: route.priority,
+        max_wait: max_wait.min(route.statement_timeout),
     };
-    if let Some(wait) = wait {
-        tokio::time::sleep(wait).await;
-        node.state.borrow_mut().quota.leave_queue(&workspace.name);
+    match limiter::take_token(node, workspace, arrival).await {
+        Decision::Admitted => Ok(()),
+        Decision::Refused(delay) => Err(refusal(route, workspace, id, delay)),
+        Decision::Waits => Err(refusal(route, workspace, id, max_wait)),
     }
 }
 
-fn refusal(route: &Route, workspace: &Workspace, id: &Arc<str>, wait: Duration) -> Failure {
-    let retry_ms = wait.as_millis().max(1);
+fn refusal(route: &Route, workspace: &Workspace, id: &Arc<str>, delay: Duration) -> Failure {
+    let retry_ms = delay.as_millis().max(1);
     metrics().count_entry_refusal(&route.name, "over_rate");
     log::info!(
         "event=request_refused id={id} route={} workspace={} reason=over_rate rate_per_s={} \
--- a/src/entry/datagram.rs
+++ b/src/entry/datagram.rs
@@ -16,8 +16,8 @@
 /// Datagram between VMs. Encoded by position: the order of variants and fields must not change.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
-    /// Announces a VM's demand and the latest changes of the store that it knows.
-    Status {
+    /// Status as VMs of the previous version send it.
+    FormerStatus {
         /// VM that sends the datagram.
         vm: VmName,
         /// Version of the sender's configuration.
@@ -26,10 +26,6 @@
         shared_change: u64,
         /// Revision of the latest change of an announcement that the sender knows.
         directory_change: u64,
-        /// Operations per second by workspace; may be split over several datagrams.
-        demand: Vec<(WorkspaceName, f32)>,
-        /// Whether the demand continues that of the previous datagram instead of replacing it.
-        continued: bool,
     },
     /// Requests the version of a gateway's configuration.
     VersionRequest {
@@ -43,20 +39,10 @@
         /// Store revision up to which the sender knows every change of the gateways.
         gateways_revision: u64,
     },
-    /// Requests tokens that the receiver can spare.
-    TokenRequest {
-        /// Workspace whose tokens are requested.
-        workspace: WorkspaceName,
-        /// Matches the response to this request.
-        nonce: u64,
-    },
-    /// Transfers tokens, which the sender has already deducted from its own.
-    TokenGrant {
-        /// Nonce of the request.
-        nonce: u64,
-        /// Tokens transferred; zero when none can be spared.
-        tokens: f64,
-    },
+    /// Request for tokens by a VM of the previous version; ignored.
+    FormerTokenRequest,
+    /// Tokens sent by a VM of the previous version; ignored.
+    FormerTokenGrant,
     /// Sends a record of a primary, as the store holds it.
     Record(RecordUpdate),
     /// Confirms to the holder of the failover lease that the sender has stopped using a former
@@ -92,6 +78,119 @@
         /// Records that the receiver may rely on.
         records: Vec<RecordUpdate>,
     },
+    /// Announces a gateway, and the latest changes of the store that it knows.
+    Status {
+        /// VM that sends the datagram.
+        vm: VmName,
+        /// Version of the sender's configuration.
+        version: u64,
+        /// Revision of the latest change of a shared key that the sender knows.
+        shared_change: u64,
+        /// Revision of the latest change of an announcement that the sender knows.
+        directory_change: u64,
+        /// What concerns the limits.
+        limits: LimitStatus,
+    },
+    /// Passes tokens of limits.
+    Limit(LimitMessage),
+}
+
+/// Message about tokens of limits.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum LimitMessage {
+    /// Requests tokens of workspaces.
+    Request {
+        /// Number of the request; grows with each that the sender sends.
+        nonce: u64,
+        /// Requested tokens by workspace.
+        asks: Vec<TokenAsk>,
+    },
+    /// Responds to a `Request`.
+    Grant {
+        /// Number of the request.
+        nonce: u64,
+        /// Response for each workspace, in the order of the request.
+        answers: Vec<TokenAnswer>,
+    },
+    /// Hands buckets over to the gateway that owns them now.
+    HandOver(HandOver),
+}
+
+/// What a gateway's status tells about limits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitStatus {
+    /// Store lease of the sender's registration.
+    pub lease: u64,
+    /// Digest of the list of gateways that the sender has taken over.
+    pub gateways_digest: u32,
+    /// Whether the sender uses fallback shares, or will soon.
+    pub uses_fallback: bool,
+    /// Whether the sender stops; it grants nothing any more.
+    pub says_goodbye: bool,
+}
+
+/// Request for tokens of one workspace.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenAsk {
+    /// Workspace whose tokens are requested.
+    pub workspace: WorkspaceName,
+    /// Unspent tokens that the receiver granted earlier.
+    pub held: u32,
+    /// Further tokens that are needed.
+    pub wanted: u32,
+    /// Whether the tokens are for requests that wait already.
+    pub is_prompt: bool,
+}
+
+/// Response to a [`TokenAsk`].
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub enum TokenAnswer {
+    /// The sender isn't the owner, or isn't certain of its registration.
+    NotOwner,
+    /// Transfers tokens, which the sender has already deducted.
+    Granted {
+        /// Number of tokens.
+        tokens: u32,
+        /// When more can be expected; `None` if all that was wanted is granted.
+        rest: Option<Rest>,
+    },
+}
+
+/// When a gateway can expect more tokens of a workspace.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Rest {
+    /// Time in milliseconds after which to request again.
+    pub wait_ms: u32,
+    /// Rate of the tokens that the gateway can expect.
+    pub share_per_s: f32,
+}
+
+/// Buckets that a former owner hands over.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HandOver {
+    /// VM that sends the datagram.
+    pub vm: VmName,
+    /// Store lease of its registration.
+    pub lease: u64,
+    /// Store lease of the receiver's registration, which the buckets are meant for.
+    pub to_lease: u64,
+    /// Grows with each hand-over that the sender sends.
+    pub nonce: u64,
+    /// Whether the sender stops, in contrast to having seen that the receiver has registered.
+    pub is_leaving: bool,
+    /// Buckets by workspace.
+    pub buckets: Vec<HandedBucket>,
+}
+
+/// Bucket of one workspace, as handed over.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HandedBucket {
+    /// Workspace of the bucket.
+    pub workspace: WorkspaceName,
+    /// Tokens in the bucket.
+    pub tokens: f32,
+    /// Tokens granted that may still be unspent.
+    pub outstanding: f32,
 }
 
 /// Record of a database's primary, as sent to other VMs.
--- a/src/entry/gateways.rs
+++ b/src/entry/gateways.rs
@@ -103,8 +103,8 @@
 }
 
 /// Weighted rendezvous hash: the gateway with the smallest value serves the workspace, so that each
-/// gateway serves workspaces in proportion to its capacity.
-fn rendezvous_score(vm: &VmName, record: &VmRecord, workspace: &WorkspaceName) -> f64 {
+/// gateway serves workspaces in proportion to its capacity. It also owns the limits of the workspace.
+pub(crate) fn rendezvous_score(vm: &VmName, record: &VmRecord, workspace: &WorkspaceName) -> f64 {
     let hash = xxhash_rust::xxh3::xxh3_64(format!("{vm}/{workspace}").as_bytes());
     let uniform = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
     -uniform.ln() / record.cpu_share.max(f64::EPSILON)
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -8,7 +8,6 @@
 use tokio::sync::Notify;
 
 use super::adapter::Adapter;
-use super::borrowing::Borrowing;
 use super::catalog::Catalog;
 use super::clock;
 use super::confirmation_tracker::ConfirmationTracker;
@@ -17,7 +16,9 @@
 use super::gateways::Gateways;
 use super::health::Verdict;
 use super::instance::{Change, Instance};
+use super::limiter::Limiter;
 use super::pool::{Limits, Pool};
+use super::quota::Quota;
 use super::settings::EntrySettings;
 use super::state::{State, StopPhase};
 use crate::configuration::Timeline;
@@ -47,8 +48,8 @@
     pub directory_progress: Progress,
     /// Confirmations that VMs have stopped using a former primary.
     pub confirmations: ConfirmationTracker,
-    /// Requests for tokens to other VMs.
-    pub borrowing: Borrowing,
+    /// Requests that wait for a token of their workspace.
+    pub limiter: Limiter,
     /// Queue of datagrams to other VMs.
     pub outbox: Outbox,
     /// Signals sessions to move to other VMs: this one is stopping or can't serve them.
@@ -65,16 +66,24 @@
 impl Node {
     /// Builds the state of a VM that has read nothing from the store yet.
     pub fn new(settings: EntrySettings, adapter: Adapter) -> Rc<Self> {
+        let state = State {
+            quota: Quota::new(
+                settings.vm.clone(),
+                settings.peer_address,
+                settings.gateway_ttl,
+            ),
+            ..State::default()
+        };
         Rc::new(Self {
             settings,
             adapter,
-            state: RefCell::default(),
+            state: RefCell::new(state),
             changed: Notify::new(),
             store_regained: Notify::new(),
             shared_progress: Progress::default(),
             directory_progress: Progress::default(),
             confirmations: ConfirmationTracker::default(),
-            borrowing: Borrowing::default(),
+            limiter: Limiter::default(),
             outbox: Outbox::default(),
             sessions_must_move: Notify::new(),
             gateways: Gateways::default(),
@@ -132,9 +141,6 @@
         if tokio::time::timeout(timeout, known).await.is_err() {
             log::debug!("event=start_timed_out timeout_ms={}", timeout.as_millis());
         }
-        if !self.state.borrow().quota.is_divided() {
-            self.divide_limits();
-        }
     }
 
     /// Waits until a condition holds. Every change of it must be signalled by [`Node::changed`].
@@ -155,26 +161,6 @@
         state.has_initial_data(clock::now()) || (state.catalog.is_some() && forwards())
     }
 
-    /// Recomputes this VM's share of the workspaces' limits. Does nothing unless this VM is a
-    /// gateway.
-    pub fn divide_limits(&self) {
-        let now = clock::now();
-        let mut state = self.state.borrow_mut();
-        let Some(catalog) = state.catalog.clone() else {
-            return;
-        };
-        if !state.gateway {
-            return;
-        }
-        let state = &mut *state;
-        let registration_valid = state.validity_lease.is_valid(now);
-        let registered = state.gateways.keys();
-        let workspaces = catalog.workspaces.values().map(AsRef::as_ref);
-        state
-            .quota
-            .divide(workspaces, registered, registration_valid, now);
-    }
-
     /// Returns the configuration in force; `None` until it has been read.
     pub fn catalog(&self) -> Option<Rc<Catalog>> {
         self.state.borrow().catalog.clone()
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -1,4 +1,4 @@
-//! Exchanges demand, tokens, records, subleases, confirmations and configurations with other VMs.
+//! Exchanges statuses, tokens, records, subleases, confirmations and configurations with other VMs.
 
 use std::cell::Cell;
 use std::io;
@@ -9,22 +9,21 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::sleep;
 
-use super::borrowing;
 use super::clock;
 use super::confirmation_tracker::Replacement;
 use super::datagram::{Datagram, MAX_DATAGRAM_BYTES, RecordUpdate};
 use super::fetch;
 use super::gateways;
+use super::limiter;
 use super::node::Node;
-use super::quota::Demand;
 use super::state::State;
 use super::synchronization;
 use crate::configuration::Revision;
-use crate::name::{VmName, WorkspaceName};
+use crate::name::VmName;
 use crate::time::Timestamp;
 
-/// Interval at which a busy gateway announces its demand.
-const DEMAND_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval at which a busy gateway, or one whose status has changed, announces it.
+const STATUS_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Interval at which a sublease is requested while the store doesn't respond.
 const SUBLEASE_REQUEST_INTERVAL: Duration = Duration::from_millis(150);
@@ -38,19 +37,13 @@
 /// Shortest validity of a sublease that is worth sending.
 const MIN_SUBLEASE: Duration = Duration::from_millis(100);
 
-/// Number of demand intervals between two version requests of a VM that isn't a gateway.
+/// Number of status intervals between two version requests of a VM that isn't a gateway.
 const VERSION_INTERVALS: u32 = 2;
 
 /// Time without contact with any gateway after which requests also go to those of other zones.
 const NEARBY_SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
 
-/// Maximum number of workspaces whose demand is sent in one datagram.
-const MAX_DEMANDS: usize = 60;
-
-/// Demand in operations per second up to which a workspace counts as idle and isn't announced.
-const IDLE_DEMAND: f64 = 0.05;
-
-/// Number of demand intervals between two announcements of an idle VM.
+/// Number of status intervals between two announcements of an idle gateway.
 const IDLE_INTERVALS: u32 = 2;
 
 /// Sends and handles datagrams between this VM and the others.
@@ -83,46 +76,29 @@
         Ok((Rc::new(peers), listener))
     }
 
-    /// Announces this VM's demand if it is a gateway, and otherwise requests configuration
+    /// Announces this VM's status if it is a gateway, and otherwise requests configuration
     /// versions, until the process ends.
     pub async fn announce(self: Rc<Self>) {
         let mut round = 0;
+        let mut announced = None;
         loop {
-            sleep(DEMAND_INTERVAL).await;
-            let now = clock::now();
-            let mut state = self.node.state.borrow_mut();
-            let gateway = state.gateway;
-            let demand = state.quota.measure(now);
-            drop(state);
+            sleep(STATUS_INTERVAL).await;
             round += 1;
-            let busy = demand.values().any(|rate| *rate > IDLE_DEMAND);
-            if gateway && (busy || round % IDLE_INTERVALS == 0) {
-                self.send_demand(&demand);
+            let (gateway, is_busy, limits) = {
+                let mut state = self.node.state.borrow_mut();
+                let is_busy = state.quota.take_busy();
+                (state.gateway, is_busy, state.quota.status())
+            };
+            let is_due = is_busy || limits != announced || round % IDLE_INTERVALS == 0;
+            if gateway && is_due {
+                send_status(&self.node);
+                announced = limits;
             } else if !gateway && round % VERSION_INTERVALS == 0 {
                 self.request_version();
             }
         }
     }
 
-    /// Announces this VM's demand to the other gateways.
-    fn send_demand(&self, demand: &Demand) {
-        let demand = demand.iter().filter(|(_, rate)| **rate > IDLE_DEMAND);
-        let demand: Vec<_> = demand
-            .map(|(workspace, rate)| (workspace.clone(), *rate as f32))
-            .collect();
-        let mut chunks = demand.chunks(MAX_DEMANDS);
-        let first = chunks.next().unwrap_or_default();
-        let others = self.gateways();
-        for address in &others {
-            self.node.outbox.send(*address, self.status(first, false));
-        }
-        for chunk in chunks {
-            for address in &others {
-                self.node.outbox.send(*address, self.status(chunk, true));
-            }
-        }
-    }
-
     /// Requests the configuration version of a random gateway nearby, or of any gateway if there
     /// was no contact with one for [`NEARBY_SILENCE_LIMIT`].
     fn request_version(&self) {
@@ -144,18 +120,6 @@
         }
     }
 
-    fn status(&self, demand: &[(WorkspaceName, f32)], continued: bool) -> Datagram {
-        let state = self.node.state.borrow();
-        Datagram::Status {
-            vm: self.node.settings.vm.clone(),
-            version: version(&state),
-            shared_change: self.node.shared_progress.own().0,
-            directory_change: self.node.directory_progress.own().0,
-            demand: demand.to_vec(),
-            continued,
-        }
-    }
-
     /// Requests subleases from two other gateways at a time while the store doesn't respond.
     pub async fn request_subleases(self: Rc<Self>) {
         let mut round = 0;
@@ -198,23 +162,24 @@
 
     fn handle(self: &Rc<Self>, datagram: Datagram, from: SocketAddr) {
         match datagram {
+            Datagram::FormerStatus {
+                version,
+                shared_change,
+                directory_change,
+                ..
+            } => self.record_progress(version, shared_change, directory_change, from),
             Datagram::Status {
                 vm,
                 version,
                 shared_change,
                 directory_change,
-                demand,
-                continued,
+                limits,
             } => {
-                self.record_demand(vm, demand, continued);
-                self.node
-                    .shared_progress
-                    .record_peer(Revision(shared_change));
-                self.node
-                    .directory_progress
-                    .record_peer(Revision(directory_change));
-                self.fetch_newer(version, from);
+                limiter::receive_status(&self.node, &vm, limits);
+                self.record_progress(version, shared_change, directory_change, from);
             }
+            Datagram::FormerTokenRequest | Datagram::FormerTokenGrant => {}
+            Datagram::Limit(message) => limiter::handle(&self.node, message, from),
             Datagram::VersionRequest { version } => self.send_version(version, from),
             Datagram::Version {
                 version,
@@ -225,12 +190,6 @@
                     self.node.outbox.send(from, sublease);
                 }
             }
-            Datagram::TokenRequest { workspace, nonce } => {
-                self.lend_tokens(&workspace, nonce, from);
-            }
-            Datagram::TokenGrant { nonce, tokens } => {
-                borrowing::receive_tokens(&self.node, nonce, tokens);
-            }
             Datagram::Record(update) => self.apply(update),
             Datagram::Confirmation {
                 vm,
@@ -271,14 +230,19 @@
         self.fetch_gateways(gateways_revision, from);
     }
 
-    fn lend_tokens(&self, workspace: &WorkspaceName, nonce: u64, to: SocketAddr) {
-        let tokens = {
-            let mut state = self.node.state.borrow_mut();
-            state.quota.lend(workspace, clock::now())
-        };
-        self.node
-            .outbox
-            .send(to, Datagram::TokenGrant { nonce, tokens });
+    /// Records what another gateway knows of the store.
+    fn record_progress(
+        self: &Rc<Self>,
+        version: u64,
+        shared_change: u64,
+        directory_change: u64,
+        from: SocketAddr,
+    ) {
+        let node = &self.node;
+        node.shared_progress.record_peer(Revision(shared_change));
+        node.directory_progress
+            .record_peer(Revision(directory_change));
+        self.fetch_newer(version, from);
     }
 
     /// Sends the version of this VM's configuration to a VM that has version `peer_version`.
@@ -294,17 +258,6 @@
         self.fetch_newer(peer_version, to);
     }
 
-    fn record_demand(&self, vm: VmName, demand: Vec<(WorkspaceName, f32)>, continued: bool) {
-        let mut state = self.node.state.borrow_mut();
-        if state.gateways.contains_key(&vm) {
-            let demand = demand.into_iter();
-            let demand = demand.map(|(name, rate)| (name, f64::from(rate))).collect();
-            state
-                .quota
-                .record_demand(vm, demand, continued, clock::now());
-        }
-    }
-
     /// Records and acknowledges the confirmation of a VM, if this VM collects confirmations of that
     /// replacement.
     fn record_confirmation(&self, vm: VmName, replacement: Replacement, from: SocketAddr) {
@@ -432,6 +385,24 @@
     }
 }
 
+/// Announces this VM's status to the other gateways, if it is one.
+pub fn send_status(node: &Node) {
+    let state = node.state.borrow();
+    let Some(limits) = state.quota.status() else {
+        return;
+    };
+    for (_, record) in gateways::other_gateways(&state, &node.settings.vm) {
+        let status = Datagram::Status {
+            vm: node.settings.vm.clone(),
+            version: version(&state),
+            shared_change: node.shared_progress.own().0,
+            directory_change: node.directory_progress.own().0,
+            limits,
+        };
+        node.outbox.send(record.peer_address, status);
+    }
+}
+
 fn version(state: &State) -> u64 {
     state.catalog.as_ref().map_or(0, |catalog| catalog.version)
 }
--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -1,263 +1,326 @@
-//! This VM's share of each workspace's rate and burst.
+//! Limits of the workspaces over all VMs.
+//!
+//! Each workspace has one owner among the gateways, which holds its whole bucket ([`ledger`]). Every
+//! gateway, the owner included, is a holder: it requests tokens from the owner ahead of need
+//! ([`holding`]). [`ownership`] decides who the owner is, [`fallback`] what a holder may use while
+//! the owner is unreachable.
 
-use std::collections::HashMap;
+pub mod exchange;
+pub mod fallback;
+pub mod holding;
+pub mod ledger;
+pub mod ownership;
+pub mod places;
+pub mod queue;
+pub mod reassignment;
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use super::catalog::Workspace;
-use crate::control::bucket::{Bucket, Share, TRANSFER_HOLD};
+use self::fallback::FallbackUse;
+use self::holding::{Arrival, Decision, Holding};
+use self::ledger::{Ledger, Limit};
+use self::ownership::{Candidate, Ownership};
+use self::queue::Ticket;
+use self::reassignment::ReceivedHandOver;
+use crate::entry::catalog::Workspace;
+use crate::entry::datagram::{HandOver, LimitStatus};
+use crate::entry::record::VmRecord;
 use crate::name::{VmName, WorkspaceName};
 use crate::time::Timestamp;
 
-/// Demand that every VM is assumed to have in addition to the measured one, as a fraction of the
-/// workspace's rate, so that a caller that moves to another VM isn't refused before the VMs have
-/// received its demand.
-const BASE_DEMAND_FRACTION: f64 = 0.04;
-
-/// Time constant by which the demand is averaged.
-const DEMAND_WINDOW: Duration = Duration::from_secs(1);
-
-/// Minimum burst of one VM. With a burst below 1, no request could ever be admitted.
-const MIN_BURST: f64 = 2.0;
-
-/// Fraction of its burst that a VM starts with: small enough that a restart of all VMs stays within
-/// the tolerance that operators allow, large enough for the callers that reconnect.
-const INITIAL_BURST_FRACTION: f64 = 0.5;
-
-/// Tokens that a VM reserves for its own callers when another VM requests some.
-const RESERVED_TOKENS: f64 = 1.0;
-
-/// Maximum number of tokens lent at once.
-const MAX_TOKENS_LENT: f64 = 3.0;
-
-/// Time after which unused initial tokens expire.
-const INITIAL_TOKENS_TTL: Duration = Duration::from_secs(2);
-
-/// Fraction of its share that a VM keeps when it receives demands from no other VM and its own
-/// registration may have expired, because the others then divide its share among themselves.
-const ISOLATED_FACTOR: f64 = 0.3;
+/// Maximum number of workspaces in one datagram.
+const MAX_PER_DATAGRAM: usize = 40;
 
-/// Age of the last announced demand at which a VM counts as unreachable: two announcement
-/// intervals of an idle VM.
-const DEMAND_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Workspaces by name, as in the catalog.
+pub type Workspaces = HashMap<WorkspaceName, Arc<Workspace>>;
 
-/// Time after which the demand announced by a VM is discarded if no new announcement is received.
-const DEMAND_RETENTION: Duration = Duration::from_secs(10);
-
-/// Demand of the workspaces as one VM announces it, in operations per second.
-pub type Demand = HashMap<WorkspaceName, f64>;
+/// What this VM knows about the fleet.
+#[derive(Debug, Clone, Copy)]
+pub struct FleetView<'a> {
+    /// Workspaces of the configuration in force.
+    pub workspaces: &'a Workspaces,
+    /// Version of the configuration.
+    pub version: u64,
+    /// Registered gateways.
+    pub gateways: &'a BTreeMap<VmName, VmRecord>,
+    /// Lease of this VM's registration; `None` while it isn't a gateway.
+    pub own_lease: Option<u64>,
+}
 
-#[derive(Debug)]
-struct PeerDemand {
-    demand: Demand,
-    received_at: Timestamp,
+/// Counts since they were last read, for metrics and log lines.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Tokens requested from other gateways.
+    pub tokens_requested: u64,
+    /// Tokens granted to other gateways.
+    pub tokens_granted: u64,
+    /// Workspaces that this VM became the owner of with a hand-over.
+    pub inherited: usize,
+    /// Workspaces that it became the owner of without one.
+    pub started: usize,
+    /// Workspaces that it handed over.
+    pub handed_over: usize,
+    /// Workspaces whose fallback share came into use.
+    pub fallbacks_started: usize,
 }
 
+/// Limits of all workspaces at one VM, as their owner and as a holder.
 #[derive(Debug)]
-struct Meter {
-    created_at: Timestamp,
-    bucket: Bucket,
-    requests: f64,
-    demand_per_s: f64,
-    has_share: bool,
-    waiting: u32,
+pub struct Quota {
+    own: VmName,
+    address: SocketAddr,
+    lease_ttl: Duration,
+    ownership: Ownership,
+    fallback: FallbackUse,
+    ledgers: HashMap<WorkspaceName, Ledger>,
+    holdings: HashMap<WorkspaceName, Holding>,
+    active: HashSet<WorkspaceName>,
+    in_flight: HashMap<u64, Vec<WorkspaceName>>,
+    hand_overs: HashMap<WorkspaceName, ReceivedHandOver>,
+    hand_over_nonces: HashMap<VmName, u64>,
+    nonce: u64,
+    version: u64,
+    valid_until: Timestamp,
+    is_leaving: bool,
+    /// Requests since the last call of [`Quota::take_busy`].
+    arrivals: u64,
+    must_reassign: bool,
+    /// Part of the limits of which this VM may use its share without the owners.
+    fallback_factor: Option<f64>,
+    counts: Counts,
 }
 
-/// Rate limits of all workspaces at this VM.
-///
-/// Each VM announces its demand and takes a share of the rate in proportion to its demand. Because
-/// all VMs compute from the same announcements, the shares add up to the rate.
-#[derive(Debug, Default)]
-pub struct Quota {
-    meters: HashMap<WorkspaceName, Meter>,
-    peers: HashMap<VmName, PeerDemand>,
-    counted_at: Timestamp,
+impl Default for Quota {
+    fn default() -> Self {
+        let unset = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self::new(VmName::from(""), unset, Duration::ZERO)
+    }
 }
 
 impl Quota {
-    /// Spends a token of the workspace.
-    ///
-    /// # Errors
-    ///
-    /// Fails with the time to wait before retrying when there is no token.
-    pub fn admit(&mut self, workspace: &Workspace, now: Timestamp) -> Result<(), Duration> {
-        let meter = self
-            .meters
-            .entry(workspace.name.clone())
-            .or_insert_with(|| Meter::new(now));
-        meter.requests += 1.0;
-        if meter.bucket.try_take(1.0, now) {
-            return Ok(());
+    /// Creates the limits of a VM that knows no gateways yet. `lease_ttl` is the time-to-live of the
+    /// gateways' registrations.
+    pub fn new(own: VmName, address: SocketAddr, lease_ttl: Duration) -> Self {
+        Self {
+            ownership: Ownership::new(own.clone()),
+            own,
+            address,
+            lease_ttl,
+            fallback: FallbackUse::default(),
+            ledgers: HashMap::new(),
+            holdings: HashMap::new(),
+            active: HashSet::new(),
+            in_flight: HashMap::new(),
+            hand_overs: HashMap::new(),
+            hand_over_nonces: HashMap::new(),
+            nonce: 0,
+            version: 0,
+            valid_until: Timestamp::ZERO,
+            is_leaving: false,
+            arrivals: 0,
+            must_reassign: false,
+            fallback_factor: None,
+            counts: Counts::default(),
         }
-        let at = meter.bucket.available_at(1.0, now);
-        Err(at.map_or(DEMAND_WINDOW, |at| at.since(now)))
     }
 
-    /// Adds a request to the queue for tokens and returns how long it must wait behind those that
-    /// are queued already; `None` if that exceeds `max_wait`, in which case it isn't queued.
-    pub fn queue(
-        &mut self,
-        workspace: &WorkspaceName,
-        max_wait: Duration,
-        now: Timestamp,
-    ) -> Option<Duration> {
-        let meter = self.meters.get_mut(workspace)?;
-        let tokens = f64::from(meter.waiting + 1);
-        let wait = meter.bucket.available_at(tokens, now)?.since(now);
-        if wait > max_wait {
-            return None;
+    /// Records until when this VM's registration is certain. When it was uncertain before, buckets
+    /// start empty, because holders may have used their fallback.
+    pub fn set_valid_until(&mut self, valid_until: Timestamp, now: Timestamp) {
+        if !self.is_certain(now) && now < valid_until {
+            self.ledgers
+                .values_mut()
+                .for_each(|ledger| ledger.drain(now));
+        }
+        self.valid_until = valid_until;
+        if valid_until > Timestamp::ZERO {
+            self.fallback.record_validity(valid_until);
         }
-        meter.waiting += 1;
-        Some(wait)
     }
 
-    /// Removes a request that was queued by [`Quota::queue`].
-    pub fn leave_queue(&mut self, workspace: &WorkspaceName) {
-        if let Some(meter) = self.meters.get_mut(workspace) {
-            meter.waiting = meter.waiting.saturating_sub(1);
+    /// Decides on a request for one token.
+    pub fn arrive(&mut self, workspace: &Workspace, arrival: Arrival, now: Timestamp) -> Decision {
+        let limit = limit_of(workspace);
+        let name = &workspace.name;
+        let holding = self
+            .holdings
+            .entry(name.clone())
+            .or_insert_with(|| Holding::new(limit, now));
+        holding.count(now);
+        self.arrivals += 1;
+        let lacks_token = holding.lacks_token(now);
+        let ranks = self.ownership.ranks(name);
+        if lacks_token && ranks.first().is_some_and(|first| self.is_own(first)) {
+            self.ask_own(name, ranks.len(), now);
         }
+        self.active.insert(name.clone());
+        let holding = self.holdings.get_mut(name);
+        holding.map_or(Decision::Waits, |holding| holding.arrive(arrival, now))
     }
 
-    /// Deducts tokens that this VM can spare for another VM, and returns their number.
-    pub fn lend(&mut self, workspace: &WorkspaceName, now: Timestamp) -> f64 {
-        let Some(meter) = self.meters.get_mut(workspace) else {
-            return 0.0;
-        };
-        let spare = meter.bucket.tokens(now) - RESERVED_TOKENS;
-        if spare < 1.0 {
-            return 0.0;
-        }
-        meter.bucket.withdraw(spare.min(MAX_TOKENS_LENT), now)
+    /// Returns whether tokens of a workspace must be requested now.
+    pub fn has_due_request(&mut self, workspace: &WorkspaceName, now: Timestamp) -> bool {
+        let holding = self.holdings.get_mut(workspace);
+        holding.is_some_and(|holding| holding.is_request_due(now))
     }
 
-    /// Adds tokens that another VM lent, at a request sent at `requested_at`.
-    pub fn deposit(
+    /// Adds a request that waits.
+    pub fn enqueue(
         &mut self,
         workspace: &WorkspaceName,
-        tokens: f64,
-        requested_at: Timestamp,
+        arrival: Arrival,
+        ticket: Ticket,
         now: Timestamp,
     ) {
-        if let Some(meter) = self.meters.get_mut(workspace) {
-            meter
-                .bucket
-                .deposit(tokens, requested_at + TRANSFER_HOLD, now);
+        if let Some(holding) = self.holdings.get_mut(workspace) {
+            holding.enqueue(arrival, ticket, now);
         }
     }
 
-    /// Records the demand that another VM announced. A `continued` announcement is merged into the
-    /// previous one of the VM; any other replaces it.
-    pub fn record_demand(&mut self, vm: VmName, demand: Demand, continued: bool, now: Timestamp) {
-        let known = self.peers.remove(&vm).filter(|_| continued);
-        let mut announced = known.map(|known| known.demand).unwrap_or_default();
-        announced.extend(demand);
-        let peer = PeerDemand {
-            demand: announced,
-            received_at: now,
-        };
-        self.peers.insert(vm, peer);
+    /// Removes a waiting request whose caller is gone.
+    pub fn leave(&mut self, workspace: &WorkspaceName, ticket: Ticket) {
+        if let Some(holding) = self.holdings.get_mut(workspace) {
+            holding.leave(ticket);
+        }
     }
 
-    /// Updates the demand averages and returns the demand to announce to other VMs.
-    pub fn measure(&mut self, now: Timestamp) -> Demand {
-        let elapsed_s = now.since(self.counted_at).as_secs_f64();
-        self.counted_at = now;
-        if elapsed_s <= 0.0 {
-            return Demand::new();
-        }
-        for meter in self.meters.values_mut() {
-            // A new meter averages over the time since it was created, so that its demand is known
-            // after the first interval.
-            let age_s = now.since(meter.created_at).as_secs_f64().max(elapsed_s);
-            let gain = elapsed_s / DEMAND_WINDOW.as_secs_f64().min(age_s);
-            let gain = gain.min(1.0);
-            let rate = meter.requests / elapsed_s;
-            meter.requests = 0.0;
-            meter.demand_per_s += gain * (rate - meter.demand_per_s);
+    /// Decides on the waiting requests that can be decided on.
+    pub fn settle(&mut self, now: Timestamp) -> Vec<(Ticket, Decision)> {
+        let mut settled = Vec::new();
+        for name in &self.active {
+            if let Some(holding) = self.holdings.get_mut(name) {
+                holding.settle(now, &mut settled);
+            }
         }
-        let demand = self.meters.iter();
-        demand
-            .map(|(name, meter)| (name.clone(), meter.demand_per_s))
-            .collect()
+        settled
     }
 
-    /// Returns whether the limits have been divided at least once.
-    pub fn is_divided(&self) -> bool {
-        self.meters.values().any(|meter| meter.has_share)
+    /// Returns whether requests have arrived since the last call.
+    pub fn take_busy(&mut self) -> bool {
+        std::mem::take(&mut self.arrivals) > 0
     }
 
-    /// Recomputes this VM's shares of the limits among the `registered` VMs, which include this
-    /// one. `registration_valid` tells whether this VM's own registration is certainly still valid.
-    ///
-    /// VMs that can reach each other divide the fraction of the limit that corresponds to their
-    /// number. In a network partition, demands announced earlier say nothing about the demand that
-    /// follows, but each side knows the number of VMs on the other side.
-    pub fn divide<'a>(
-        &mut self,
-        workspaces: impl Iterator<Item = &'a Workspace>,
-        registered: impl Iterator<Item = &'a VmName>,
-        registration_valid: bool,
-        now: Timestamp,
-    ) {
-        self.peers
-            .retain(|_, peer| now.since(peer.received_at) < DEMAND_RETENTION);
-        let is_recent = |peer: &PeerDemand| now.since(peer.received_at) < DEMAND_TIMEOUT;
-        let reachable = 1 + self.peers.values().filter(|peer| is_recent(peer)).count();
-        let is_silent = |vm: &&VmName| !self.peers.get(*vm).is_some_and(is_recent);
-        // This VM receives no demand from itself, so it counts among the silent ones.
-        let unreachable = registered.filter(is_silent).count().saturating_sub(1);
-        let mut group_fraction = reachable as f64 / (reachable + unreachable) as f64;
-        if reachable == 1 && unreachable > 0 && !registration_valid {
-            group_fraction *= ISOLATED_FACTOR;
+    /// Returns whether something is to be done soon without a further request or response.
+    pub fn is_active(&self) -> bool {
+        !self.active.is_empty()
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn waiting(&self) -> usize {
+        let holdings = self
+            .active
+            .iter()
+            .filter_map(|name| self.holdings.get(name));
+        holdings.map(Holding::waiting).sum()
+    }
+
+    /// Returns the number of workspaces that this VM is the owner of.
+    pub fn owned(&self) -> usize {
+        self.ledgers.len()
+    }
+
+    /// Takes over what is known about the fleet. Returns the buckets to hand over.
+    pub fn update(&mut self, view: FleetView<'_>, now: Timestamp) -> Vec<(SocketAddr, HandOver)> {
+        if view.own_lease.is_some() && view.own_lease != self.ownership.own_lease() {
+            self.is_leaving = false;
         }
-        for workspace in workspaces {
-            let base = BASE_DEMAND_FRACTION * workspace.rate_per_s;
-            let others: f64 = self
-                .peers
-                .values()
-                .filter(|peer| is_recent(peer))
-                .filter_map(|peer| peer.demand.get(&workspace.name))
-                .sum();
-            let meter = self
-                .meters
-                .entry(workspace.name.clone())
-                .or_insert_with(|| Meter::new(now));
-            let own = meter.demand_per_s + base;
-            let sum = meter.demand_per_s + others + base * reachable as f64;
-            let fraction_in_group = if sum > 0.0 {
-                own / sum
-            } else {
-                1.0 / reachable as f64
-            };
-            let fraction = group_fraction * fraction_in_group;
-            let share = Share {
-                rate_per_s: workspace.rate_per_s * fraction,
-                burst: (workspace.burst * fraction).max(MIN_BURST),
-                weight: 1,
-            };
-            meter.bucket.set_share(share, now);
-            if !std::mem::replace(&mut meter.has_share, true) {
-                let tokens = (share.burst * INITIAL_BURST_FRACTION).floor();
-                meter.bucket.deposit(tokens, now + INITIAL_TOKENS_TTL, now);
+        let valid_until = |vm: &VmName| self.fallback.valid_until(vm, self.lease_ttl, now);
+        let (gateways, own_lease) = (view.gateways, view.own_lease);
+        let change = self.ownership.update(gateways, own_lease, valid_until, now);
+        self.must_reassign |= change.is_some() || view.version != self.version;
+        self.version = view.version;
+        for (vm, said_goodbye) in change.iter().flat_map(|change| &change.left) {
+            self.fallback.record_left(vm, *said_goodbye, now);
+        }
+        for vm in change.iter().flat_map(|change| &change.joined) {
+            self.fallback.record_joined(vm, now);
+        }
+        let factor = self.fallback.owner_factor(self.ownership.others(), now);
+        let hand_overs = if std::mem::take(&mut self.must_reassign) {
+            self.reassign(view.workspaces, now)
+        } else {
+            Vec::new()
+        };
+        for (name, ledger) in &mut self.ledgers {
+            if let Some(workspace) = view.workspaces.get(name) {
+                let limit = limit_of(workspace);
+                let kept = Limit {
+                    rate_per_s: limit.rate_per_s * factor,
+                    burst: (limit.burst * factor).max(1.0),
+                };
+                ledger.set_limit(kept, now);
             }
         }
+        for (name, holding) in &mut self.holdings {
+            if let Some(workspace) = view.workspaces.get(name) {
+                holding.set_limit(limit_of(workspace));
+            }
+        }
+        self.update_fallback(now);
+        hand_overs
     }
-}
 
-impl Meter {
-    const fn new(now: Timestamp) -> Self {
-        let share = Share {
-            rate_per_s: 0.0,
-            burst: 0.0,
-            weight: 1,
-        };
-        Self {
-            created_at: now,
-            bucket: Bucket::empty(share, now),
-            requests: 0.0,
-            demand_per_s: 0.0,
-            has_share: false,
-            waiting: 0,
+    /// Records the status of a gateway.
+    pub fn receive_status(&mut self, vm: &VmName, status: LimitStatus, now: Timestamp) {
+        self.fallback.record_status(vm, status.uses_fallback, now);
+        if status.says_goodbye {
+            self.must_reassign |= self.ownership.record_goodbye(vm, status.lease, now);
         }
+        let digest = status.gateways_digest;
+        self.must_reassign |= self.ownership.record_digest(vm, digest);
+    }
+
+    /// Returns what to announce to the other gateways; `None` unless this VM is one.
+    pub fn status(&self) -> Option<LimitStatus> {
+        Some(LimitStatus {
+            lease: self.ownership.own_lease()?,
+            gateways_digest: self.ownership.digest(),
+            uses_fallback: self.fallback.is_announced(),
+            says_goodbye: self.is_leaving,
+        })
+    }
+
+    /// Returns whether [`Quota::update`] must be called because of what was received.
+    pub const fn needs_update(&self) -> bool {
+        self.must_reassign
+    }
+
+    /// Returns and resets the counts.
+    pub fn take_counts(&mut self) -> Counts {
+        std::mem::take(&mut self.counts)
+    }
+
+    fn is_certain(&self, now: Timestamp) -> bool {
+        now < self.valid_until && !self.is_leaving
+    }
+
+    fn is_own(&self, candidate: &Candidate) -> bool {
+        candidate.vm == self.own
+    }
+
+    fn next_nonce(&mut self, now: Timestamp) -> u64 {
+        self.nonce = now.as_micros().max(self.nonce + 1);
+        self.nonce
+    }
+
+    fn update_fallback(&mut self, now: Timestamp) {
+        let active = self.active.iter();
+        let needs_fallback = active
+            .filter_map(|name| self.holdings.get(name))
+            .any(|holding| holding.needs_fallback(now));
+        self.fallback.announce(needs_fallback, now);
+        self.fallback_factor = self.fallback.factor(self.ownership.others(), now);
+    }
+}
+
+/// Returns the limit of a workspace. With a burst below 1, no request could ever be admitted.
+fn limit_of(workspace: &Workspace) -> Limit {
+    Limit {
+        rate_per_s: workspace.rate_per_s,
+        burst: workspace.burst.max(1.0),
     }
 }
 
--- /dev/null
+++ b/src/entry/quota/ownership.rs
@@ -0,0 +1,259 @@
+//! Which gateway owns the limit of a workspace.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use crate::entry::gateways::rendezvous_score;
+use crate::entry::record::VmRecord;
+use crate::name::{VmName, WorkspaceName};
+use crate::time::Timestamp;
+
+/// Number of gateways that a holder asks for tokens in turn: the owner, and those that own the
+/// workspace while the owner isn't known to all.
+const MAX_RANKS: usize = 3;
+
+/// Gateway as a candidate for ownership.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// Name of the VM.
+    pub vm: VmName,
+    /// Address on which it receives datagrams.
+    pub address: SocketAddr,
+    /// Store lease of its registration.
+    pub lease: u64,
+}
+
+/// Difference between two lists of gateways.
+#[derive(Debug, Default)]
+pub struct ListChange {
+    /// Gateways that registered.
+    pub joined: Vec<VmName>,
+    /// Gateways that are no longer registered, and whether they said goodbye.
+    pub left: Vec<(VmName, bool)>,
+}
+
+/// Order in which the registered gateways own each workspace.
+///
+/// The first-ranked gateway is the owner. The order of two gateways never depends on the others, so
+/// a gateway that is first in its list knows that all before it are gone. Only one that has just
+/// registered may be first while another, which hasn't seen its registration yet, still grants.
+#[derive(Debug)]
+pub struct Ownership {
+    own: VmName,
+    own_lease: Option<u64>,
+    registrations: u32,
+    gateways: BTreeMap<VmName, VmRecord>,
+    goodbyes: HashMap<VmName, u64>,
+    /// Gateways whose registration has ended before their validity lease, with the end of the
+    /// lease. Until then they rank as before.
+    departed: HashMap<VmName, (VmRecord, Timestamp)>,
+    digest: u32,
+    /// Gateways known to have seen this VM's registration.
+    seen_by: HashSet<VmName>,
+    is_established: bool,
+    changed_at: Timestamp,
+    ranks: HashMap<WorkspaceName, Rc<[Candidate]>>,
+}
+
+impl Ownership {
+    /// Creates the view of a VM that knows no gateways yet.
+    pub fn new(own: VmName) -> Self {
+        Self {
+            own,
+            own_lease: None,
+            registrations: 0,
+            gateways: BTreeMap::new(),
+            goodbyes: HashMap::new(),
+            departed: HashMap::new(),
+            digest: digest(&BTreeMap::new()),
+            seen_by: HashSet::new(),
+            is_established: false,
+            changed_at: Timestamp::ZERO,
+            ranks: HashMap::new(),
+        }
+    }
+
+    /// Takes over the list of gateways and this VM's registration. `valid_until` returns until when
+    /// a gateway that has left may rely on its registration. Returns `None` if nothing has changed.
+    pub fn update(
+        &mut self,
+        gateways: &BTreeMap<VmName, VmRecord>,
+        own_lease: Option<u64>,
+        valid_until: impl Fn(&VmName) -> Timestamp,
+        now: Timestamp,
+    ) -> Option<ListChange> {
+        let departed = self.departed.len();
+        self.departed
+            .retain(|vm, (_, until)| now < *until && !gateways.contains_key(vm));
+        let is_unchanged = departed == self.departed.len();
+        if is_unchanged && self.own_lease == own_lease && self.gateways == *gateways {
+            return None;
+        }
+        let mut change = ListChange::default();
+        for (vm, record) in &self.gateways {
+            if !gateways.contains_key(vm) {
+                let said_goodbye = self.goodbyes.get(vm) == Some(&record.lease);
+                let until = valid_until(vm);
+                if !said_goodbye && now < until {
+                    self.departed.insert(vm.clone(), (record.clone(), until));
+                }
+                change.left.push((vm.clone(), said_goodbye));
+            }
+        }
+        let is_new = |vm: &VmName, record: &VmRecord| {
+            let known = self.gateways.get(vm);
+            known.is_none_or(|known| known.lease != record.lease)
+        };
+        let joined = gateways.iter().filter(|(vm, record)| is_new(vm, record));
+        change.joined = joined.map(|(vm, _)| vm.clone()).collect();
+        if self.own_lease != own_lease {
+            self.own_lease = own_lease;
+            self.registrations += u32::from(own_lease.is_some());
+            self.seen_by.clear();
+            self.is_established = false;
+        }
+        self.gateways.clone_from(gateways);
+        self.goodbyes.retain(|vm, lease| {
+            let record = gateways.get(vm);
+            record.is_some_and(|record| record.lease == *lease)
+        });
+        self.digest = digest(gateways);
+        self.record_change(now);
+        Some(change)
+    }
+
+    /// Records a gateway's goodbye; returns whether it is new.
+    pub fn record_goodbye(&mut self, vm: &VmName, lease: u64, now: Timestamp) -> bool {
+        let is_new =
+            self.is_registered(vm, lease) && self.goodbyes.insert(vm.clone(), lease) != Some(lease);
+        if is_new {
+            self.record_change(now);
+        }
+        is_new
+    }
+
+    /// Records that a gateway has taken over a list with this digest; returns whether this VM is
+    /// thereby established.
+    pub fn record_digest(&mut self, vm: &VmName, digest: u32) -> bool {
+        if digest == self.digest && self.gateways.contains_key(vm) {
+            self.seen_by.insert(vm.clone());
+        }
+        !self.is_established && self.check_established()
+    }
+
+    /// Returns the first-ranked gateways of a workspace, in order.
+    pub fn ranks(&mut self, workspace: &WorkspaceName) -> Rc<[Candidate]> {
+        if let Some(ranks) = self.ranks.get(workspace) {
+            return Rc::clone(ranks);
+        }
+        let ranks = self.rank(workspace);
+        self.ranks.insert(workspace.clone(), Rc::clone(&ranks));
+        ranks
+    }
+
+    /// Returns whether this VM is registered and ranks first for a workspace.
+    pub fn is_first(&mut self, workspace: &WorkspaceName) -> bool {
+        let is_registered = self.is_own_registered();
+        let ranks = self.ranks(workspace);
+        is_registered && ranks.first().is_some_and(|first| first.vm == self.own)
+    }
+
+    /// Returns whether all gateways know of this VM's registration, so that none grants tokens of
+    /// the workspaces for which this VM ranks first.
+    pub const fn is_established(&self) -> bool {
+        self.is_established
+    }
+
+    /// Returns whether this VM has registered for the first time since its process started.
+    pub const fn has_just_started(&self) -> bool {
+        self.registrations <= 1
+    }
+
+    /// Returns whether a registration is in the list.
+    pub fn is_registered(&self, vm: &VmName, lease: u64) -> bool {
+        let record = self.gateways.get(vm);
+        record.is_some_and(|record| record.lease == lease)
+    }
+
+    /// Returns the lease of this VM's registration.
+    pub const fn own_lease(&self) -> Option<u64> {
+        self.own_lease
+    }
+
+    /// Returns the digest of the list of gateways.
+    pub const fn digest(&self) -> u32 {
+        self.digest
+    }
+
+    /// Returns the time of the last change.
+    pub const fn changed_at(&self) -> Timestamp {
+        self.changed_at
+    }
+
+    /// Returns the number of gateways in the list, at least one.
+    pub fn gateway_count(&self) -> usize {
+        self.gateways.len().max(1)
+    }
+
+    /// Returns the gateways beside this VM that haven't said goodbye.
+    pub fn others(&self) -> impl Iterator<Item = &VmName> {
+        self.remaining()
+            .map(|(vm, _)| vm)
+            .filter(|vm| **vm != self.own)
+    }
+
+    /// Returns the registered gateways that haven't said goodbye.
+    fn remaining(&self) -> impl Iterator<Item = (&VmName, &VmRecord)> {
+        let goodbyes = &self.goodbyes;
+        self.gateways
+            .iter()
+            .filter(move |(vm, record)| goodbyes.get(*vm) != Some(&record.lease))
+    }
+
+    fn is_own_registered(&self) -> bool {
+        self.own_lease
+            .is_some_and(|lease| self.is_registered(&self.own, lease))
+    }
+
+    fn record_change(&mut self, now: Timestamp) {
+        self.ranks.clear();
+        self.changed_at = now;
+        self.check_established();
+    }
+
+    fn check_established(&mut self) -> bool {
+        let seen_by_all = self.others().all(|vm| self.seen_by.contains(vm));
+        self.is_established |= self.is_own_registered() && seen_by_all;
+        self.is_established
+    }
+
+    fn rank(&self, workspace: &WorkspaceName) -> Rc<[Candidate]> {
+        let departed = self.departed.iter().map(|(vm, (record, _))| (vm, record));
+        let mut scored: Vec<_> = self
+            .remaining()
+            .chain(departed)
+            .map(|(vm, record)| (rendezvous_score(vm, record, workspace), vm, record))
+            .collect();
+        scored.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)));
+        let candidates = scored.into_iter().take(MAX_RANKS);
+        candidates
+            .map(|(_, vm, record)| Candidate {
+                vm: vm.clone(),
+                address: record.peer_address,
+                lease: record.lease,
+            })
+            .collect()
+    }
+}
+
+/// Returns a number that differs between lists with different registrations.
+fn digest(gateways: &BTreeMap<VmName, VmRecord>) -> u32 {
+    let mut text = String::new();
+    for (vm, record) in gateways {
+        // Writing to a string doesn't fail.
+        let _ = write!(text, "{vm}/{};", record.lease);
+    }
+    xxhash_rust::xxh3::xxh3_64(text.as_bytes()) as u32
+}
--- a/src/entry/registration.rs
+++ b/src/entry/registration.rs
@@ -8,6 +8,7 @@
 
 use super::clock;
 use super::keys;
+use super::limiter;
 use super::node::Node;
 use super::record::VmRecord;
 use super::role;
@@ -253,6 +254,7 @@
 
 /// Ends the registration of a gateway that is no longer needed.
 async fn leave_role(node: &Rc<Node>, lease: u64) {
+    limiter::leave(node);
     {
         let mut state = node.state.borrow_mut();
         state.gateway_until = clock::now() + node.settings.gateway_ttl;
@@ -295,6 +297,7 @@
 
 /// Revokes the registration, so that replacements of primaries don't wait for this VM.
 pub async fn release(node: &Rc<Node>) {
+    limiter::leave(node);
     let lease = {
         let mut state = node.state.borrow_mut();
         state.validity_lease.end();
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -11,7 +11,9 @@
 use super::failover::FailoverMonitor;
 use super::node::Node;
 use super::peers::Peers;
-use super::{directory, discovery, listener, registration, relay, restoration, synchronization};
+use super::{
+    directory, discovery, limiter, listener, registration, relay, restoration, synchronization,
+};
 
 /// Result of starting an entry.
 pub type Result<T, E = StartError> = std::result::Result<T, E>;
@@ -53,6 +55,7 @@
     spawn_local(Rc::clone(&peers).send_queued());
     spawn_local(peers.listen());
     spawn_local(relay::run(Rc::clone(node), requests));
+    spawn_local(limiter::run(Rc::clone(node)));
     spawn_local(tick(Rc::clone(node)));
     spawn_local(listener::run(Rc::clone(node), callers));
     log::info!(
@@ -65,7 +68,7 @@
     Ok(())
 }
 
-/// Checks instances, failovers, limits and readiness periodically, until the process ends.
+/// Checks instances, failovers and readiness periodically, until the process ends.
 async fn tick(node: Rc<Node>) {
     let monitor = Rc::new(FailoverMonitor::default());
     let mut undersized_since = directory::UndersizedSince::new();
@@ -73,7 +76,6 @@
         sleep(node.settings.tick).await;
         directory::remove_missing(&node, &mut undersized_since);
         monitor.tick(&node);
-        node.divide_limits();
         node.maintain_pools(node.settings.tick);
         node.gateways.maintain(&node.state.borrow());
         node.shed_if_isolated();
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -59,7 +59,7 @@
     pub gateway_contact_at: Timestamp,
     /// VM that holds the failover lease, the right to replace primaries.
     pub failover_holder: Option<VmName>,
-    /// This VM's share of the workspaces' limits.
+    /// Limits of the workspaces, as their owner and as a holder of tokens.
     pub quota: Quota,
     /// Timeline of the store that `timeline_seen_at` refers to.
     pub timeline: Timeline,
--- a/src/entry/validity.rs
+++ b/src/entry/validity.rs
@@ -40,6 +40,11 @@
         now < self.valid_until
     }
 
+    /// Returns the time at which the validity ends.
+    pub const fn valid_until(&self) -> Timestamp {
+        self.valid_until
+    }
+
     /// Returns the validity left at `now`; zero when it has ended.
     pub fn time_left(&self, now: Timestamp) -> Duration {
         self.valid_until.since(now)
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,5 +1,6 @@
 //! Metrics, spans, and the format and output of log lines.
 
+pub mod limit_metrics;
 pub mod metrics;
 pub mod sink;
 pub mod span;
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 use strum::Display;
 
+use super::limit_metrics::LimitMetrics;
 use crate::configuration::RouteClass;
 use crate::name::{DatabaseName, RouteName, WorkspaceName};
 use crate::traffic::RefusalReason;
@@ -42,6 +43,7 @@
     failover_gap_seconds: Histogram<f64>,
     gate_seconds: Histogram<f64>,
     entry: EntryMetrics,
+    limits: LimitMetrics,
 }
 
 /// Instruments of an entry, which serves the callers connected to this VM.
@@ -123,6 +125,7 @@
                 "Time that answers of saves waited for a second instance",
             ),
             entry: EntryMetrics::new(&meter),
+            limits: LimitMetrics::new(&meter),
             _provider: provider,
         }
     }
@@ -223,6 +226,11 @@
         self.entry.takeovers.add(1, &labels);
     }
 
+    /// Returns the instruments of the limits over all VMs.
+    pub const fn limits(&self) -> &LimitMetrics {
+        &self.limits
+    }
+
     /// Sets the number of connected callers and of open connections to instances.
     pub fn set_open_counts(&self, sessions: usize, connections: usize) {
         self.entry.sessions.record(sessions as u64, &[]);
@@ -286,14 +294,22 @@
     }
 }
 
-fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
+pub(super) fn counter(
+    meter: &Meter,
+    name: &'static str,
+    description: &'static str,
+) -> Counter<u64> {
     meter
         .u64_counter(name)
         .with_description(description)
         .build()
 }
 
-fn histogram(meter: &Meter, name: &'static str, description: &'static str) -> Histogram<f64> {
+pub(super) fn histogram(
+    meter: &Meter,
+    name: &'static str,
+    description: &'static str,
+) -> Histogram<f64> {
     meter
         .f64_histogram(name)
         .with_description(description)
