--- a/src/control/fairness/tests.rs
+++ b/src/control/fairness/tests.rs
@@ -16,6 +16,7 @@
     Arrival {
         workspace: workspace.into(),
         class: class.into(),
+        kind: 0,
         weight: 1,
         due: None,
         deadline: FAR,
@@ -162,6 +163,48 @@
     assert_eq!(queue.start(at(0)).unwrap().ticket, "quick");
 }
 
+/// Guards against an instance that counts as slow because connections to it are opened, and against
+/// a workspace that opens many connections at the others' expense.
+#[test]
+fn opening_a_connection_is_charged_to_the_workspace_and_not_to_the_instance() {
+    let after_opening = Cost {
+        held: STATEMENT * 4,
+        duration: Some(STATEMENT),
+    };
+    let mut queue = FairQueue::new(FairQueueSettings::default(), 1);
+    for _ in 0..100 {
+        queue.enter(&normal("opens"), "opens", at(0)).unwrap();
+        queue.enter(&normal("reuses"), "reuses", at(0)).unwrap();
+    }
+    let mut served = BTreeMap::new();
+    for _ in 0..40 {
+        let started = queue.start(at(0)).unwrap();
+        *served.entry(started.ticket).or_insert(0) += 1;
+        let cost = if started.ticket == "opens" {
+            after_opening
+        } else {
+            Cost::from(STATEMENT)
+        };
+        queue.finish(started.run, cost, at(0));
+    }
+    assert_eq!(served["opens"] * 4, served["reuses"], "{served:?}");
+
+    let mut queue = FairQueue::new(FairQueueSettings::default(), 4);
+    for round in 0..200 {
+        queue.enter(&normal("a"), "a", at(0)).unwrap();
+        let run = queue.start(at(0)).unwrap().run;
+        // If the time for the connection counted, it would be 40 ms in the second half, and the limit
+        // would fall.
+        let cost = if round >= 100 {
+            after_opening
+        } else {
+            Cost::from(STATEMENT)
+        };
+        queue.finish(run, cost, at(0));
+    }
+    assert_eq!(queue.concurrency(), 4);
+}
+
 #[test]
 fn a_request_that_can_not_start_in_time_is_refused_at_entry() {
     let mut queue = FairQueue::new(FairQueueSettings::default(), 1);
@@ -451,6 +494,62 @@
     }
 }
 
+/// Guards against a limit that falls, and stays low, at an instance that is as fast as ever: because
+/// short and long statements alternate, or because connections are opened.
+#[test]
+fn only_an_instance_that_is_slower_than_usual_lowers_the_limit() {
+    struct Case {
+        name: &'static str,
+        /// Kind, time that the slot was held, and time that the instance took, in ms, in turn.
+        statements: [(u64, u64, u64); 2],
+        limit: usize,
+    }
+    let cases = [
+        Case {
+            name: "short and long statements",
+            statements: [(1, 1, 1), (2, 18, 18)],
+            limit: 4,
+        },
+        Case {
+            name: "connections opened for every other statement",
+            statements: [(1, 6, 6), (1, 30, 6)],
+            limit: 4,
+        },
+        Case {
+            name: "a slow instance",
+            statements: [(1, 6, 6), (1, 30, 30)],
+            limit: 1,
+        },
+    ];
+    // Runs the statements with the cost and kind that are given.
+    let limit = |statements: &[(u64, Cost)]| {
+        let mut queue = FairQueue::new(FairQueueSettings::default(), 4);
+        for (kind, cost) in statements.iter().cycle().take(200).copied() {
+            let arrival = Arrival {
+                kind,
+                ..normal("a")
+            };
+            queue.enter(&arrival, "a", at(0)).unwrap();
+            let run = queue.start(at(0)).unwrap().run;
+            queue.finish(run, cost, at(0));
+        }
+        queue.concurrency()
+    };
+    for case in cases {
+        let current = case.statements.map(|(kind, held_ms, duration_ms)| {
+            let cost = Cost {
+                held: Duration::from_millis(held_ms),
+                duration: Some(Duration::from_millis(duration_ms)),
+            };
+            (kind, cost)
+        });
+        let former = case.statements;
+        let former = former.map(|(_, held_ms, _)| (0, Duration::from_millis(held_ms).into()));
+        assert_eq!(limit(&current), case.limit, "{}", case.name);
+        assert_eq!(limit(&former), 1, "{}, by the former rule", case.name);
+    }
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     Enter {
@@ -500,6 +599,7 @@
                     let arrival = Arrival {
                         workspace: format!("workspace-{workspace}").into(),
                         class: QueueClass::of_priority(class),
+                        kind: 0,
                         weight: 1 + u32::from(workspace),
                         due: due_ms.map(|millis| now + Duration::from_millis(millis)),
                         deadline: now + Duration::from_millis(deadline_ms),
@@ -552,3 +652,47 @@
         prop_assert!(queue.classes.iter().all(|class| class.backlog.is_zero()));
     }
 }
+
+/// Guards against decisions whose cost grows with the number of waiting requests. To be run alone and
+/// optimised: `cargo test --release -p currantlb --lib -- --ignored a_decision`.
+#[test]
+#[ignore = "measures time"]
+fn a_decision_at_1000_waiting_requests_takes_less_than_2_us() {
+    const ROUNDS: u32 = 100_000;
+    let limit = if cfg!(debug_assertions) {
+        Duration::from_micros(20)
+    } else {
+        Duration::from_micros(2)
+    };
+    let mut queue = FairQueue::new(FairQueueSettings::default(), 4);
+    let enter = |queue: &mut FairQueue<()>, place: u32, now: Timestamp| {
+        let arrival = Arrival {
+            workspace: format!("workspace-{}", place % 80).into(),
+            class: QueueClass::of_priority((place % 3) as u8),
+            kind: 0,
+            weight: 1 + place % 7,
+            due: Some(now + Duration::from_secs(5)),
+            deadline: now + Duration::from_secs(10),
+        };
+        queue.enter(&arrival, (), now).map(|entered| entered.waiter)
+    };
+    let mut waiter = enter(&mut queue, 0, at(0)).unwrap();
+    for place in 1..1_000 {
+        waiter = enter(&mut queue, place, at(0)).unwrap();
+    }
+    let mut runs: Vec<_> = std::iter::from_fn(|| queue.start(at(0))).collect();
+    let mut decisions = 0;
+    let begun = std::time::Instant::now();
+    for round in 0..ROUNDS {
+        let now = at(u64::from(round) / 100);
+        let run = runs.remove(0).run;
+        queue.finish(run, Duration::from_millis(1), now);
+        runs.extend(queue.start(now));
+        waiter = enter(&mut queue, round, now).unwrap_or(waiter);
+        queue.review(waiter, now);
+        decisions += 4;
+    }
+    let mean = begun.elapsed() / decisions;
+    println!("{mean:?} a decision, {} waiting", queue.waiting());
+    assert!(queue.waiting() > 900 && mean < limit, "{mean:?}");
+}
--- a/src/entry/forwarding.rs
+++ b/src/entry/forwarding.rs
@@ -6,11 +6,12 @@
 use tokio::time::Instant;
 
 use super::channel::{ChannelError, PeerRequest, PeerResponse};
+use super::clock;
 use super::gateway::{Gateway, PooledChannel};
 use super::health::Health;
 use super::node::Node;
-use super::statement::{Failure, FailureKind, Outcome, SessionState};
-use super::task::{Action, Reply, Task};
+use super::statement::{Failure, FailureKind, SessionState};
+use super::task::{Reply, Task};
 use super::worker::Worker;
 use crate::name::ZoneName;
 use crate::telemetry::metrics::metrics;
@@ -22,9 +23,6 @@
 /// itself replies when the limit is reached.
 const REPLY_MARGIN: Duration = Duration::from_millis(150);
 
-/// Retry delay suggested to a refused caller, after which a gateway may be reachable.
-const RETRY_AFTER: Duration = Duration::from_millis(250);
-
 /// VM that runs the tasks of an open transaction.
 #[derive(Debug)]
 pub enum Executor {
@@ -41,73 +39,86 @@
     primary_zone: Option<ZoneName>,
 }
 
-/// Outcome of handing a task to a gateway.
+/// Result of an attempt to run a task at a gateway.
+#[derive(Debug)]
 enum Attempt {
-    /// The reply for the caller, with the connection to the gateway if it is still open.
-    Replied(Box<(Reply, Option<PooledChannel>)>),
-    /// The task didn't run.
-    NotRun,
-    /// The task writes nothing and may have run; its reply is lost.
+    /// The gateway replied.
+    Replied(Box<Reply>, PooledChannel),
+    /// The gateway declined the task: it didn't run.
+    Declined,
+    /// The gateway can't be reached: nothing was sent.
+    Unreached,
+    /// The reply was lost: the task may have run.
     Lost,
 }
 
 /// Runs a task of a session without an open transaction. Returns the reply and the VM that runs the
 /// following tasks if the task opened a transaction.
-pub async fn start(node: &Rc<Node>, task: Task) -> (Reply, Option<Executor>) {
+pub async fn start(node: &Rc<Node>, mut task: Task) -> (Reply, Option<Executor>) {
     if node.state.borrow().gateway {
         let mut worker = Worker::new(Rc::clone(node));
         let reply = worker.run(&task).await;
         return (reply, Some(Executor::Local(worker)));
     }
     let deadline = deadline(&task);
+    node.record_first_attempt(&task.route.database);
     let mut gateways = node.gateways.ranked(node, &task);
     gateways.truncate(MAX_TRIED);
-    let mut is_lost = false;
-    for gateway in gateways.iter().filter(|gateway| gateway.accepts_tasks()) {
-        match try_gateway(node, &task, gateway, false, deadline).await {
-            Attempt::Replied(reply) => return replied(&task, *reply, is_lost),
-            Attempt::NotRun => {}
-            Attempt::Lost => is_lost = true,
-        }
-        if Instant::now() >= deadline {
-            return (task.lost_reply(), None);
+    let mut may_have_run = false;
+    let mut force = false;
+    while let Some(gateway) = next_gateway(&mut gateways, &mut force) {
+        match try_gateway(node, &task, &gateway, force, deadline).await {
+            Attempt::Replied(reply, pooled) => {
+                let mut delays = node.retry_delays.borrow_mut();
+                delays.on_gateway_reached(clock::now());
+                let is_refused = may_have_run && reply.is_not_run();
+                let reply = if is_refused {
+                    task.lost_reply()
+                } else {
+                    *reply
+                };
+                return (reply, Some(Executor::Remote(pooled)));
+            }
+            Attempt::Declined => gateways.push(Rc::clone(&gateway)),
+            Attempt::Unreached => {}
+            Attempt::Lost if task.is_repeatable() => may_have_run |= task.runs_statement(),
+            Attempt::Lost => return (task.lost_reply(), None),
         }
-        log::info!(
-            "event=task_moved id={} from={} kind=forward",
-            task.id,
-            gateway.vm()
-        );
-        metrics().count_retry("forward");
-    }
-    // No gateway took the task: force it on the best-ranked one that has recently declined tasks.
-    if let Some(gateway) = gateways.iter().find(|gateway| !gateway.accepts_tasks()) {
-        match try_gateway(node, &task, gateway, true, deadline).await {
-            Attempt::Replied(reply) => return replied(&task, *reply, is_lost),
-            Attempt::NotRun => {}
-            Attempt::Lost => is_lost = true,
+        if force || gateways.is_empty() || !may_move(node, &mut task, &gateway, deadline) {
+            break;
         }
     }
-    if is_lost {
+    if may_have_run || Instant::now() >= deadline {
         return (task.lost_reply(), None);
     }
     (no_gateway_reply(node, &task), None)
 }
 
-/// Returns the reply of a gateway. After an attempt whose reply was lost, the task can't be reported
-/// as not run any more.
-fn replied(
-    task: &Task,
-    (reply, pooled): (Reply, Option<PooledChannel>),
-    is_lost: bool,
-) -> (Reply, Option<Executor>) {
-    let is_refused = matches!(
-        &reply.response.outcome,
-        Outcome::Failed(failure) if failure.not_run()
-    );
-    if is_lost && is_refused {
-        return (task.lost_reply(), None);
+/// Removes the gateway to try next: the first one that accepts tasks. Without one, the task is
+/// forced on the first that has declined tasks recently, and no other is tried after it.
+fn next_gateway(gateways: &mut Vec<Rc<Gateway>>, force: &mut bool) -> Option<Rc<Gateway>> {
+    let accepting = gateways.iter().position(|gateway| gateway.accepts_tasks());
+    *force = accepting.is_none();
+    let place = accepting.unwrap_or_default();
+    (!gateways.is_empty()).then(|| gateways.remove(place))
+}
+
+/// Takes a retry for a task that is moved to another gateway; returns whether there was one.
+fn may_move(node: &Node, task: &mut Task, from: &Gateway, deadline: Instant) -> bool {
+    task.attempts = task.attempts.saturating_add(1);
+    let database = &task.route.database;
+    if Instant::now() >= deadline || !node.take_retry(&task.id, database, task.attempts, "forward")
+    {
+        return false;
     }
-    (reply, pooled.map(Executor::Remote))
+    metrics().count_retry("forward");
+    log::info!(
+        "event=task_moved id={} from={} kind=forward attempts={}",
+        task.id,
+        from.vm(),
+        task.attempts
+    );
+    true
 }
 
 /// Runs a task at a gateway.
@@ -127,23 +138,19 @@
                 gateway.vm()
             );
             gateway.record_health(Health::on_failed);
-            return Attempt::NotRun;
+            return Attempt::Unreached;
         }
     };
     match run_on(&mut pooled, task, force, deadline).await {
         Ok(Some(finished)) => {
             node.gateways
                 .record_primary_zone(&task.route.database, finished.primary_zone);
-            Attempt::Replied(Box::new((finished.reply, Some(pooled))))
+            Attempt::Replied(Box::new(finished.reply), pooled)
         }
-        Ok(None) => Attempt::NotRun,
+        Ok(None) => Attempt::Declined,
         Err(error) => {
             log_gateway_loss(task, gateway, &error);
-            match &task.action {
-                Action::Admit => Attempt::NotRun,
-                _ if task.is_repeatable() => Attempt::Lost,
-                _ => Attempt::Replied(Box::new((task.lost_reply(), None))),
-            }
+            Attempt::Lost
         }
     }
 }
@@ -224,16 +231,18 @@
 }
 
 fn no_gateway_reply(node: &Node, task: &Task) -> Reply {
+    let delay = node.retry_delays.borrow_mut().no_gateway(clock::now());
+    let retry_ms = delay.as_millis();
     metrics().count_entry_refusal(&task.route.name, "no gateway");
     log::info!(
         "event=request_refused id={} route={} workspace={} reason=\"no gateway can be reached\" \
-         vm={}",
+         vm={} attempts={} retry_ms={retry_ms}",
         task.id,
         task.route.name,
         task.workspace,
-        node.settings.vm
+        node.settings.vm,
+        task.attempts
     );
-    let retry_ms = RETRY_AFTER.as_millis();
     let text = format!("not run: no VM with connections can be reached; retry in {retry_ms} ms");
     Reply::failed(Failure::local(FailureKind::Busy, text), task.failed_state())
 }
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -13,22 +13,27 @@
 use super::confirmation_tracker::ConfirmationTracker;
 use super::connections::Connections;
 use super::datagram::Outbox;
+use super::ejection;
 use super::follow::Progress;
 use super::gateways::Gateways;
 use super::health::Verdict;
 use super::idle_transactions::IdleTransactions;
 use super::input_budget::InputLimits;
 use super::instance::{Change, Instance};
+use super::latency::RouteTimes;
 use super::limiter::Limiter;
+use super::overload::Overload;
 use super::pool::{Limits, Pool, Sharing};
 use super::quota::Quota;
+use super::retry_budget::{RetryBudgetSettings, RetryBudgets};
+use super::retry_delay::{RetryDelaySettings, RetryDelays};
 use super::settings::EntrySettings;
 use super::state::{State, StopPhase};
 use super::warmup;
 use crate::configuration::Timeline;
 use crate::control::command::PlatformRequest;
 use crate::control::event::PlatformResponse;
-use crate::name::InstanceName;
+use crate::name::{DatabaseName, InstanceName};
 use crate::store;
 use crate::telemetry::metrics::metrics;
 
@@ -60,14 +65,22 @@
     pub sessions_must_move: Notify,
     /// Gateways that this VM forwards to.
     pub gateways: Gateways,
+    /// Load of this VM, by its own measurements.
+    pub overload: RefCell<Overload>,
     /// Connections of callers and other VMs.
     pub connections: Rc<Connections>,
+    /// Retry delays for refused callers.
+    pub retry_delays: RefCell<RetryDelays>,
+    /// Budgets of this VM's own retries.
+    pub retry_budgets: RefCell<RetryBudgets>,
     /// Number of connected callers.
     pub sessions: Cell<usize>,
     /// Number of connections of other VMs that have a running task or an open transaction.
     pub tasks: Cell<usize>,
     /// Open transactions whose callers are between two statements.
     pub idle_transactions: IdleTransactions,
+    /// Usual times of the routes' statements.
+    pub route_times: RefCell<RouteTimes>,
     pools: RefCell<HashMap<InstanceName, Rc<Pool>>>,
 }
 
@@ -86,6 +99,7 @@
         Rc::new(Self {
             settings,
             adapter,
+            overload: RefCell::default(),
             connections: Connections::new(input_limits),
             state: RefCell::new(state),
             changed: Notify::new(),
@@ -97,15 +111,26 @@
             outbox: Outbox::default(),
             sessions_must_move: Notify::new(),
             gateways: Gateways::default(),
+            retry_delays: RefCell::new(RetryDelays::new(
+                RetryDelaySettings::default(),
+                clock::now(),
+            )),
+            retry_budgets: RefCell::new(RetryBudgets::new(RetryBudgetSettings::default())),
             sessions: Cell::new(0),
             tasks: Cell::new(0),
             idle_transactions: IdleTransactions::default(),
+            route_times: RefCell::default(),
             pools: RefCell::default(),
         })
     }
 
     /// Returns whether the balancer should send callers here.
     pub fn is_ready(&self) -> bool {
+        self.can_serve() && !self.overload.borrow().is_withdrawn()
+    }
+
+    /// Returns whether this VM can serve callers, and isn't stopping.
+    pub fn can_serve(&self) -> bool {
         let state = self.state.borrow();
         let now = clock::now();
         let can_serve = if state.gateway {
@@ -120,7 +145,8 @@
     /// once the balancer has had time to detect it, so that callers aren't sent back here.
     pub fn shed_if_isolated(&self) {
         let now = clock::now();
-        let ready = self.is_ready();
+        // The sessions of an overloaded VM stay: others may be no better off.
+        let ready = self.can_serve();
         let mut state = self.state.borrow_mut();
         if ready || state.stop != StopPhase::Running {
             state.unready_since = None;
@@ -172,6 +198,29 @@
         state.has_initial_data(clock::now()) || (state.catalog.is_some() && forwards())
     }
 
+    /// Records the first attempt of a statement, which allows retries.
+    pub fn record_first_attempt(&self, database: &DatabaseName) {
+        self.retry_budgets.borrow_mut().on_first_attempt(database);
+    }
+
+    /// Takes a retry for a statement that has had `attempts` attempts; returns whether there was one.
+    pub fn take_retry(
+        &self,
+        id: &str,
+        database: &DatabaseName,
+        attempts: u8,
+        reason: &'static str,
+    ) -> bool {
+        let taken = self.retry_budgets.borrow_mut().take(database, attempts);
+        let Err(denial) = taken else { return true };
+        metrics().count_retry_denied(reason, denial.into());
+        log::info!(
+            "event=retry_denied id={id} database={database} reason={reason} denied_by={denial} \
+             attempts={attempts}"
+        );
+        false
+    }
+
     /// Returns the configuration in force; `None` until it has been read.
     pub fn catalog(&self) -> Option<Rc<Catalog>> {
         self.state.borrow().catalog.clone()
@@ -268,9 +317,18 @@
             self.update_warmth(&pool);
             pool.maintain(elapsed);
             connections += pool.open();
+            let instance = pool.instance();
+            if !instance.is_primary {
+                metrics().set_replica_lag(&instance.name, pool.lag().estimate());
+            }
         }
+        ejection::update(self, elapsed);
         metrics().set_open_counts(self.sessions.get(), connections);
         metrics().set_pending_input(self.connections.pending_bytes());
+        if let Some(catalog) = self.catalog() {
+            let mut route_times = self.route_times.borrow_mut();
+            route_times.retain(catalog.routes.values().map(|route| &route.name));
+        }
     }
 
     /// Applies to a pool how far its instance may be used now: fewer slots while it is cold, or after
@@ -309,29 +367,6 @@
     }
 }
 
-/// Counts a session or the work of another VM for as long as it exists, also when a fault ends it.
-#[derive(Debug)]
-pub struct Counted {
-    node: Rc<Node>,
-    counter: fn(&Node) -> &Cell<usize>,
-}
-
-impl Counted {
-    /// Counts one more.
-    pub fn new(node: Rc<Node>, counter: fn(&Node) -> &Cell<usize>) -> Self {
-        let count = counter(&node);
-        count.set(count.get() + 1);
-        Self { node, counter }
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        let count = (self.counter)(&self.node);
-        count.set(count.get().saturating_sub(1));
-    }
-}
-
 fn kind(request: &PlatformRequest) -> &'static str {
     match request {
         PlatformRequest::Get { .. } => "get",
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -11,14 +11,17 @@
 use super::clock;
 use super::health::{Health, Verdict};
 use super::instance::Instance;
+use super::latency::{InstanceLatency, StatementKind};
 use super::link::{Link, LinkError, rejection};
-use super::placement::{Availability, Latency};
+use super::outlier::{OutlierRecord, ReadOutcome};
+use super::placement::Availability;
 use super::position::Position;
 use super::replica_lag::ReplicaLag;
 use super::slots::Slots;
 use super::statement::{FailureKind, Protocol};
 use super::warmup::Pace;
 use crate::name::{RouteName, WorkspaceName};
+use crate::telemetry::metrics::{OpenReason, metrics};
 use crate::time::Timestamp;
 
 mod limits;
@@ -38,6 +41,12 @@
 /// left: as long as the instance counts lost connections.
 const CROWDED_PERIOD: Duration = Duration::from_secs(3);
 
+/// Time after a rejection for lack of capacity for which an instance counts as contended.
+const CONTENDED_PERIOD: Duration = Duration::from_millis(500);
+
+/// Estimated lag from which a replica's lag is logged.
+const LONG_LAG: Duration = Duration::from_millis(500);
+
 /// Half-life of the uses counted for a workspace.
 const USES_HALF_LIFE: Duration = Duration::from_secs(5);
 
@@ -69,9 +78,12 @@
     open: Cell<usize>,
     full_at: Cell<Option<Instant>>,
     released: Notify,
-    latency: Cell<Latency>,
+    latency: Cell<InstanceLatency>,
+    answered_at: Cell<Option<Instant>>,
+    rejected_at: Cell<Option<Instant>>,
     position: Cell<Option<Position>>,
     lag: Cell<ReplicaLag>,
+    outlier: RefCell<OutlierRecord>,
     in_flight: Cell<u32>,
     health: RefCell<Health>,
     became_unreachable: Notify,
@@ -87,8 +99,12 @@
     pub route: &'a RouteName,
     /// Workspace of the statement.
     pub workspace: &'a WorkspaceName,
+    /// Kind of the statement.
+    pub kind: StatementKind,
     /// Time from sending the statement to its response.
     pub taken: Duration,
+    /// Usual time of such statements, over all instances.
+    pub usual: Duration,
     /// Position that the instance reported.
     pub position: Option<Position>,
     /// Position that the statement required; `None` if it required none.
@@ -119,8 +135,11 @@
             full_at: Cell::new(None),
             released: Notify::new(),
             latency: Cell::default(),
+            answered_at: Cell::new(None),
+            rejected_at: Cell::new(None),
             position: Cell::new(None),
             lag: Cell::default(),
+            outlier: RefCell::default(),
             in_flight: Cell::new(0),
             health: RefCell::default(),
             became_unreachable: Notify::new(),
@@ -164,7 +183,7 @@
     }
 
     /// Applies a new announcement of the instance. If its process, address or database changed,
-    /// idle connections are closed and position, lag and health are reset.
+    /// idle connections are closed and all measurements and the health are reset.
     pub fn update(&self, instance: &Rc<Instance>) {
         let previous = self.instance.replace(Rc::clone(instance));
         let same_process = previous.address == instance.address
@@ -174,6 +193,11 @@
             self.close_idle();
             self.position.set(None);
             self.lag.take();
+            self.outlier.take();
+            self.latency.take();
+            self.answered_at.take();
+            self.rejected_at.take();
+            self.full_at.take();
             self.clear_health();
         }
     }
@@ -192,10 +216,9 @@
     /// Closes connections that exceeded the idle time limit, and decays measurements by the time
     /// elapsed.
     pub fn maintain(&self, elapsed: Duration) {
-        let mut latency = self.latency.get();
-        latency.decay(elapsed);
-        self.latency.set(latency);
+        self.update_latency(|latency| latency.decay(elapsed));
         self.update_lag(|lag| lag.decay(elapsed));
+        self.outlier.borrow_mut().decay(elapsed, clock::now());
         let kept = 0.5_f64.powf(elapsed.as_secs_f64() / USES_HALF_LIFE.as_secs_f64());
         self.uses.borrow_mut().retain(|_, uses| {
             *uses *= kept;
@@ -224,9 +247,31 @@
         self.open.get()
     }
 
-    /// Returns the expected duration of a statement on the instance.
-    pub fn latency(&self) -> Duration {
-        self.latency.get().expected()
+    /// Returns the measured latency of the instance.
+    pub fn latency(&self) -> InstanceLatency {
+        self.latency.get()
+    }
+
+    fn update_latency(&self, update: impl FnOnce(&mut InstanceLatency)) {
+        let mut latency = self.latency.get();
+        update(&mut latency);
+        self.latency.set(latency);
+    }
+
+    /// Returns the time since the last response to a statement; `Duration::MAX` if there was none.
+    pub fn view_age(&self) -> Duration {
+        self.answered_at
+            .get()
+            .map_or(Duration::MAX, |at| at.elapsed())
+    }
+
+    /// Returns whether statements wait for the instance's slots or use most of them, or it rejected
+    /// one for lack of capacity lately: the load of other VMs shows only in rejections.
+    pub fn is_contended(&self) -> bool {
+        let rejected_at = self.rejected_at.get();
+        let rejected = rejected_at.is_some_and(|at| at.elapsed() < CONTENDED_PERIOD);
+        let most = (self.instance.borrow().slots * 3).div_ceil(4).max(1);
+        rejected || self.slots.waiting() > 0 || self.in_flight.get() >= most
     }
 
     /// Returns the last position that the instance reported, `None` if it is unknown.
@@ -239,11 +284,21 @@
         self.lag.get()
     }
 
-    /// Changes the estimated lag.
+    /// Changes the estimated lag. Logs when it begins or ceases to be long.
     pub fn update_lag(&self, update: impl FnOnce(&mut ReplicaLag)) {
         let mut lag = self.lag.get();
+        let was_long = lag.estimate() >= LONG_LAG;
         update(&mut lag);
         self.lag.set(lag);
+        if was_long != (lag.estimate() >= LONG_LAG) {
+            let instance = self.instance.borrow();
+            log::info!(
+                "event=replica_lag_changed database={} instance={} lag_ms={}",
+                instance.database,
+                instance.name,
+                lag.estimate().as_millis()
+            );
+        }
     }
 
     /// Returns the number of statements that run on the instance or wait for one of its slots.
@@ -298,18 +353,41 @@
     pub fn statement_answered(&self, answer: &Answer<'_>) {
         self.in_flight.set(self.in_flight.get().saturating_sub(1));
         self.record_health(Health::on_statement_response);
-        let mut latency = self.latency.get();
-        latency.record(answer.taken);
-        self.latency.set(latency);
+        self.answered_at.set(Some(Instant::now()));
+        match answer.failure {
+            None => self.update_latency(|latency| latency.record(answer.taken, answer.usual)),
+            Some(FailureKind::Busy) => {
+                self.rejected_at.set(Some(Instant::now()));
+                self.update_latency(InstanceLatency::record_rejection);
+            }
+            // Other failures are sent before the statement has run to its end, and tell no latency.
+            Some(_) => {}
+        }
+        if let Some(outcome) = outcome(answer) {
+            self.record_read(answer.kind, answer.workspace, outcome);
+        }
         if answer.position.is_some() {
             self.position.set(answer.position);
         }
     }
 
+    fn record_read(&self, kind: StatementKind, workspace: &WorkspaceName, outcome: ReadOutcome) {
+        if kind == StatementKind::Read {
+            self.outlier.borrow_mut().record(workspace, outcome);
+        }
+    }
+
+    /// Returns what is known of the instance's reads and ejections.
+    pub const fn outlier(&self) -> &RefCell<OutlierRecord> {
+        &self.outlier
+    }
+
     /// Records that the wait for the response to a statement ended without one.
-    pub fn statement_lost(&self) {
+    pub fn statement_lost(&self, kind: StatementKind, workspace: &WorkspaceName) {
+        self.record_read(kind, workspace, ReadOutcome::Failed);
         self.in_flight.set(self.in_flight.get().saturating_sub(1));
         self.record_health(Health::on_statement_failed);
+        self.update_latency(InstanceLatency::record_loss);
     }
 
     /// Takes an idle connection that was opened for the workspace, or opens one.
@@ -324,11 +402,11 @@
             if let Some(link) = self.take_idle(workspace) {
                 return Ok(self.pooled(link));
             }
-            if self.may_open(request.claim) || self.evict_idle() {
+            if let Some(reason) = self.make_room(request.claim) {
                 let until = request
                     .deadline
                     .min(Instant::now() + request.connect_timeout);
-                match self.connect(workspace, until).await {
+                match self.connect(workspace, reason, until).await {
                     Err(error) if rejection(&error) == Some(FailureKind::TooManyConnections) => {
                         self.full_at.set(Some(Instant::now()));
                     }
@@ -349,7 +427,7 @@
         workspace: &WorkspaceName,
         deadline: Instant,
     ) -> Result<PooledLink> {
-        self.connect(workspace, deadline).await
+        self.connect(workspace, OpenReason::Control, deadline).await
     }
 
     async fn wait_for_release(&self, deadline: Instant) -> Result<()> {
@@ -364,8 +442,10 @@
     async fn connect(
         self: &Rc<Self>,
         workspace: &WorkspaceName,
+        reason: OpenReason,
         deadline: Instant,
     ) -> Result<PooledLink> {
+        metrics().count_connection_opened(reason);
         self.open.set(self.open.get() + 1);
         let mut pooled = PooledLink {
             pool: Rc::clone(self),
@@ -396,6 +476,15 @@
         None
     }
 
+    /// Makes room for another connection, by closing an idle one if necessary. Returns why one is
+    /// opened; `None` if there is no room.
+    fn make_room(&self, claim: Claim) -> Option<OpenReason> {
+        if self.may_open(claim) {
+            return Some(OpenReason::NoneIdle);
+        }
+        self.evict_idle().then_some(OpenReason::Replaced)
+    }
+
     fn may_open(&self, claim: Claim) -> bool {
         let max_open = self.limits.get().max_open_for(claim);
         self.open.get() < max_open && !self.was_full_within(FULL_RETRY_DELAY)
@@ -454,6 +543,18 @@
     }
 }
 
+/// Returns what a response to a read shows about its instance; `None` for a rejection, which isn't a
+/// fault of it.
+fn outcome(answer: &Answer<'_>) -> Option<ReadOutcome> {
+    match answer.failure {
+        None => Some(ReadOutcome::of_completed(answer.taken, answer.usual)),
+        Some(
+            FailureKind::Failed | FailureKind::TimedOut | FailureKind::Unknown | FailureKind::Other,
+        ) => Some(ReadOutcome::Failed),
+        Some(_) => None,
+    }
+}
+
 impl PooledLink {
     /// Returns the connection itself.
     ///
@@ -483,3 +584,6 @@
         self.pool.release(link);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -12,7 +12,7 @@
 
 use super::limit_metrics::LimitMetrics;
 use crate::configuration::RouteClass;
-use crate::name::{DatabaseName, RouteName, WorkspaceName};
+use crate::name::{DatabaseName, InstanceName, RouteName, WorkspaceName};
 use crate::traffic::RefusalReason;
 
 /// Upper bounds of the latency histograms, in seconds.
@@ -44,6 +44,7 @@
     gate_seconds: Histogram<f64>,
     entry: EntryMetrics,
     limits: LimitMetrics,
+    protection: ProtectionMetrics,
 }
 
 /// Instruments of an entry, which serves the callers connected to this VM.
@@ -53,20 +54,52 @@
     statement_seconds: Histogram<f64>,
     refusals: Counter<u64>,
     moves: Counter<u64>,
+    retries_denied: Counter<u64>,
     store_calls: Counter<u64>,
     store_timelines: Counter<u64>,
     takeovers: Counter<u64>,
+    placement: PlacementMetrics,
+    sessions: Gauge<u64>,
+    connections: Gauge<u64>,
+}
+
+/// Instruments of what protects a VM from its peers, from its own load and from errors.
+#[derive(Debug)]
+struct ProtectionMetrics {
     task_failures: Counter<u64>,
     closed_connections: Counter<u64>,
     pending_input_bytes: Gauge<u64>,
-    sessions: Gauge<u64>,
-    connections: Gauge<u64>,
+    declined_tasks: Counter<u64>,
+    loop_delay_seconds: Gauge<f64>,
+}
+
+/// Instruments of the choice of instances and of the connections to them.
+#[derive(Debug)]
+struct PlacementMetrics {
+    connections_opened: Counter<u64>,
+    ejections: Counter<u64>,
+    lag_wait_seconds: Histogram<f64>,
+    replica_lag_seconds: Gauge<f64>,
+}
+
+/// Why a connection to an instance is opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum OpenReason {
+    /// None of the workspace's connections is idle, and there is room for another one.
+    NoneIdle,
+    /// None of the workspace's connections is idle; that of another workspace was closed.
+    Replaced,
+    /// A control command needs a connection.
+    Control,
 }
 
 /// Phase of the execution of a statement at an entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum Step {
+    /// Waiting for a slot of the instance.
+    Wait,
     /// Choosing an instance and getting a connection to it.
     Connect,
     /// Executing the statement on the instance.
@@ -129,6 +162,7 @@
             ),
             entry: EntryMetrics::new(&meter),
             limits: LimitMetrics::new(&meter),
+            protection: ProtectionMetrics::new(&meter),
             _provider: provider,
         }
     }
@@ -209,6 +243,15 @@
         self.entry.moves.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a retry that an entry denied, by what it was for and what denied it.
+    pub fn count_retry_denied(&self, reason: &'static str, denied_by: &'static str) {
+        let labels = [
+            KeyValue::new("reason", reason),
+            KeyValue::new("denied_by", denied_by),
+        ];
+        self.entry.retries_denied.add(1, &labels);
+    }
+
     /// Counts a call to the store, and whether the store responded.
     pub fn count_store_call(&self, kind: &'static str, answered: bool) {
         let labels = [
@@ -232,18 +275,33 @@
     /// Counts a panic of a background task, which is then started anew.
     pub fn count_task_failure(&self, task: &'static str) {
         let labels = [KeyValue::new("task", task)];
-        self.entry.task_failures.add(1, &labels);
+        self.protection.task_failures.add(1, &labels);
     }
 
     /// Counts a connection that was closed because it cost too much, by the bound it exceeded.
     pub fn count_closed_connection(&self, cause: &'static str) {
         let labels = [KeyValue::new("cause", cause)];
-        self.entry.closed_connections.add(1, &labels);
+        self.protection.closed_connections.add(1, &labels);
     }
 
     /// Sets the bytes of incomplete messages that callers and other VMs have sent.
     pub fn set_pending_input(&self, bytes: usize) {
-        self.entry.pending_input_bytes.record(bytes as u64, &[]);
+        self.protection
+            .pending_input_bytes
+            .record(bytes as u64, &[]);
+    }
+
+    /// Counts a task of another VM that this VM declined, by reason.
+    pub fn count_declined_task(&self, reason: &'static str) {
+        let labels = [KeyValue::new("reason", reason)];
+        self.protection.declined_tasks.add(1, &labels);
+    }
+
+    /// Sets the average delay of the event loop.
+    pub fn set_loop_delay(&self, delay: Duration) {
+        self.protection
+            .loop_delay_seconds
+            .record(delay.as_secs_f64(), &[]);
     }
 
     /// Returns the instruments of the limits over all VMs.
@@ -251,6 +309,39 @@
         &self.limits
     }
 
+    /// Counts a connection to an instance that an entry opens.
+    pub fn count_connection_opened(&self, reason: OpenReason) {
+        let labels = [KeyValue::new("reason", reason.to_string())];
+        self.entry.placement.connections_opened.add(1, &labels);
+    }
+
+    /// Counts an instance that an entry ejects from reads, by symptom.
+    pub fn count_ejection(&self, database: &DatabaseName, symptom: String) {
+        let labels = [
+            KeyValue::new("database", database.to_string()),
+            KeyValue::new("symptom", symptom),
+        ];
+        self.entry.placement.ejections.add(1, &labels);
+    }
+
+    /// Records how long a read waits until a replica is expected to have reached its position.
+    pub fn record_lag_wait(&self, route: &RouteName, wait: Duration) {
+        let labels = [KeyValue::new("route", route.to_string())];
+        self.entry
+            .placement
+            .lag_wait_seconds
+            .record(wait.as_secs_f64(), &labels);
+    }
+
+    /// Sets the estimated lag of a replica.
+    pub fn set_replica_lag(&self, instance: &InstanceName, lag: Duration) {
+        let labels = [KeyValue::new("instance", instance.to_string())];
+        self.entry
+            .placement
+            .replica_lag_seconds
+            .record(lag.as_secs_f64(), &labels);
+    }
+
     /// Sets the number of connected callers and of open connections to instances.
     pub fn set_open_counts(&self, sessions: usize, connections: usize) {
         self.entry.sessions.record(sessions as u64, &[]);
@@ -287,6 +378,11 @@
                 "currantlb.entry.moves",
                 "Statements offered to another instance, by reason",
             ),
+            retries_denied: counter(
+                meter,
+                "currantlb.entry.retries_denied",
+                "Retries that the budget or the attempts of a statement denied, by reason",
+            ),
             store_calls: counter(
                 meter,
                 "currantlb.entry.store_calls",
@@ -302,6 +398,22 @@
                 "currantlb.entry.takeovers",
                 "Replacements of primaries by this VM, by reason",
             ),
+            placement: PlacementMetrics::new(meter),
+            sessions: meter
+                .u64_gauge("currantlb.entry.sessions")
+                .with_description("Callers connected")
+                .build(),
+            connections: meter
+                .u64_gauge("currantlb.entry.connections")
+                .with_description("Connections to instances")
+                .build(),
+        }
+    }
+}
+
+impl ProtectionMetrics {
+    fn new(meter: &Meter) -> Self {
+        Self {
             task_failures: counter(
                 meter,
                 "currantlb.entry.task_failures",
@@ -316,13 +428,42 @@
                 .u64_gauge("currantlb.entry.pending_input_bytes")
                 .with_description("Bytes of incomplete messages of callers and other VMs")
                 .build(),
-            sessions: meter
-                .u64_gauge("currantlb.entry.sessions")
-                .with_description("Callers connected")
+            declined_tasks: counter(
+                meter,
+                "currantlb.entry.declined_tasks",
+                "Tasks of other VMs that this VM declined, by reason",
+            ),
+            loop_delay_seconds: meter
+                .f64_gauge("currantlb.entry.loop_delay")
+                .with_description("Average delay of the event loop")
+                .with_unit("s")
                 .build(),
-            connections: meter
-                .u64_gauge("currantlb.entry.connections")
-                .with_description("Connections to instances")
+        }
+    }
+}
+
+impl PlacementMetrics {
+    fn new(meter: &Meter) -> Self {
+        Self {
+            connections_opened: counter(
+                meter,
+                "currantlb.entry.connections_opened",
+                "Connections to instances opened, by reason",
+            ),
+            ejections: counter(
+                meter,
+                "currantlb.entry.ejections",
+                "Ejections of instances from reads, by database and symptom",
+            ),
+            lag_wait_seconds: histogram(
+                meter,
+                "currantlb.entry.lag_wait",
+                "Time that a read waits for a replica to reach its position, by route",
+            ),
+            replica_lag_seconds: meter
+                .f64_gauge("currantlb.entry.replica_lag")
+                .with_description("Estimated lag of a replica")
+                .with_unit("s")
                 .build(),
         }
     }
