Limits: announce a changed list of gateways at once

Change: the status is sent whenever it changes, the last digest of each gateway is kept and compared with later lists, and the retry delay without an owner is 300 ms.

--- a/src/entry/limiter.rs
+++ b/src/entry/limiter.rs
@@ -153,7 +153,7 @@
 
 /// Takes over the configuration, the list of gateways and the validity of the registration.
 fn update(node: &Node) {
-    let hand_overs = with_state(node, |state, now| {
+    let (hand_overs, is_changed) = with_state(node, |state, now| {
         let unknown = Workspaces::new();
         let catalog = state.catalog.as_ref();
         let view = FleetView {
@@ -162,9 +162,16 @@
             gateways: &state.gateways,
             own_lease: state.lease.filter(|_| state.gateway),
         };
-        state.quota.update(view, now)
+        let announced = state.quota.status();
+        let hand_overs = state.quota.update(view, now);
+        (hand_overs, state.quota.status() != announced)
     });
     send_hand_overs(node, hand_overs);
+    if is_changed {
+        // A gateway that has registered owns no limit before the others have announced that they
+        // know of it.
+        peers::send_status(node);
+    }
     report(node);
 }
 
--- a/src/entry/quota/holding.rs
+++ b/src/entry/quota/holding.rs
@@ -46,8 +46,9 @@
 /// Time without requests after which an unreachable owner is no longer asked.
 const IDLE_AFTER: Duration = Duration::from_secs(3);
 
-/// Shortest retry delay while the owner is unreachable: about the time until the fallback starts.
-const UNREACHABLE_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Shortest retry delay while the owner is unreachable: gateways that start need a few round trips
+/// until they own limits, and callers have only two retries.
+const UNREACHABLE_RETRY_DELAY: Duration = Duration::from_millis(300);
 
 /// Slack of the expected time of a token before a waiting request is refused early.
 const EXPECTATION_SLACK: Duration = Duration::from_millis(20);
--- a/src/entry/quota/ownership.rs
+++ b/src/entry/quota/ownership.rs
@@ -14,6 +14,9 @@
 /// workspace while the owner isn't known to all.
 const MAX_RANKS: usize = 3;
 
+/// Number of digests above which those of VMs that are no gateways are forgotten.
+const MAX_DIGESTS: usize = 64;
+
 /// Gateway as a candidate for ownership.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Candidate {
@@ -52,6 +55,9 @@
     digest: u32,
     /// Gateways known to have seen this VM's registration.
     seen_by: HashSet<VmName>,
+    /// Digest that each gateway announced last. It may be that of a list which this VM takes over
+    /// later.
+    digests: HashMap<VmName, u32>,
     is_established: bool,
     changed_at: Timestamp,
     ranks: HashMap<WorkspaceName, Rc<[Candidate]>>,
@@ -69,6 +75,7 @@
             departed: HashMap::new(),
             digest: digest(&BTreeMap::new()),
             seen_by: HashSet::new(),
+            digests: HashMap::new(),
             is_established: false,
             changed_at: Timestamp::ZERO,
             ranks: HashMap::new(),
@@ -137,9 +144,8 @@
     /// Records that a gateway has taken over a list with this digest; returns whether this VM is
     /// thereby established.
     pub fn record_digest(&mut self, vm: &VmName, digest: u32) -> bool {
-        if digest == self.digest && self.gateways.contains_key(vm) {
-            self.seen_by.insert(vm.clone());
-        }
+        self.digests.insert(vm.clone(), digest);
+        self.compare_digests();
         !self.is_established && self.check_established()
     }
 
@@ -217,7 +223,19 @@
             .is_some_and(|lease| self.is_registered(&self.own, lease))
     }
 
+    fn compare_digests(&mut self) {
+        let seen = self
+            .digests
+            .iter()
+            .filter(|(vm, digest)| **digest == self.digest && self.gateways.contains_key(*vm));
+        self.seen_by.extend(seen.map(|(vm, _)| vm.clone()));
+    }
+
     fn record_change(&mut self, now: Timestamp) {
+        if self.digests.len() > MAX_DIGESTS.max(2 * self.gateways.len()) {
+            self.digests.retain(|vm, _| self.gateways.contains_key(vm));
+        }
+        self.compare_digests();
         self.ranks.clear();
         self.changed_at = now;
         self.check_established();
