Limits: an unreachable owner lowers its own limits only

Change: a status names the unreachable owners, one bit each, and an owner lowers its rate for those that can't reach it (or a gateway that left less than 2 s ago, whose limits it may have taken over).

--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -88,8 +88,8 @@
     /// Requests since the last call of [`Quota::take_busy`].
     arrivals: u64,
     must_reassign: bool,
-    /// Part of the limits of which this VM may use its share without the owners.
-    fallback_factor: Option<f64>,
+    /// Whether this VM may use its fallback shares of the limits of unreachable owners.
+    may_use_fallback: bool,
     counts: Counts,
 }
 
@@ -122,7 +122,7 @@
             is_leaving: false,
             arrivals: 0,
             must_reassign: false,
-            fallback_factor: None,
+            may_use_fallback: false,
             counts: Counts::default(),
         }
     }
@@ -238,7 +238,8 @@
         for vm in change.iter().flat_map(|change| &change.joined) {
             self.fallback.record_joined(vm, now);
         }
-        let factor = self.fallback.owner_factor(self.ownership.others(), now);
+        let others = self.ownership.others();
+        let factor = self.fallback.owner_factor(&self.own, others, now);
         let hand_overs = if std::mem::take(&mut self.must_reassign) {
             self.reassign(view.workspaces, now)
         } else {
@@ -265,7 +266,7 @@
 
     /// Records the status of a gateway.
     pub fn receive_status(&mut self, vm: &VmName, status: LimitStatus, now: Timestamp) {
-        self.fallback.record_status(vm, status.uses_fallback, now);
+        self.fallback.record_status(vm, &status, now);
         if status.says_goodbye {
             self.must_reassign |= self.ownership.record_goodbye(vm, status.lease, now);
         }
@@ -279,6 +280,7 @@
             lease: self.ownership.own_lease()?,
             gateways_digest: self.ownership.digest(),
             uses_fallback: self.fallback.is_announced(),
+            unreachable_owners: self.fallback.unreachable_owners(),
             says_goodbye: self.is_leaving,
         })
     }
@@ -307,12 +309,17 @@
     }
 
     fn update_fallback(&mut self, now: Timestamp) {
-        let active = self.active.iter();
-        let needs_fallback = active
-            .filter_map(|name| self.holdings.get(name))
-            .any(|holding| holding.needs_fallback(now));
-        self.fallback.announce(needs_fallback, now);
-        self.fallback_factor = self.fallback.factor(self.ownership.others(), now);
+        let mut unreachable = HashSet::new();
+        for name in &self.active {
+            let holding = self.holdings.get(name);
+            if holding.is_some_and(|holding| holding.needs_fallback(now))
+                && let Some(owner) = self.ownership.ranks(name).first()
+            {
+                unreachable.insert(owner.vm.clone());
+            }
+        }
+        self.fallback.announce(&unreachable, now);
+        self.may_use_fallback = self.fallback.is_allowed(self.ownership.others(), now);
     }
 }
 
--- a/src/entry/quota/fallback.rs
+++ b/src/entry/quota/fallback.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::ledger::Limit;
+use crate::entry::datagram::LimitStatus;
 use crate::name::VmName;
 use crate::time::Timestamp;
 
@@ -98,10 +99,20 @@
     }
 }
 
+/// Time for which an owner counts those who use the fallback share of a gateway that has left the
+/// list as using its own limits: it may have taken them over.
+const TAKEOVER_RETENTION: Duration = Duration::from_secs(2);
+
 #[derive(Debug, Clone, Copy)]
 struct Peer {
     heard_at: Timestamp,
     uses_fallback: bool,
+    unreachable_owners: u64,
+}
+
+/// Returns the bit that stands for an owner in [`LimitStatus::unreachable_owners`].
+fn owner_bit(owner: &VmName) -> u64 {
+    1 << (xxhash_rust::xxh3::xxh3_64(owner.as_bytes()) % u64::from(u64::BITS))
 }
 
 /// Which gateways may be using their fallback shares, and whether this VM may use its own.
@@ -110,16 +121,30 @@
     peers: HashMap<VmName, Peer>,
     /// Gateways that left the list without a goodbye, with the time at which they left.
     left: HashMap<VmName, Timestamp>,
+    /// Time since when the fallback for all limits is announced.
     announced_since: Option<Timestamp>,
+    /// Unreachable owners, with the time since when the fallback for their limits is announced.
+    unreachable_since: HashMap<VmName, Timestamp>,
     certain_until: Timestamp,
 }
 
 impl FallbackUse {
     /// Records the status of a gateway.
-    pub fn record_status(&mut self, vm: &VmName, uses_fallback: bool, now: Timestamp) {
+    pub fn record_status(&mut self, vm: &VmName, status: &LimitStatus, now: Timestamp) {
+        self.record_heard(vm, status.uses_fallback, status.unreachable_owners, now);
+    }
+
+    fn record_heard(
+        &mut self,
+        vm: &VmName,
+        uses_fallback: bool,
+        unreachable_owners: u64,
+        now: Timestamp,
+    ) {
         let heard = Peer {
             heard_at: now,
             uses_fallback,
+            unreachable_owners,
         };
         self.peers.insert(vm.clone(), heard);
     }
@@ -128,7 +153,7 @@
     /// registered isn't taken for silent.
     pub fn record_joined(&mut self, vm: &VmName, now: Timestamp) {
         self.left.remove(vm);
-        self.record_status(vm, false, now);
+        self.record_heard(vm, false, 0, now);
     }
 
     /// Records that a gateway left the list.
@@ -153,78 +178,95 @@
         self.certain_until = valid_until;
     }
 
-    /// Returns the part of its limits that an owner keeps, so that it and all gateways that may be
-    /// using their fallback exceed a limit by at most the tolerance. `others` are the gateways in
-    /// the list beside this one.
+    /// Returns the part of its limits that the owner `own` keeps, so that it and all gateways that may
+    /// be using their fallback shares of them exceed a limit by at most the tolerance. `others` are the
+    /// gateways in the list beside this one.
     pub fn owner_factor<'a>(
         &mut self,
+        own: &VmName,
         others: impl Iterator<Item = &'a VmName>,
         now: Timestamp,
     ) -> f64 {
         self.left
             .retain(|_, left_at| now.since(*left_at) < LEFT_RETENTION);
+        let recently_left = self.left.iter();
+        let recently_left = recently_left
+            .filter(|(_, left_at)| now.since(**left_at) < TAKEOVER_RETENTION)
+            .map(|(vm, _)| owner_bit(vm));
+        let owners = recently_left.fold(owner_bit(own), |owners, bit| owners | bit);
         let mut gateways = 1_usize;
         let mut suspected = 0_usize;
         let mut listed = HashSet::new();
         for vm in others {
             gateways += 1;
-            suspected += usize::from(self.may_use(vm, now));
+            suspected += usize::from(self.may_use(vm, owners, now));
             listed.insert(vm);
         }
         // Gateways that aren't in the list: those that left it, and those that announce a fallback
         // to a VM that has restarted since.
         let left = self.left.keys();
-        let announcing = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.uses_fallback && now.since(peer.heard_at) < LEFT_RETENTION);
+        let announcing = self.peers.iter().filter(|(_, peer)| {
+            peer.uses_fallback_of(owners) && now.since(peer.heard_at) < LEFT_RETENTION
+        });
         let unlisted: HashSet<_> = left.chain(announcing.map(|(vm, _)| vm)).collect();
         for vm in unlisted.difference(&listed) {
             gateways += 1;
-            suspected += usize::from(self.may_use(vm, now));
+            suspected += usize::from(self.may_use(vm, owners, now));
         }
         let sum = FALLBACK_FACTOR * suspected as f64 / gateways as f64;
         1.0 - (sum - TOLERANCE).max(0.0)
     }
 
-    /// Starts or ends the announcement of this VM's fallback. `needs_fallback` tells whether an owner
-    /// is unreachable.
-    pub fn announce(&mut self, needs_fallback: bool, now: Timestamp) {
+    /// Starts or ends the announcements of this VM's fallback, for the limits of unreachable owners
+    /// and, shortly before its registration is no longer certain, for all.
+    ///
+    /// Owners that grant tokens don't lower their rates because another one is unreachable.
+    pub fn announce(&mut self, unreachable: &HashSet<VmName>, now: Timestamp) {
         let left = self.certain_until.since(now);
         let ended = now.since(self.certain_until);
-        let expects_loss = left < EXPECTED_LOSS_LEAD && ended < EXPECTED_LOSS_RETENTION;
-        if needs_fallback || expects_loss {
+        if left < EXPECTED_LOSS_LEAD && ended < EXPECTED_LOSS_RETENTION {
             self.announced_since.get_or_insert(now);
         } else {
             self.announced_since = None;
         }
+        self.unreachable_since
+            .retain(|owner, _| unreachable.contains(owner));
+        for owner in unreachable {
+            self.unreachable_since.entry(owner.clone()).or_insert(now);
+        }
     }
 
-    /// Returns whether this VM announces its fallback.
+    /// Returns whether this VM announces its fallback for all limits.
     pub const fn is_announced(&self) -> bool {
         self.announced_since.is_some()
     }
 
-    /// Returns the part of the limits of which this VM may use its share without the owner; `None`
-    /// if it may use nothing. `others` are the gateways in the list beside this one.
-    pub fn factor<'a>(
-        &self,
-        others: impl Iterator<Item = &'a VmName>,
-        now: Timestamp,
-    ) -> Option<f64> {
+    /// Returns the owners whose limits this VM announces its fallback for.
+    pub fn unreachable_owners(&self) -> u64 {
+        let owners = self.unreachable_since.keys().map(owner_bit);
+        owners.fold(0, |owners, bit| owners | bit)
+    }
+
+    /// Returns whether this VM may use fallback shares at all. `others` are the gateways in the list
+    /// beside this one.
+    pub fn is_allowed<'a>(&self, others: impl Iterator<Item = &'a VmName>, now: Timestamp) -> bool {
         let was_registered = self.certain_until > Timestamp::ZERO;
         let is_recent = now.since(self.certain_until) < MAX_UNCERTAIN;
-        if !was_registered || !(is_recent || self.most_use_fallback(others, now)) {
-            return None;
-        }
-        let is_announced = self
-            .announced_since
-            .is_some_and(|since| now.since(since) >= ANNOUNCEMENT_LEAD);
-        Some(if is_announced {
+        was_registered && (is_recent || self.most_use_fallback(others, now))
+    }
+
+    /// Returns the part of an owner's limits of which this VM may use its share.
+    pub fn factor(&self, owner: &VmName, now: Timestamp) -> f64 {
+        let announced = [
+            self.announced_since,
+            self.unreachable_since.get(owner).copied(),
+        ];
+        let since = announced.into_iter().flatten().min();
+        if since.is_some_and(|since| now.since(since) >= ANNOUNCEMENT_LEAD) {
             FALLBACK_FACTOR
         } else {
             EARLY_FACTOR
-        })
+        }
     }
 
     /// Returns whether most gateways, this one included, are known to use their fallback: then it is
@@ -239,7 +281,7 @@
         for vm in others {
             gateways += 1;
             let heard = self.peers.get(vm);
-            let uses = |peer: &Peer| peer.uses_fallback && !peer.is_silent(now);
+            let uses = |peer: &Peer| peer.uses_fallback_of(u64::MAX) && !peer.is_silent(now);
             using += usize::from(heard.is_some_and(uses));
         }
         using * 2 > gateways
@@ -251,13 +293,18 @@
         peer.is_some_and(|peer| peer.is_silent(now))
     }
 
-    fn may_use(&self, vm: &VmName, now: Timestamp) -> bool {
+    /// Returns whether a gateway may be using its fallback share of the limits of `owners`.
+    fn may_use(&self, vm: &VmName, owners: u64, now: Timestamp) -> bool {
         let peer = self.peers.get(vm);
-        peer.is_none_or(|peer| peer.uses_fallback || peer.is_silent(now))
+        peer.is_none_or(|peer| peer.uses_fallback_of(owners) || peer.is_silent(now))
     }
 }
 
 impl Peer {
+    const fn uses_fallback_of(&self, owners: u64) -> bool {
+        self.uses_fallback || self.unreachable_owners & owners != 0
+    }
+
     fn is_silent(&self, now: Timestamp) -> bool {
         now.since(self.heard_at) >= SILENCE_LIMIT
     }
