--- a/src/entry/quota/fallback.rs
+++ b/src/entry/quota/fallback.rs
@@ -309,3 +309,6 @@
         now.since(self.heard_at) >= SILENCE_LIMIT
     }
 }
+
+#[cfg(test)]
+mod tests;
