--- a/src/entry/pool/limits.rs
+++ b/src/entry/pool/limits.rs
@@ -54,7 +54,7 @@
 
 impl Limits {
     /// Divides an instance's connections among gateways. A VM may open more than its share, because
-    /// the others rarely use all of theirs, but keeps [`RETURN_CONNECTIONS`] of its share closed. What
+    /// the others rarely use all of theirs, but keeps `RETURN_CONNECTIONS` of its share closed. What
     /// the VMs need after a power failure depends on their number and not on the size of the share,
     /// so that a larger share is kept almost whole.
     pub fn divide(max_connections: usize, sharing: Sharing) -> Self {
