A stopped gateway doesn't register again; ended registrations don't keep others from owning limits

Causes, from the lines of all VMs: after "stopped" a gateway answers other VMs for 600 ms more; its renewal found the lease ended and registered again, buckets were handed over to it, and its process ended. The registration stayed for 5 s, in which no other gateway that had joined could own a limit. The same holds for registrations of killed processes. Change: the phase Deregistered ends the registration task; a gateway that isn't established asks the VMs of the registrations that it waits for whether they still use them, and counts those that don't as gone.

--- a/src/entry/datagram.rs
+++ b/src/entry/datagram.rs
@@ -121,6 +121,19 @@
     },
     /// Hands buckets over to the gateway that owns them now.
     HandOver(HandOver),
+    /// Asks whether the receiver still uses the registration with this store lease.
+    LeaseQuery {
+        /// Lease of the registration.
+        lease: u64,
+    },
+    /// Responds to a `LeaseQuery`: the sender doesn't use the registration any more, for example
+    /// because its process was restarted.
+    LeaseEnded {
+        /// VM that sends the datagram.
+        vm: VmName,
+        /// Lease of the registration.
+        lease: u64,
+    },
 }
 
 /// What a gateway's status tells about limits.
--- a/src/entry/limiter.rs
+++ b/src/entry/limiter.rs
@@ -127,10 +127,27 @@
         LimitMessage::HandOver(hand_over) => {
             with_quota(node, |quota, now| quota.receive_hand_over(hand_over, now));
         }
+        LimitMessage::LeaseQuery { lease } => return answer_query(node, lease, from),
+        LimitMessage::LeaseEnded { vm, lease } => {
+            with_quota(node, |quota, now| quota.record_ended(&vm, lease, now));
+        }
     }
     node.limiter.wake.notify_one();
 }
 
+/// Tells the sender if this VM doesn't use the registration with this lease, and won't.
+fn answer_query(node: &Node, lease: u64, from: SocketAddr) {
+    let is_used = {
+        let state = node.state.borrow();
+        [state.lease, state.pending_lease].contains(&Some(lease))
+    };
+    if !is_used {
+        let vm = node.settings.vm.clone();
+        let ended = LimitMessage::LeaseEnded { vm, lease };
+        node.outbox.send(from, Datagram::Limit(ended));
+    }
+}
+
 /// Records the status of another gateway.
 pub fn receive_status(node: &Node, vm: &VmName, status: LimitStatus) {
     let needs_update = with_quota(node, |quota, now| {
@@ -172,9 +189,20 @@
         // know of it.
         peers::send_status(node);
     }
+    query_unconfirmed(node);
     report(node);
 }
 
+/// Asks the gateways that keep this VM from owning limits whether their registrations are still in
+/// use. That of a process that was killed stays in the list until its lease ends.
+fn query_unconfirmed(node: &Node) {
+    let unconfirmed = with_quota(node, |quota, _| quota.unconfirmed());
+    for (to, lease) in unconfirmed {
+        let query = LimitMessage::LeaseQuery { lease };
+        node.outbox.send(to, Datagram::Limit(query));
+    }
+}
+
 fn send_hand_overs(node: &Node, hand_overs: Vec<(SocketAddr, HandOver)>) {
     for (to, hand_over) in hand_overs {
         let message = LimitMessage::HandOver(hand_over);
--- a/src/entry/listener.rs
+++ b/src/entry/listener.rs
@@ -170,7 +170,7 @@
             match self.receive(session).await? {
                 Received::Message(CallerMessage::Request(request)) => {
                     let stop = self.node.state.borrow().stop;
-                    let response = if stop == StopPhase::Closing {
+                    let response = if stop >= StopPhase::Closing {
                         session.end_for_stop().await
                     } else {
                         session.respond(request).await
--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -274,6 +274,17 @@
         self.must_reassign |= self.ownership.record_digest(vm, digest);
     }
 
+    /// Returns the registrations, with their addresses, that may have ended and keep this VM from
+    /// owning limits.
+    pub fn unconfirmed(&self) -> Vec<(SocketAddr, u64)> {
+        self.ownership.unconfirmed()
+    }
+
+    /// Records that the VM of a registration doesn't use it any more.
+    pub fn record_ended(&mut self, vm: &VmName, lease: u64, now: Timestamp) {
+        self.must_reassign |= self.ownership.record_goodbye(vm, lease, now);
+    }
+
     /// Returns what to announce to the other gateways; `None` unless this VM is one.
     pub fn status(&self) -> Option<LimitStatus> {
         Some(LimitStatus {
--- a/src/entry/quota/ownership.rs
+++ b/src/entry/quota/ownership.rs
@@ -210,6 +210,19 @@
             .filter(|vm| **vm != self.own)
     }
 
+    /// Returns the registrations, with their addresses, that must be known to have ended, or to have
+    /// seen that of this VM, before this VM is established.
+    pub fn unconfirmed(&self) -> Vec<(SocketAddr, u64)> {
+        if self.is_established || !self.is_own_registered() {
+            return Vec::new();
+        }
+        let others = self.remaining().filter(|(vm, _)| **vm != self.own);
+        others
+            .filter(|(vm, _)| !self.seen_by.contains(*vm))
+            .map(|(_, record)| (record.peer_address, record.lease))
+            .collect()
+    }
+
     /// Returns the registered gateways that haven't said goodbye.
     fn remaining(&self) -> impl Iterator<Item = (&VmName, &VmRecord)> {
         let goodbyes = &self.goodbyes;
--- a/src/entry/registration.rs
+++ b/src/entry/registration.rs
@@ -50,9 +50,16 @@
 
 /// Keeps this VM registered whenever it should be a gateway, until the process ends.
 pub async fn run(node: Rc<Node>) {
-    loop {
-        await_need(&node).await;
-        while register_and_renew(&node).await != Ended::NotNeeded {}
+    let keeping_role = async {
+        loop {
+            await_need(&node).await;
+            while register_and_renew(&node).await != Ended::NotNeeded {}
+        }
+    };
+    tokio::select! {
+        () = keeping_role => {}
+        // A VM that has stopped would otherwise find its lease ended and register again.
+        () = node.wait_until(|state| state.stop == StopPhase::Deregistered) => {}
     }
 }
 
@@ -119,6 +126,7 @@
         log::warn!("event=lease_not_granted answer={response:?}");
         return None;
     };
+    node.state.borrow_mut().pending_lease = Some(lease);
     write_record(node, lease).await?;
     // Read after the registration is written: a replacement that began earlier is visible now, and
     // one that begins later waits for this VM's confirmation.
@@ -301,10 +309,12 @@
     limiter::leave(node);
     let lease = {
         let mut state = node.state.borrow_mut();
+        state.stop = StopPhase::Deregistered;
         state.validity_lease.end();
         state.sublease.end();
         state.lease.take()
     };
+    node.changed.notify_waiters();
     let Some(lease) = lease else { return };
     if let Err(error) = node.call(PlatformRequest::Revoke { lease }).await {
         log::warn!("event=lease_not_revoked lease={lease} error=\"{error}\"");
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -126,7 +126,7 @@
 
 async fn run_task(node: &Rc<Node>, worker: &mut Worker, task: &Task, force: bool) -> PeerResponse {
     let in_transaction = worker.is_open() || matches!(task.action, Action::InTransaction(_));
-    let is_closing = node.state.borrow().stop == StopPhase::Closing;
+    let is_closing = node.state.borrow().stop >= StopPhase::Closing;
     let may_decline = !in_transaction && !force;
     let is_unable = may_decline && !accepts_tasks(node);
     if is_unable || (is_closing && !in_transaction) {
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -50,6 +50,8 @@
     pub gateway_until: Timestamp,
     /// Store lease of this VM's registration; `None` while it isn't registered.
     pub lease: Option<u64>,
+    /// Store lease under which this VM is about to register.
+    pub pending_lease: Option<u64>,
     /// Time of the last response of the store to a registration or renewal.
     pub store_responded_at: Timestamp,
     /// Local view of each database.
@@ -92,6 +94,8 @@
     Draining,
     /// Refuses what still arrives, with a response, because the process is about to end.
     Closing,
+    /// Is no longer registered, and only declines tasks.
+    Deregistered,
 }
 
 /// Local view of one database.
