Limits: credit after a start; the fallback for all limits only if the store is silent for most

Change: VMs that have just started may together spend a quarter of a second of the rate before they know the owners. The fallback for all limits is announced ahead only if the store hasn't renewed the leases of most gateways.

--- a/src/entry/datagram.rs
+++ b/src/entry/datagram.rs
@@ -148,6 +148,8 @@
     /// Owners that grant the sender nothing, so that it uses its fallback shares of their limits, or
     /// will soon. Each is a bit, chosen by a hash of its name; owners that share a bit all count.
     pub unreachable_owners: u64,
+    /// Whether the store hasn't renewed the sender's lease for some time.
+    pub is_store_silent: bool,
     /// Whether the sender stops; it grants nothing any more.
     pub says_goodbye: bool,
 }
--- a/src/entry/limiter.rs
+++ b/src/entry/limiter.rs
@@ -179,9 +179,9 @@
             gateways: &state.gateways,
             own_lease: state.lease.filter(|_| state.gateway),
         };
-        let announced = state.quota.status();
+        let announced = state.quota.status(now);
         let hand_overs = state.quota.update(view, now);
-        (hand_overs, state.quota.status() != announced)
+        (hand_overs, state.quota.status(now) != announced)
     });
     send_hand_overs(node, hand_overs);
     if is_changed {
--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -21,7 +21,7 @@
 
 use self::fallback::FallbackUse;
 use self::holding::{Arrival, Decision, Holding};
-use self::ledger::{Ledger, Limit};
+use self::ledger::{Ledger, Limit, TOKEN_TTL};
 use self::ownership::{Candidate, Ownership};
 use self::queue::Ticket;
 use self::reassignment::ReceivedHandOver;
@@ -31,6 +31,10 @@
 use crate::name::{VmName, WorkspaceName};
 use crate::time::Timestamp;
 
+/// Seconds of rate that all VMs together may spend after they have started, before they know the
+/// owners. The buckets start with as much, and together they stay below what a restart leaves unused.
+const START_CREDIT_S: f64 = 0.25;
+
 /// Maximum number of workspaces in one datagram.
 const MAX_PER_DATAGRAM: usize = 40;
 
@@ -88,6 +92,8 @@
     /// Requests since the last call of [`Quota::take_busy`].
     arrivals: u64,
     must_reassign: bool,
+    /// Time until which tokens may be spent that this VM has since its start.
+    start_credit_until: Timestamp,
     /// Whether this VM may use its fallback shares of the limits of unreachable owners.
     may_use_fallback: bool,
     counts: Counts,
@@ -122,6 +128,7 @@
             is_leaving: false,
             arrivals: 0,
             must_reassign: false,
+            start_credit_until: Timestamp::ZERO,
             may_use_fallback: false,
             counts: Counts::default(),
         }
@@ -145,10 +152,13 @@
     pub fn arrive(&mut self, workspace: &Workspace, arrival: Arrival, now: Timestamp) -> Decision {
         let limit = limit_of(workspace);
         let name = &workspace.name;
-        let holding = self
-            .holdings
-            .entry(name.clone())
-            .or_insert_with(|| Holding::new(limit, now));
+        if !self.holdings.contains_key(name) {
+            let holding = self.new_holding(limit, now);
+            self.holdings.insert(name.clone(), holding);
+        }
+        let Some(holding) = self.holdings.get_mut(name) else {
+            return Decision::Waits;
+        };
         holding.count(now);
         self.arrivals += 1;
         let lacks_token = holding.lacks_token(now);
@@ -229,7 +239,11 @@
         }
         let valid_until = |vm: &VmName| self.fallback.valid_until(vm, self.lease_ttl, now);
         let (gateways, own_lease) = (view.gateways, view.own_lease);
+        let is_first = self.ownership.own_lease().is_none() && self.ownership.has_just_started();
         let change = self.ownership.update(gateways, own_lease, valid_until, now);
+        if is_first && own_lease.is_some() {
+            self.start_credit_until = now + TOKEN_TTL;
+        }
         self.must_reassign |= change.is_some() || view.version != self.version;
         self.version = view.version;
         for (vm, said_goodbye) in change.iter().flat_map(|change| &change.left) {
@@ -286,12 +300,13 @@
     }
 
     /// Returns what to announce to the other gateways; `None` unless this VM is one.
-    pub fn status(&self) -> Option<LimitStatus> {
+    pub fn status(&self, now: Timestamp) -> Option<LimitStatus> {
         Some(LimitStatus {
             lease: self.ownership.own_lease()?,
             gateways_digest: self.ownership.digest(),
             uses_fallback: self.fallback.is_announced(),
             unreachable_owners: self.fallback.unreachable_owners(),
+            is_store_silent: self.fallback.is_store_silent(self.lease_ttl, now),
             says_goodbye: self.is_leaving,
         })
     }
@@ -306,6 +321,16 @@
         std::mem::take(&mut self.counts)
     }
 
+    fn new_holding(&self, limit: Limit, now: Timestamp) -> Holding {
+        let mut holding = Holding::new(limit, now);
+        if now < self.start_credit_until && !self.ownership.is_established() {
+            let tokens = (limit.rate_per_s * START_CREDIT_S).min(limit.burst / 2.0);
+            let share = tokens / self.ownership.gateway_count() as f64;
+            holding.add_start_credit(&self.own, share, self.start_credit_until);
+        }
+        holding
+    }
+
     fn is_certain(&self, now: Timestamp) -> bool {
         now < self.valid_until && !self.is_leaving
     }
@@ -329,7 +354,11 @@
                 unreachable.insert(owner.vm.clone());
             }
         }
-        self.fallback.announce(&unreachable, now);
+        let others = self.ownership.others();
+        let is_silent = self
+            .fallback
+            .is_store_silent_for_most(others, self.lease_ttl, now);
+        self.fallback.announce(&unreachable, is_silent, now);
         self.may_use_fallback = self.fallback.is_allowed(self.ownership.others(), now);
     }
 }
--- a/src/entry/quota/fallback.rs
+++ b/src/entry/quota/fallback.rs
@@ -108,6 +108,7 @@
     heard_at: Timestamp,
     uses_fallback: bool,
     unreachable_owners: u64,
+    is_store_silent: bool,
 }
 
 /// Returns the bit that stands for an owner in [`LimitStatus::unreachable_owners`].
@@ -131,20 +132,11 @@
 impl FallbackUse {
     /// Records the status of a gateway.
     pub fn record_status(&mut self, vm: &VmName, status: &LimitStatus, now: Timestamp) {
-        self.record_heard(vm, status.uses_fallback, status.unreachable_owners, now);
-    }
-
-    fn record_heard(
-        &mut self,
-        vm: &VmName,
-        uses_fallback: bool,
-        unreachable_owners: u64,
-        now: Timestamp,
-    ) {
         let heard = Peer {
             heard_at: now,
-            uses_fallback,
-            unreachable_owners,
+            uses_fallback: status.uses_fallback,
+            unreachable_owners: status.unreachable_owners,
+            is_store_silent: status.is_store_silent,
         };
         self.peers.insert(vm.clone(), heard);
     }
@@ -153,7 +145,13 @@
     /// registered isn't taken for silent.
     pub fn record_joined(&mut self, vm: &VmName, now: Timestamp) {
         self.left.remove(vm);
-        self.record_heard(vm, false, 0, now);
+        let heard = Peer {
+            heard_at: now,
+            uses_fallback: false,
+            unreachable_owners: 0,
+            is_store_silent: false,
+        };
+        self.peers.insert(vm.clone(), heard);
     }
 
     /// Records that a gateway left the list.
@@ -218,13 +216,21 @@
     }
 
     /// Starts or ends the announcements of this VM's fallback, for the limits of unreachable owners
-    /// and, shortly before its registration is no longer certain, for all.
+    /// and, shortly before its registration is no longer certain, for all if the store is silent for
+    /// most gateways, so that the owners lose theirs too.
     ///
-    /// Owners that grant tokens don't lower their rates because another one is unreachable.
-    pub fn announce(&mut self, unreachable: &HashSet<VmName>, now: Timestamp) {
+    /// Owners that grant tokens don't lower their rates because another one, or the store, is
+    /// unreachable for a few.
+    pub fn announce(
+        &mut self,
+        unreachable: &HashSet<VmName>,
+        is_store_silent_for_most: bool,
+        now: Timestamp,
+    ) {
         let left = self.certain_until.since(now);
         let ended = now.since(self.certain_until);
-        if left < EXPECTED_LOSS_LEAD && ended < EXPECTED_LOSS_RETENTION {
+        let expects_loss = left < EXPECTED_LOSS_LEAD && ended < EXPECTED_LOSS_RETENTION;
+        if expects_loss && is_store_silent_for_most {
             self.announced_since.get_or_insert(now);
         } else {
             self.announced_since = None;
@@ -236,6 +242,28 @@
         }
     }
 
+    /// Returns whether the store hasn't renewed this VM's lease for half of its time-to-live.
+    pub fn is_store_silent(&self, lease_ttl: Duration, now: Timestamp) -> bool {
+        self.certain_until > Timestamp::ZERO && self.certain_until.since(now) < lease_ttl / 2
+    }
+
+    /// Returns whether the store is silent for this VM and most others.
+    pub fn is_store_silent_for_most<'a>(
+        &self,
+        others: impl Iterator<Item = &'a VmName>,
+        lease_ttl: Duration,
+        now: Timestamp,
+    ) -> bool {
+        let mut gateways = 1;
+        let mut silent = usize::from(self.is_store_silent(lease_ttl, now));
+        for vm in others {
+            gateways += 1;
+            let heard = self.peers.get(vm);
+            silent += usize::from(heard.is_some_and(|peer| peer.is_store_silent));
+        }
+        silent * 2 > gateways
+    }
+
     /// Returns whether this VM announces its fallback for all limits.
     pub const fn is_announced(&self) -> bool {
         self.announced_since.is_some()
--- a/src/entry/quota/fallback/tests.rs
+++ b/src/entry/quota/fallback/tests.rs
@@ -12,6 +12,7 @@
         gateways_digest: 1,
         uses_fallback,
         unreachable_owners: unreachable.map_or(0, owner_bit),
+        is_store_silent: false,
         says_goodbye: false,
     }
 }
--- a/src/entry/quota/holding.rs
+++ b/src/entry/quota/holding.rs
@@ -142,6 +142,15 @@
         }
     }
 
+    /// Adds tokens that a VM which has just started may spend before it knows the owner.
+    pub fn add_start_credit(&mut self, own: &VmName, tokens: f64, until: Timestamp) {
+        self.lots.push_back(Lot {
+            owner: own.clone(),
+            tokens,
+            until,
+        });
+    }
+
     /// Changes the limit, which bounds what is requested.
     pub const fn set_limit(&mut self, limit: Limit) {
         self.limit = limit;
--- a/src/entry/quota/tests/world.rs
+++ b/src/entry/quota/tests/world.rs
@@ -251,7 +251,7 @@
                 };
                 let hand_overs = vm.quota.stop(now);
                 self.send_hand_overs(index, hand_overs);
-                if let Some(status) = vm.quota.status() {
+                if let Some(status) = vm.quota.status(now) {
                     self.broadcast(index, &Message::Status(name(index), status));
                 }
                 self.registry.remove(&name(index));
@@ -420,7 +420,7 @@
         };
         let outgoing = vm.quota.requests(now);
         let settled = vm.quota.settle(now);
-        let status = vm.quota.status();
+        let status = vm.quota.status(now);
         let decided: Vec<_> = settled
             .into_iter()
             .filter_map(|(ticket, decision)| Some((vm.tickets.remove(ticket)?, decision)))
