--- a/src/entry/slots/tests.rs
+++ b/src/entry/slots/tests.rs
@@ -272,15 +272,15 @@
     views: (u64, u64, f64),
 }
 
-const BANC_ESSAI: Deployment = Deployment {
-    name: "banc-essai",
+const LONG_VIEWS: Deployment = Deployment {
+    name: "views with an objective of 1 s",
     saves: (11, 150, 18.0),
     sessions: (23, 250, 85.0),
     views: (35, 1_000, 31.0),
 };
 
-const SWN_ROUTING: Deployment = Deployment {
-    name: "swn-routing",
+const SHORT_VIEWS: Deployment = Deployment {
+    name: "views with an objective of 0.5 s",
     saves: (10, 150, 20.0),
     sessions: (20, 250, 92.0),
     views: (31, 500, 40.0),
@@ -334,43 +334,43 @@
 fn surges() -> [Surge; 7] {
     [
         surge(
-            BANC_ESSAI,
+            LONG_VIEWS,
             "usual load",
             [[1.0; 3]; 2],
             [0.99, 0.99, 0.99, 0.99, 0.99, 0.99],
         ),
         surge(
-            BANC_ESSAI,
+            LONG_VIEWS,
             "views at 2.1 times their usual",
             [[1.0, 1.0, 2.1]; 2],
             [0.98, 0.90, 0.90, 0.97, 0.95, 0.90],
         ),
         surge(
-            BANC_ESSAI,
+            LONG_VIEWS,
             "saves at 1.7 times their usual",
             [[1.7, 1.0, 1.0]; 2],
             [0.99, 0.99, 0.99, 0.99, 0.99, 0.99],
         ),
         surge(
-            BANC_ESSAI,
+            LONG_VIEWS,
             "a workspace at 6 times its usual",
             [[6.0; 3], [1.0; 3]],
             [0.82, 0.38, 0.25, 0.90, 0.84, 0.82],
         ),
         surge(
-            SWN_ROUTING,
+            SHORT_VIEWS,
             "views at 2.1 times their usual",
             [[1.0, 1.0, 2.1]; 2],
             [0.95, 0.90, 0.72, 0.97, 0.95, 0.78],
         ),
         surge(
-            SWN_ROUTING,
+            SHORT_VIEWS,
             "saves at 1.7 times their usual",
             [[1.7, 1.0, 1.0]; 2],
             [0.99, 0.98, 0.98, 0.99, 0.99, 0.98],
         ),
         surge(
-            SWN_ROUTING,
+            SHORT_VIEWS,
             "a workspace at 6 times its usual",
             [[6.0; 3], [1.0; 3]],
             [0.92, 0.40, 0.24, 0.95, 0.88, 0.66],
