Limits: no lowering ahead of a loss, buckets start within the lowered limit, retry delays within reach

Cause: while the store or a part of the VMs is away, workspaces were refused far below their limits. Refused callers with a second left were told 5 s (median) and 16 s (one in ten). Change: no announcement for all limits ahead of the end of a lease; buckets start within the lowered limit; 0.4 of the fallback share before it is announced, which the owner withdraws once it notices; places only within the caller's patience; a log line on exhausted limits (limit_exhausted) with admitted, refused and expired tokens. Tests: the case of a store that is away for less than a lease fails on the code before (0.0087 of the requests refused in place of 0.001), that of a takeover fails without the start within the lowered limit (no token granted). The table of retry delays was not run on the code before, whose function took no patience. What is left is the price of the bound: each side of a cut has its part of the limit by number of VMs, though the callers move to one side.

--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -32,6 +32,7 @@
         request: xxhash_rust::xxh3::xxh3_64(id.as_bytes()),
         priority: route.priority,
         max_wait: max_wait.min(route.statement_timeout),
+        patience: route.statement_timeout,
     };
     match limiter::take_token(node, workspace, arrival).await {
         Decision::Admitted => Ok(()),
--- a/src/entry/datagram.rs
+++ b/src/entry/datagram.rs
@@ -143,13 +143,9 @@
     pub lease: u64,
     /// Digest of the list of gateways that the sender has taken over.
     pub gateways_digest: u32,
-    /// Whether the sender may use its fallback shares of all limits, or will soon.
-    pub uses_fallback: bool,
     /// Owners that grant the sender nothing, so that it uses its fallback shares of their limits, or
     /// will soon. Each is a bit, chosen by a hash of its name; owners that share a bit all count.
     pub unreachable_owners: u64,
-    /// Whether the store hasn't renewed the sender's lease for some time.
-    pub is_store_silent: bool,
     /// Whether the sender stops; it grants nothing any more.
     pub says_goodbye: bool,
 }
--- a/src/entry/limiter.rs
+++ b/src/entry/limiter.rs
@@ -29,6 +29,9 @@
 /// Interval at which silent gateways and the validity of the registration are checked.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Interval at which the use of exhausted limits is logged.
+const USAGE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Requests that wait for a token.
 #[derive(Debug, Default)]
 pub struct Limiter {
@@ -86,6 +89,7 @@
 /// Requests tokens and wakes waiting requests until the process ends.
 pub async fn run(node: Rc<Node>) {
     let mut updated_at = Timestamp::ZERO;
+    let mut logged_at = Timestamp::ZERO;
     let mut has_changed = true;
     loop {
         let changed = node.changed.notified();
@@ -95,6 +99,10 @@
             update(&node);
             updated_at = now;
         }
+        if now.since(logged_at) >= USAGE_INTERVAL {
+            log_usage(&node);
+            logged_at = now;
+        }
         advance(&node);
         let is_active = node.state.borrow().quota.is_active();
         let interval = if is_active {
@@ -179,9 +187,9 @@
             gateways: &state.gateways,
             own_lease: state.lease.filter(|_| state.gateway),
         };
-        let announced = state.quota.status(now);
+        let announced = state.quota.status();
         let hand_overs = state.quota.update(view, now);
-        (hand_overs, state.quota.status(now) != announced)
+        (hand_overs, state.quota.status() != announced)
     });
     send_hand_overs(node, hand_overs);
     if is_changed {
@@ -254,6 +262,21 @@
     }
 }
 
+/// Logs how the limits were used of which requests were refused.
+fn log_usage(node: &Node) {
+    let usages = with_quota(node, |quota, _| quota.take_usage_of_refused());
+    for (workspace, usage) in usages {
+        log::info!(
+            "event=limit_exhausted workspace={workspace} admitted={} admitted_by_fallback={} \
+             refused={} expired={:.0}",
+            usage.admitted,
+            usage.admitted_by_fallback,
+            usage.refused,
+            usage.expired
+        );
+    }
+}
+
 fn with_quota<T>(node: &Node, operate: impl FnOnce(&mut Quota, Timestamp) -> T) -> T {
     with_state(node, |state, now| operate(&mut state.quota, now))
 }
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -87,7 +87,7 @@
             let (gateway, is_busy, limits) = {
                 let mut state = self.node.state.borrow_mut();
                 let is_busy = state.quota.take_busy();
-                (state.gateway, is_busy, state.quota.status(clock::now()))
+                (state.gateway, is_busy, state.quota.status())
             };
             let is_due = is_busy || limits != announced || round % IDLE_INTERVALS == 0;
             if gateway && is_due {
@@ -418,7 +418,7 @@
 /// Announces this VM's status to the other gateways, if it is one.
 pub fn send_status(node: &Node) {
     let state = node.state.borrow();
-    let Some(limits) = state.quota.status(clock::now()) else {
+    let Some(limits) = state.quota.status() else {
         return;
     };
     for (_, record) in gateways::other_gateways(&state, &node.settings.vm) {
--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -19,8 +19,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use self::fallback::FallbackUse;
-use self::holding::{Arrival, Decision, Holding};
+use self::fallback::{EARLY_FACTOR, FallbackUse, UNNOTICED_S};
+use self::holding::{Arrival, Decision, Holding, Usage};
 use self::ledger::{Ledger, Limit, TOKEN_TTL};
 use self::ownership::{Candidate, Ownership};
 use self::queue::Ticket;
@@ -96,6 +96,8 @@
     start_credit_until: Timestamp,
     /// Whether this VM may use its fallback shares of the limits of unreachable owners.
     may_use_fallback: bool,
+    /// Part of its limits that this VM keeps as their owner.
+    owner_factor: f64,
     counts: Counts,
 }
 
@@ -130,6 +132,7 @@
             must_reassign: false,
             start_credit_until: Timestamp::ZERO,
             may_use_fallback: false,
+            owner_factor: 1.0,
             counts: Counts::default(),
         }
     }
@@ -254,6 +257,7 @@
         }
         let others = self.ownership.others();
         let factor = self.fallback.owner_factor(&self.own, others, now);
+        self.lower_rates(factor, view.workspaces, now);
         let hand_overs = if std::mem::take(&mut self.must_reassign) {
             self.reassign(view.workspaces, now)
         } else {
@@ -262,11 +266,7 @@
         for (name, ledger) in &mut self.ledgers {
             if let Some(workspace) = view.workspaces.get(name) {
                 let limit = limit_of(workspace);
-                let kept = Limit {
-                    rate_per_s: limit.rate_per_s * factor,
-                    burst: (limit.burst * factor).max(1.0),
-                };
-                ledger.set_limit(kept, now);
+                ledger.set_limit(limit.scaled(factor), now);
             }
         }
         for (name, holding) in &mut self.holdings {
@@ -300,13 +300,11 @@
     }
 
     /// Returns what to announce to the other gateways; `None` unless this VM is one.
-    pub fn status(&self, now: Timestamp) -> Option<LimitStatus> {
+    pub fn status(&self) -> Option<LimitStatus> {
         Some(LimitStatus {
             lease: self.ownership.own_lease()?,
             gateways_digest: self.ownership.digest(),
-            uses_fallback: self.fallback.is_announced(),
             unreachable_owners: self.fallback.unreachable_owners(),
-            is_store_silent: self.fallback.is_store_silent(self.lease_ttl, now),
             says_goodbye: self.is_leaving,
         })
     }
@@ -321,6 +319,27 @@
         std::mem::take(&mut self.counts)
     }
 
+    /// Returns and resets the counts of each workspace of which requests were refused.
+    pub fn take_usage_of_refused(&mut self) -> Vec<(WorkspaceName, Usage)> {
+        let usage = self
+            .holdings
+            .iter_mut()
+            .map(|(name, holding)| (name.clone(), holding.take_usage()));
+        usage.filter(|(_, usage)| usage.refused > 0).collect()
+    }
+
+    /// Takes over the part of its limits that this VM keeps. If it is lower, fallback shares were in use
+    /// before this VM noticed; what they may have spent is withdrawn.
+    fn lower_rates(&mut self, factor: f64, workspaces: &Workspaces, now: Timestamp) {
+        let unnoticed = (self.owner_factor - factor).max(0.0) * EARLY_FACTOR;
+        self.owner_factor = factor;
+        for (name, ledger) in &mut self.ledgers {
+            if let Some(workspace) = workspaces.get(name) {
+                ledger.withdraw(workspace.rate_per_s * unnoticed * UNNOTICED_S, now);
+            }
+        }
+    }
+
     fn new_holding(&self, limit: Limit, now: Timestamp) -> Holding {
         let mut holding = Holding::new(limit, now);
         if now < self.start_credit_until && !self.ownership.is_established() {
@@ -354,11 +373,7 @@
                 unreachable.insert(owner.vm.clone());
             }
         }
-        let others = self.ownership.others();
-        let is_silent = self
-            .fallback
-            .is_store_silent_for_most(others, self.lease_ttl, now);
-        self.fallback.announce(&unreachable, is_silent, now);
+        self.fallback.announce(&unreachable, now);
         self.may_use_fallback = self.fallback.is_allowed(self.ownership.others(), now);
     }
 }
--- a/src/entry/quota/fallback.rs
+++ b/src/entry/quota/fallback.rs
@@ -11,9 +11,9 @@
 /// Part of the limit that all fallback shares add up to.
 const FALLBACK_FACTOR: f64 = 0.8;
 
-/// As [`FALLBACK_FACTOR`], for the time until the fallback has been announced. In a window of 5 s,
-/// one second of it and [`TOLERANCE`] stay below 8% of the rate.
-const EARLY_FACTOR: f64 = 0.2;
+/// As [`FALLBACK_FACTOR`], for the time until the fallback has been announced. One second of it stays
+/// below 8% of the rate in a window of 5 s; owners withdraw it once they notice.
+pub const EARLY_FACTOR: f64 = 0.4;
 
 /// Part of the limit that may be used in addition to it while VMs can't reach each other.
 const TOLERANCE: f64 = 0.04;
@@ -30,25 +30,16 @@
 /// tokens granted before have expired, and the owner has lowered its rate.
 const ANNOUNCEMENT_LEAD: Duration = Duration::from_secs(1);
 
+/// Seconds for which fallback shares may be in use before the owner lowers its rate.
+pub const UNNOTICED_S: f64 = 1.0;
+
 /// Time for which a gateway may use its fallback after its registration stopped being certain.
 const MAX_UNCERTAIN: Duration = Duration::from_secs(10);
 
-/// Time before the end of the validity lease from which on a gateway announces its fallback, so that
-/// it can use it as soon as the lease has ended: the store then fails for other owners too.
-const EXPECTED_LOSS_LEAD: Duration = Duration::from_millis(1_250);
-
-/// Time after the end of the validity lease for which the fallback is announced even if owners that
-/// are certain of their registration grant tokens.
-const EXPECTED_LOSS_RETENTION: Duration = Duration::from_millis(500);
-
 /// Returns the share of a limit that each of `gateways` may use without the owner, if all of them
 /// may use the part `factor`.
 pub fn share(limit: Limit, factor: f64, gateways: usize) -> Limit {
-    let factor = factor / gateways.max(1) as f64;
-    Limit {
-        rate_per_s: limit.rate_per_s * factor,
-        burst: (limit.burst * factor).max(1.0),
-    }
+    limit.scaled(factor / gateways.max(1) as f64)
 }
 
 /// Bucket that refills by a fallback share.
@@ -106,9 +97,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Peer {
     heard_at: Timestamp,
-    uses_fallback: bool,
     unreachable_owners: u64,
-    is_store_silent: bool,
 }
 
 /// Returns the bit that stands for an owner in [`LimitStatus::unreachable_owners`].
@@ -122,8 +111,6 @@
     peers: HashMap<VmName, Peer>,
     /// Gateways that left the list without a goodbye, with the time at which they left.
     left: HashMap<VmName, Timestamp>,
-    /// Time since when the fallback for all limits is announced.
-    announced_since: Option<Timestamp>,
     /// Unreachable owners, with the time since when the fallback for their limits is announced.
     unreachable_since: HashMap<VmName, Timestamp>,
     certain_until: Timestamp,
@@ -134,9 +121,7 @@
     pub fn record_status(&mut self, vm: &VmName, status: &LimitStatus, now: Timestamp) {
         let heard = Peer {
             heard_at: now,
-            uses_fallback: status.uses_fallback,
             unreachable_owners: status.unreachable_owners,
-            is_store_silent: status.is_store_silent,
         };
         self.peers.insert(vm.clone(), heard);
     }
@@ -147,9 +132,7 @@
         self.left.remove(vm);
         let heard = Peer {
             heard_at: now,
-            uses_fallback: false,
             unreachable_owners: 0,
-            is_store_silent: false,
         };
         self.peers.insert(vm.clone(), heard);
     }
@@ -215,26 +198,10 @@
         1.0 - (sum - TOLERANCE).max(0.0)
     }
 
-    /// Starts or ends the announcements of this VM's fallback, for the limits of unreachable owners
-    /// and, shortly before its registration is no longer certain, for all if the store is silent for
-    /// most gateways, so that the owners lose theirs too.
+    /// Starts or ends the announcements of this VM's fallback for the limits of unreachable owners.
     ///
-    /// Owners that grant tokens don't lower their rates because another one, or the store, is
-    /// unreachable for a few.
-    pub fn announce(
-        &mut self,
-        unreachable: &HashSet<VmName>,
-        is_store_silent_for_most: bool,
-        now: Timestamp,
-    ) {
-        let left = self.certain_until.since(now);
-        let ended = now.since(self.certain_until);
-        let expects_loss = left < EXPECTED_LOSS_LEAD && ended < EXPECTED_LOSS_RETENTION;
-        if expects_loss && is_store_silent_for_most {
-            self.announced_since.get_or_insert(now);
-        } else {
-            self.announced_since = None;
-        }
+    /// Owners that grant tokens don't lower their rates because another one is unreachable.
+    pub fn announce(&mut self, unreachable: &HashSet<VmName>, now: Timestamp) {
         self.unreachable_since
             .retain(|owner, _| unreachable.contains(owner));
         for owner in unreachable {
@@ -242,33 +209,6 @@
         }
     }
 
-    /// Returns whether the store hasn't renewed this VM's lease for half of its time-to-live.
-    pub fn is_store_silent(&self, lease_ttl: Duration, now: Timestamp) -> bool {
-        self.certain_until > Timestamp::ZERO && self.certain_until.since(now) < lease_ttl / 2
-    }
-
-    /// Returns whether the store is silent for this VM and most others.
-    pub fn is_store_silent_for_most<'a>(
-        &self,
-        others: impl Iterator<Item = &'a VmName>,
-        lease_ttl: Duration,
-        now: Timestamp,
-    ) -> bool {
-        let mut gateways = 1;
-        let mut silent = usize::from(self.is_store_silent(lease_ttl, now));
-        for vm in others {
-            gateways += 1;
-            let heard = self.peers.get(vm);
-            silent += usize::from(heard.is_some_and(|peer| peer.is_store_silent));
-        }
-        silent * 2 > gateways
-    }
-
-    /// Returns whether this VM announces its fallback for all limits.
-    pub const fn is_announced(&self) -> bool {
-        self.announced_since.is_some()
-    }
-
     /// Returns the owners whose limits this VM announces its fallback for.
     pub fn unreachable_owners(&self) -> u64 {
         let owners = self.unreachable_since.keys().map(owner_bit);
@@ -285,12 +225,8 @@
 
     /// Returns the part of an owner's limits of which this VM may use its share.
     pub fn factor(&self, owner: &VmName, now: Timestamp) -> f64 {
-        let announced = [
-            self.announced_since,
-            self.unreachable_since.get(owner).copied(),
-        ];
-        let since = announced.into_iter().flatten().min();
-        if since.is_some_and(|since| now.since(since) >= ANNOUNCEMENT_LEAD) {
+        let since = self.unreachable_since.get(owner);
+        if since.is_some_and(|since| now.since(*since) >= ANNOUNCEMENT_LEAD) {
             FALLBACK_FACTOR
         } else {
             EARLY_FACTOR
@@ -330,7 +266,7 @@
 
 impl Peer {
     const fn uses_fallback_of(&self, owners: u64) -> bool {
-        self.uses_fallback || self.unreachable_owners & owners != 0
+        self.unreachable_owners & owners != 0
     }
 
     fn is_silent(&self, now: Timestamp) -> bool {
--- a/src/entry/quota/fallback/tests.rs
+++ b/src/entry/quota/fallback/tests.rs
@@ -6,21 +6,17 @@
     VmName::from(format!("vm-{index}"))
 }
 
-fn status(uses_fallback: bool, unreachable: Option<&VmName>) -> LimitStatus {
+fn status(unreachable: Option<&VmName>) -> LimitStatus {
     LimitStatus {
         lease: 1,
         gateways_digest: 1,
-        uses_fallback,
         unreachable_owners: unreachable.map_or(0, owner_bit),
-        is_store_silent: false,
         says_goodbye: false,
     }
 }
 
 struct Case {
     name: &'static str,
-    /// Whether the others announce their fallback for all limits.
-    uses_fallback: bool,
     /// Gateway that the others announce as unreachable.
     unreachable: Option<usize>,
     /// Gateway that has left the list, and the milliseconds since then.
@@ -28,46 +24,34 @@
     lowers_rate: bool,
 }
 
-fn cases() -> [Case; 6] {
+fn cases() -> [Case; 5] {
     [
         Case {
             name: "nobody uses a fallback",
-            uses_fallback: false,
             unreachable: None,
             left: None,
             lowers_rate: false,
         },
         Case {
             name: "the others can't reach another owner",
-            uses_fallback: false,
             unreachable: Some(1),
             left: None,
             lowers_rate: false,
         },
         Case {
             name: "the others can't reach this owner",
-            uses_fallback: false,
             unreachable: Some(0),
             left: None,
             lowers_rate: true,
         },
-        Case {
-            name: "the others' registrations aren't certain",
-            uses_fallback: true,
-            unreachable: None,
-            left: None,
-            lowers_rate: true,
-        },
         Case {
             name: "this owner may have taken over the limits of the unreachable one",
-            uses_fallback: false,
             unreachable: Some(8),
             left: Some((8, 1_000)),
             lowers_rate: true,
         },
         Case {
             name: "the takeover is long past",
-            uses_fallback: false,
             unreachable: Some(8),
             left: Some((8, 3_000)),
             lowers_rate: false,
@@ -85,13 +69,13 @@
         let others: Vec<_> = (1..=OTHERS).map(vm).collect();
         let unreachable = case.unreachable.map(vm);
         for other in &others {
-            let status = status(case.uses_fallback, unreachable.as_ref());
+            let status = status(unreachable.as_ref());
             fallback.record_status(other, &status, now);
         }
         if let Some((index, ago_ms)) = case.left {
             let left_at = Timestamp::from_millis(100_000 - ago_ms);
             fallback.record_left(&vm(index), false, left_at);
-            fallback.record_status(&vm(index), &status(false, None), now);
+            fallback.record_status(&vm(index), &status(None), now);
         }
         let factor = fallback.owner_factor(&vm(0), others.iter(), now);
         assert_eq!(factor < 0.5, case.lowers_rate, "{}: {factor}", case.name);
--- a/src/entry/quota/holding.rs
+++ b/src/entry/quota/holding.rs
@@ -5,7 +5,7 @@
 
 use super::fallback::FallbackBucket;
 use super::ledger::{Ask, Limit, PROMPT_TOKEN_TTL, TOKEN_TTL};
-use super::places::Places;
+use super::places::{Place, Places};
 use super::queue::{Queue, Ticket, Waiter};
 use crate::entry::datagram::TokenAnswer;
 use crate::name::VmName;
@@ -64,6 +64,21 @@
     pub priority: u8,
     /// Longest time that it may wait for a token.
     pub max_wait: Duration,
+    /// Time after which its caller gives up.
+    pub patience: Duration,
+}
+
+/// What became of requests and tokens since it was last read, for log lines.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Usage {
+    /// Requests admitted with granted tokens.
+    pub admitted: u32,
+    /// Requests admitted with tokens of the fallback share.
+    pub admitted_by_fallback: u32,
+    /// Requests refused.
+    pub refused: u32,
+    /// Granted tokens that expired unspent.
+    pub expired: f64,
 }
 
 /// Decision on a request.
@@ -116,6 +131,7 @@
     fallback: Option<FallbackBucket>,
     queue: Queue,
     places: Places,
+    usage: Usage,
 }
 
 impl Holding {
@@ -139,9 +155,15 @@
             fallback: None,
             queue: Queue::default(),
             places: Places::default(),
+            usage: Usage::default(),
         }
     }
 
+    /// Returns and resets the counts of requests and tokens.
+    pub fn take_usage(&mut self) -> Usage {
+        std::mem::take(&mut self.usage)
+    }
+
     /// Adds tokens that a VM which has just started may spend before it knows the owner.
     pub fn add_start_credit(&mut self, own: &VmName, tokens: f64, until: Timestamp) {
         self.lots.push_back(Lot {
@@ -180,12 +202,13 @@
         }
         if let Some(at) = place {
             self.unmet += 1;
+            self.usage.refused += 1;
             return Decision::Refused(at.since(now));
         }
         if self.expects_token(arrival, now) {
             return Decision::Waits;
         }
-        Decision::Refused(self.book(arrival.request, now))
+        Decision::Refused(self.book(arrival.request, now + arrival.patience, now))
     }
 
     /// Adds a request for which [`Holding::arrive`] returned [`Decision::Waits`].
@@ -194,6 +217,7 @@
             ticket,
             request: arrival.request,
             deadline: now + arrival.max_wait,
+            gives_up_at: now + arrival.patience,
         };
         self.queue.push(arrival.priority, waiter);
     }
@@ -223,7 +247,7 @@
             now >= waiter.deadline || is_late
         });
         for waiter in late {
-            let delay = self.book(waiter.request, now);
+            let delay = self.book(waiter.request, waiter.gives_up_at, now);
             settled.push((waiter.ticket, Decision::Refused(delay)));
         }
     }
@@ -389,6 +413,8 @@
     }
 
     fn granted(&mut self, now: Timestamp) -> f64 {
+        let ended = self.lots.iter().filter(|lot| now >= lot.until);
+        self.usage.expired += ended.map(|lot| lot.tokens).sum::<f64>();
         self.lots
             .retain(|lot| now < lot.until && lot.tokens > EPSILON);
         self.lots.iter().map(|lot| lot.tokens).sum()
@@ -411,11 +437,13 @@
             if let Some(lot) = self.lots.front_mut() {
                 lot.tokens -= 1.0;
             }
+            self.usage.admitted += 1;
             return true;
         }
-        self.fallback
-            .as_mut()
-            .is_some_and(|bucket| bucket.try_take(now))
+        let fallback = self.fallback.as_mut();
+        let is_spent = fallback.is_some_and(|bucket| bucket.try_take(now));
+        self.usage.admitted_by_fallback += u32::from(is_spent);
+        is_spent
     }
 
     /// Returns whether the request's token is expected within the time that it may wait.
@@ -438,8 +466,10 @@
             .or(self.share_per_s)
     }
 
-    fn book(&mut self, request: u64, now: Timestamp) -> Duration {
+    /// Returns the retry delay of a request whose caller gives up at a time.
+    fn book(&mut self, request: u64, gives_up_at: Timestamp, now: Timestamp) -> Duration {
         self.unmet += 1;
+        self.usage.refused += 1;
         let rate_per_s = self.expected_rate().unwrap_or(self.limit.rate_per_s);
         let spacing = duration(1.0 / rate_per_s.max(EPSILON));
         let ahead = u32::try_from(self.queue.len() + 1).unwrap_or(u32::MAX);
@@ -447,7 +477,13 @@
         if self.fallback.is_none() && self.is_without_owner(now) {
             earliest = earliest.max(now + UNREACHABLE_RETRY_DELAY);
         }
-        self.places.book(request, earliest, spacing, now)
+        let place = Place {
+            request,
+            earliest,
+            latest: gives_up_at,
+            spacing,
+        };
+        self.places.book(place, now)
     }
 
     fn record_lost(&mut self, ranks: usize, now: Timestamp) {
--- a/src/entry/quota/ledger.rs
+++ b/src/entry/quota/ledger.rs
@@ -39,6 +39,17 @@
     pub burst: f64,
 }
 
+impl Limit {
+    /// Returns a part of the limit. With a burst below 1, no request could ever be admitted.
+    #[must_use]
+    pub fn scaled(self, factor: f64) -> Self {
+        Self {
+            rate_per_s: self.rate_per_s * factor,
+            burst: (self.burst * factor).max(1.0),
+        }
+    }
+}
+
 /// Request of a holder for tokens of one workspace.
 #[derive(Debug, Clone, Copy)]
 pub struct Ask {
@@ -134,6 +145,15 @@
         self.tokens = 0.0;
     }
 
+    /// Withdraws tokens that others have spent without this owner. What is missing is withheld from
+    /// later refills.
+    pub fn withdraw(&mut self, tokens: f64, now: Timestamp) {
+        if tokens > 0.0 {
+            self.refill(now);
+            self.tokens -= tokens;
+        }
+    }
+
     /// Grants tokens to a holder. Returns `None` for a request that was received before.
     pub fn grant(&mut self, from: SocketAddr, ask: Ask, now: Timestamp) -> Option<TokenAnswer> {
         self.forget_holders(now);
@@ -169,7 +189,7 @@
             holder.lent_until = holder.lent_until.max(now + ttl);
             holder.wanted -= granted;
             holder.entitled -= granted;
-            self.tokens = (self.tokens - granted).max(0.0);
+            self.tokens -= granted;
         }
         Some(TokenAnswer::Granted {
             tokens: granted as u32,
--- a/src/entry/quota/places.rs
+++ b/src/entry/quota/places.rs
@@ -1,4 +1,7 @@
 //! Places of refused requests: the times at which their retries find a token.
+//!
+//! Load pattern: callers send several times the rate of their workspace and give up after about a
+//! second. A place after those of all earlier refusals would be of no use to them.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -11,12 +14,22 @@
 /// Time before a place from which on its token is kept, and a retry isn't early.
 const RETRY_LEAD: Duration = Duration::from_millis(50);
 
-/// Longest delay for which a place is kept; longer than callers of known deployments retry.
-const MAX_PLACE_DELAY: Duration = Duration::from_secs(10);
-
 /// Weight of one place in the average of those that were claimed.
 const CLAIM_GAIN: f64 = 0.05;
 
+/// Place wanted for a refused request.
+#[derive(Debug, Clone, Copy)]
+pub struct Place {
+    /// Hash of the request's identifier.
+    pub request: u64,
+    /// Time before which it finds no token.
+    pub earliest: Timestamp,
+    /// Time after which its caller has given up.
+    pub latest: Timestamp,
+    /// Time between two places.
+    pub spacing: Duration,
+}
+
 /// Places given to refused requests, one token apart.
 ///
 /// A retry is recognized by the request's identifier. Tokens are kept for the part of the places that
@@ -74,26 +87,17 @@
         (places as f64 * self.claimed_fraction).round()
     }
 
-    /// Gives a refused request the first place that is free, not before `earliest`; returns the
-    /// delay until then. The times beyond the last place are spread by request.
-    pub fn book(
-        &mut self,
-        request: u64,
-        earliest: Timestamp,
-        spacing: Duration,
-        now: Timestamp,
-    ) -> Duration {
-        let after_last = self.booked.last().map(|(last, _)| *last + spacing);
-        let at = after_last.map_or(earliest, |after_last| after_last.max(earliest));
-        let delay = at.since(now);
-        if delay > MAX_PLACE_DELAY {
-            let spread = (request % 1_024) as f64 / 1_024.0;
-            return MAX_PLACE_DELAY.mul_f64(1.0 + spread);
+    /// Returns the delay until the first free place of a refused request. The place is kept only if
+    /// its caller hasn't given up by then.
+    pub fn book(&mut self, place: Place, now: Timestamp) -> Duration {
+        let after_last = self.booked.last().map(|(last, _)| *last + place.spacing);
+        let at = after_last.map_or(place.earliest, |at| at.max(place.earliest));
+        if at <= place.latest {
+            self.remove(place.request);
+            self.booked.insert((at, place.request));
+            self.by_request.insert(place.request, at);
         }
-        self.remove(request);
-        self.booked.insert((at, request));
-        self.by_request.insert(request, at);
-        delay
+        at.since(now)
     }
 
     fn remove(&mut self, request: u64) -> bool {
@@ -101,3 +105,6 @@
         at.is_some_and(|at| self.booked.remove(&(at, request)))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/entry/quota/queue.rs
+++ b/src/entry/quota/queue.rs
@@ -20,6 +20,8 @@
     pub request: u64,
     /// Time until which it may wait.
     pub deadline: Timestamp,
+    /// Time at which its caller gives up.
+    pub gives_up_at: Timestamp,
 }
 
 /// Waiting requests in order of route priority, then arrival.
--- a/src/entry/quota/reassignment.rs
+++ b/src/entry/quota/reassignment.rs
@@ -94,7 +94,8 @@
                     buckets.push((first.clone(), handed(name, &mut ledger, now)));
                 }
             } else if !self.ledgers.contains_key(name)
-                && let Some(ledger) = self.start_ledger(name, limit_of(workspace), now)
+                && let Some(ledger) =
+                    self.start_ledger(name, limit_of(workspace).scaled(self.owner_factor), now)
             {
                 self.ledgers.insert(name.clone(), ledger);
             }
--- a/src/entry/quota/tests.rs
+++ b/src/entry/quota/tests.rs
@@ -1,3 +1,4 @@
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -7,7 +8,7 @@
 use super::holding::Arrival;
 use super::{FleetView, Quota, Workspaces};
 use crate::entry::catalog::Workspace;
-use crate::entry::datagram::TokenAsk;
+use crate::entry::datagram::{LimitStatus, TokenAnswer, TokenAsk};
 use crate::entry::record::VmRecord;
 use crate::name::{WorkspaceName, ZoneName};
 use crate::time::Timestamp;
@@ -199,6 +200,13 @@
         max_refused: 0.1,
         settled_ms: 0,
     },
+    Failure {
+        name: "all VMs lose the store for less than a lease lasts",
+        demand_per_s: 8.0,
+        changes: &[(1_000, CutStore(0)), (4_500, Heal)],
+        max_refused: 0.001,
+        settled_ms: 0,
+    },
     Failure {
         name: "the registrations of VMs that are cut off are revoked",
         demand_per_s: 6.0,
@@ -384,6 +392,43 @@
     }
 }
 
+/// Guards against a bucket that holds no token for its first second: it was started for the whole limit
+/// and then cut to the part that its owner keeps while others may use their fallback shares.
+#[test]
+fn an_owner_that_takes_over_with_a_lowered_rate_grants_at_once() {
+    const GATEWAYS: usize = 8;
+    let now = Timestamp::from_millis(100_000);
+    let workspaces: Vec<_> = (0..40).map(bench_workspace).collect();
+    let mut quota = bench_quota(&workspaces, GATEWAYS, now);
+    let owned: HashSet<_> = quota.ledgers.keys().cloned().collect();
+    // All but one of the others have gone without a goodbye, and their leases have lapsed.
+    let now = now + Duration::from_secs(6);
+    let status = LimitStatus {
+        lease: 2,
+        gateways_digest: 0,
+        unreachable_owners: 0,
+        says_goodbye: false,
+    };
+    quota.receive_status(&world::name(1), status, now);
+    update_bench_quota(&mut quota, &workspaces, 2, now);
+    let taken_over: Vec<_> = quota.ledgers.keys().cloned().collect();
+    let taken_over = taken_over.iter().filter(|name| !owned.contains(*name));
+    let mut granting = 0;
+    for (name, nonce) in taken_over.clone().zip(1..) {
+        let ask = TokenAsk {
+            workspace: name.clone(),
+            held: 0,
+            wanted: 2,
+            is_prompt: true,
+        };
+        let answers = quota.grant(world::address(1), nonce, &[ask], now);
+        let is_granted = |answer: &TokenAnswer| matches!(answer, TokenAnswer::Granted { tokens, .. } if *tokens > 0);
+        granting += usize::from(answers.unwrap().iter().all(is_granted));
+    }
+    assert!(granting > 0);
+    assert_eq!(granting, taken_over.count());
+}
+
 /// Prints the time of a decision; run by hand, in release mode:
 /// `cargo test --release --lib decision_time -- --ignored --nocapture`.
 #[test]
@@ -399,6 +444,7 @@
             request: round,
             priority: 1,
             max_wait: Duration::from_millis(75),
+            patience: Duration::from_secs(10),
         };
         let at = now + Duration::from_micros(round * 10);
         let workspace = &workspaces[round as usize % workspaces.len()];
@@ -425,6 +471,26 @@
 
 /// Returns the limits of a VM that owns some of the workspaces.
 fn bench_quota(workspaces: &[Arc<Workspace>], gateways: usize, now: Timestamp) -> Quota {
+    let mut quota = Quota::new(world::name(0), world::address(0), Duration::from_secs(5));
+    quota.set_valid_until(now + Duration::from_hours(1), now);
+    update_bench_quota(&mut quota, workspaces, gateways, now);
+    let digest = quota.ownership.digest();
+    for index in 1..gateways {
+        let established = quota.ownership.record_digest(&world::name(index), digest);
+        quota.must_reassign |= established;
+    }
+    update_bench_quota(&mut quota, workspaces, gateways, now);
+    assert!(quota.owned() > 0);
+    quota
+}
+
+/// Takes over a list of gateways.
+fn update_bench_quota(
+    quota: &mut Quota,
+    workspaces: &[Arc<Workspace>],
+    gateways: usize,
+    now: Timestamp,
+) {
     let by_name = workspaces.iter();
     let by_name: Workspaces = by_name
         .map(|one| (one.name.clone(), Arc::clone(one)))
@@ -436,24 +502,13 @@
         cpu_share: 1.0,
     };
     let registered = (0..gateways).map(|index| (world::name(index), record(index)));
-    let registered = registered.collect();
-    let mut quota = Quota::new(world::name(0), world::address(0), Duration::from_secs(5));
-    quota.set_valid_until(now + Duration::from_hours(1), now);
     let view = FleetView {
         workspaces: &by_name,
         version: 1,
-        gateways: &registered,
+        gateways: &registered.collect(),
         own_lease: Some(1),
     };
     quota.update(view, now);
-    let digest = quota.ownership.digest();
-    for index in 1..gateways {
-        let established = quota.ownership.record_digest(&world::name(index), digest);
-        quota.must_reassign |= established;
-    }
-    quota.update(view, now);
-    assert!(quota.owned() > 0);
-    quota
 }
 
 fn bench_workspace(index: usize) -> Arc<Workspace> {
--- a/src/entry/quota/tests/world.rs
+++ b/src/entry/quota/tests/world.rs
@@ -22,6 +22,7 @@
 const LEASE_MS: u64 = 5_000;
 const MARGIN_MS: u64 = 250;
 const MAX_WAIT: Duration = Duration::from_millis(75);
+const PATIENCE: Duration = Duration::from_secs(10);
 
 /// Fault or change at a time, counted from the end of the warm-up.
 #[derive(Debug, Clone, Copy)]
@@ -79,7 +80,8 @@
     pub duration_ms: u64,
     /// Time after which no new requests arrive.
     pub demand_until_ms: u64,
-    /// Whether a refused request is repeated, under its identifier, after the delay that it was told.
+    /// Whether a refused request is repeated, under its identifier, after the delay that it was told,
+    /// unless its caller has given up by then.
     pub retries: bool,
     pub seed: u64,
 }
@@ -251,7 +253,7 @@
                 };
                 let hand_overs = vm.quota.stop(now);
                 self.send_hand_overs(index, hand_overs);
-                if let Some(status) = vm.quota.status(now) {
+                if let Some(status) = vm.quota.status() {
                     self.broadcast(index, &Message::Status(name(index), status));
                 }
                 self.registry.remove(&name(index));
@@ -420,7 +422,7 @@
         };
         let outgoing = vm.quota.requests(now);
         let settled = vm.quota.settle(now);
-        let status = vm.quota.status(now);
+        let status = vm.quota.status();
         let decided: Vec<_> = settled
             .into_iter()
             .filter_map(|(ticket, decision)| Some((vm.tickets.remove(ticket)?, decision)))
@@ -450,6 +452,7 @@
             request,
             priority: (request % 3) as u8,
             max_wait: MAX_WAIT,
+            patience: PATIENCE,
         };
         let decision = vm.quota.arrive(&workspace, arrival, now);
         if decision == Decision::Waits {
@@ -466,7 +469,7 @@
             }
             Decision::Refused(delay) => {
                 self.outcome.refused.push(self.now_ms);
-                if self.setup.retries {
+                if self.setup.retries && delay <= PATIENCE {
                     // The way to the caller and back.
                     let at = self.now_ms + delay.as_millis() as u64 + 10;
                     self.repeats.push((at, index, request));
