Limits: only the first registration of a process brings the credit of a start

Cause: a VM that lost its registration while it knew of only one could spend a quarter second of rate over all gateways again, each time: the count of registrations was compared before it included the new one. Change: the credit needs that the VM has never registered since its process started. Measured: only_the_first_registration_brings_a_start_credit fails on the code before (admitted after the second registration).

--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -242,7 +242,7 @@
         }
         let valid_until = |vm: &VmName| self.fallback.valid_until(vm, self.lease_ttl, now);
         let (gateways, own_lease) = (view.gateways, view.own_lease);
-        let is_first = self.ownership.own_lease().is_none() && self.ownership.has_just_started();
+        let is_first = !self.ownership.has_registered();
         let change = self.ownership.update(gateways, own_lease, valid_until, now);
         if is_first && own_lease.is_some() {
             self.start_credit_until = now + TOKEN_TTL;
--- a/src/entry/quota/ownership.rs
+++ b/src/entry/quota/ownership.rs
@@ -172,6 +172,11 @@
         self.is_established
     }
 
+    /// Returns whether this VM has registered since its process started.
+    pub const fn has_registered(&self) -> bool {
+        self.registrations > 0
+    }
+
     /// Returns whether this VM has registered for the first time since its process started.
     pub const fn has_just_started(&self) -> bool {
         self.registrations <= 1
--- a/src/entry/quota/tests.rs
+++ b/src/entry/quota/tests.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 
 use self::world::{Change, Outcome, Setup, run};
-use super::holding::Arrival;
+use super::holding::{Arrival, Decision};
 use super::{FleetView, Quota, Workspaces};
 use crate::entry::catalog::Workspace;
 use crate::entry::datagram::{LimitStatus, TokenAnswer, TokenAsk};
@@ -429,6 +429,42 @@
     assert_eq!(granting, taken_over.count());
 }
 
+/// Guards against a way over the limits: a VM that lost its registration got the credit of a start again
+/// with each new one.
+#[test]
+fn only_the_first_registration_brings_a_start_credit() {
+    let workspace = bench_workspace(0);
+    let arrival = Arrival {
+        request: 1,
+        priority: 1,
+        max_wait: Duration::from_millis(75),
+        patience: Duration::from_secs(1),
+    };
+    let mut quota = Quota::new(world::name(0), world::address(0), Duration::from_secs(5));
+    let mut decisions = Vec::new();
+    for (lease, at_s) in [(Some(1), 100), (None, 101), (Some(2), 110)] {
+        let now = Timestamp::from_millis(at_s * 1_000);
+        let workspaces = [(workspace.name.clone(), Arc::clone(&workspace))].into();
+        let record = |index: usize| VmRecord {
+            lease: 10 + index as u64,
+            peer_address: world::address(index),
+            availability_zone: ZoneName::from("a"),
+            cpu_share: 1.0,
+        };
+        let view = FleetView {
+            workspaces: &workspaces,
+            version: 1,
+            gateways: &[(world::name(1), record(1))].into(),
+            own_lease: lease,
+        };
+        quota.update(view, now);
+        quota.holdings.clear();
+        decisions.push(quota.arrive(&workspace, arrival, now));
+    }
+    assert_eq!(decisions[0], Decision::Admitted);
+    assert_ne!(decisions[2], Decision::Admitted);
+}
+
 /// Prints the time of a decision; run by hand, in release mode:
 /// `cargo test --release --lib decision_time -- --ignored --nocapture`.
 #[test]
