--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -321,11 +321,11 @@
 
     /// Returns and resets the counts of each workspace of which requests were refused.
     pub fn take_usage_of_refused(&mut self) -> Vec<(WorkspaceName, Usage)> {
-        let usage = self
-            .holdings
-            .iter_mut()
-            .map(|(name, holding)| (name.clone(), holding.take_usage()));
-        usage.filter(|(_, usage)| usage.refused > 0).collect()
+        let usage = self.holdings.iter_mut().filter_map(|(name, holding)| {
+            let usage = holding.take_usage();
+            (usage.refused > 0).then(|| (name.clone(), usage))
+        });
+        usage.collect()
     }
 
     /// Takes over the part of its limits that this VM keeps. If it is lower, fallback shares were in use
