--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -19,7 +19,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use self::fallback::{EARLY_FACTOR, FallbackUse, UNNOTICED_S};
+use self::fallback::FallbackUse;
 use self::holding::{Arrival, Decision, Holding, Usage};
 use self::ledger::{Ledger, Limit, TOKEN_TTL};
 use self::ownership::{Candidate, Ownership};
@@ -331,11 +331,11 @@
     /// Takes over the part of its limits that this VM keeps. If it is lower, fallback shares were in use
     /// before this VM noticed; what they may have spent is withdrawn.
     fn lower_rates(&mut self, factor: f64, workspaces: &Workspaces, now: Timestamp) {
-        let unnoticed = (self.owner_factor - factor).max(0.0) * EARLY_FACTOR;
+        let unnoticed_s = fallback::unnoticed_s(self.owner_factor, factor);
         self.owner_factor = factor;
         for (name, ledger) in &mut self.ledgers {
             if let Some(workspace) = workspaces.get(name) {
-                ledger.withdraw(workspace.rate_per_s * unnoticed * UNNOTICED_S, now);
+                ledger.withdraw(workspace.rate_per_s * unnoticed_s, now);
             }
         }
     }
--- a/src/entry/quota/fallback.rs
+++ b/src/entry/quota/fallback.rs
@@ -13,7 +13,7 @@
 
 /// As [`FALLBACK_FACTOR`], for the time until the fallback has been announced. One second of it stays
 /// below 8% of the rate in a window of 5 s; owners withdraw it once they notice.
-pub const EARLY_FACTOR: f64 = 0.4;
+const EARLY_FACTOR: f64 = 0.4;
 
 /// Part of the limit that may be used in addition to it while VMs can't reach each other.
 const TOLERANCE: f64 = 0.04;
@@ -31,7 +31,7 @@
 const ANNOUNCEMENT_LEAD: Duration = Duration::from_secs(1);
 
 /// Seconds for which fallback shares may be in use before the owner lowers its rate.
-pub const UNNOTICED_S: f64 = 1.0;
+const UNNOTICED_S: f64 = 1.0;
 
 /// Time for which a gateway may use its fallback after its registration stopped being certain.
 const MAX_UNCERTAIN: Duration = Duration::from_secs(10);
@@ -90,6 +90,12 @@
     }
 }
 
+/// Returns how many seconds of rate fallback shares may have spent before an owner noticed them and
+/// lowered the part of its limits that it keeps.
+pub fn unnoticed_s(factor_before: f64, factor: f64) -> f64 {
+    (factor_before - factor).max(0.0) * EARLY_FACTOR * UNNOTICED_S
+}
+
 /// Time for which an owner counts those who use the fallback share of a gateway that has left the
 /// list as using its own limits: it may have taken them over.
 const TAKEOVER_RETENTION: Duration = Duration::from_secs(2);
