Gateways: small VMs that stand in for missing ones register over a second

Seven register within 30 ms, five leave 2 s later, and 9 more come 5 s after. Each change moves owners of limits, and fallback shares are divided by up to 17 gateways instead of 8. Change: VMs that are too small to rank beside a registered gateway of their zone spread their registrations over a second; the first ones to come fill the places. Larger VMs register as before. A test replays the loss of two of eight gateways in a fleet of 65; with the former jitter more than four register unseen.

--- a/src/entry/role.rs
+++ b/src/entry/role.rs
@@ -33,6 +33,11 @@
 /// Range over which the registrations of VMs of the same capacity are spread.
 const MAX_JITTER: Duration = Duration::from_millis(100);
 
+/// As [`MAX_JITTER`], for VMs that are too small to be gateways beside those of their zone and stand in
+/// for missing ones. There are many of them, all see the same places, and learn of the first ones taken
+/// only by a call to the store.
+const MAX_STAND_IN_JITTER: Duration = Duration::from_secs(1);
+
 /// VM as it ranks among the gateways.
 #[derive(Debug, Clone, Copy)]
 struct Candidate<'a> {
@@ -114,7 +119,12 @@
         return Duration::ZERO;
     }
     let hash = xxhash_rust::xxh3::xxh3_64(own.vm.as_bytes());
-    let jitter = MAX_JITTER.mul_f64(hash as f64 / u64::MAX as f64);
+    let range = if is_stand_in(own, state) {
+        MAX_STAND_IN_JITTER
+    } else {
+        MAX_JITTER
+    };
+    let jitter = range.mul_f64(hash as f64 / u64::MAX as f64);
     let halvings = (1.0 / own.cpu_share.max(f64::EPSILON)).log2().max(0.0);
     let by_capacity = DELAY_PER_HALVING.mul_f64(halvings) + jitter;
     if state.gateways.len() < own.direct_vms {
@@ -123,5 +133,13 @@
     ROLE_CHANGE_DELAY + by_capacity
 }
 
+/// Returns whether a registered gateway of this VM's zone is too large for this VM to rank beside it.
+fn is_stand_in(own: &EntrySettings, state: &State) -> bool {
+    other_gateways(state, &own.vm).any(|(_, record)| {
+        record.availability_zone == own.availability_zone
+            && own.cpu_share < record.cpu_share * MIN_CAPACITY_FRACTION
+    })
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/entry/role/tests.rs
+++ b/src/entry/role/tests.rs
@@ -298,3 +298,31 @@
         );
     }
 }
+
+/// Replays the loss of two of eight large gateways in a fleet of 65 VMs. Seven small VMs registered within
+/// 30 ms, before they saw each other, and five of them left again after 2 s.
+#[test]
+fn few_small_vms_stand_in_for_missing_gateways() {
+    const SEEN_AFTER: Duration = Duration::from_millis(30);
+    let large = (0..8).map(|index| (format!("vm-large-{index}"), 0.5));
+    let small = (0..57).map(|index| (format!("vm-small-{index}"), 0.12));
+    let zones = ["a", "b", "c", "d"];
+    let vms = large.chain(small).zip(zones.iter().cycle());
+    let vms = vms.map(|((vm, cpu_share), zone)| (VmName::from(vm), record(zone, cpu_share)));
+    let mut fleet = Fleet::new(vms.collect(), 73);
+    fleet.settle();
+    for lost in ["vm-large-0", "vm-large-1"].map(VmName::from) {
+        fleet.vms.remove(&lost);
+        fleet.state.gateways.remove(&lost);
+    }
+    fleet.state.gateway = false;
+    let waiting = fleet.vms.keys().map(|vm| fleet.settings(vm));
+    let waiting = waiting.filter(|own| !fleet.state.gateways.contains_key(&own.vm));
+    let waiting = waiting.filter(|own| should_be_gateway(own, &fleet.state));
+    let delays: Vec<_> = waiting
+        .map(|own| change_delay(&own, &fleet.state))
+        .collect();
+    let first = delays.iter().min().expect("VMs stand in");
+    let unseen = delays.iter().filter(|delay| **delay < *first + SEEN_AFTER);
+    assert!(unseen.count() <= 4, "{delays:?}");
+}
