Limits: fallback shares and owners add up while lists of gateways differ

Cause: two ways over a limit, both older than this code and found by its simulation. (1) A VM that can't reach an owner, but reaches the store, divided the limit by the gateways of its own list; those without the store divide by a longer one. With all but two VMs cut off from the store, and these two from each other: 655 of 648 operations in 5 s. (2) An owner that has taken a limit over counted only for 2 s those who, with an old list, still use their shares of the former owner's limit; in that time it lowered all of its limits, also those that it had owned before. Change: shares are divided by the gateways in the list and those that left it without a goodbye less than 15 s ago, as owners count them. An owner keeps, of each limit, the part that is left beside the shares of those who can't reach it or any gateway that had left when it started the bucket. Cases in the tables of the simulation and of fallback; the simulated one fails without (1) with the figures above.

--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -96,8 +96,8 @@
     start_credit_until: Timestamp,
     /// Whether this VM may use its fallback shares of the limits of unreachable owners.
     may_use_fallback: bool,
-    /// Part of its limits that this VM keeps as their owner.
-    owner_factor: f64,
+    /// Number of gateways that divide the limit of an unreachable owner.
+    fallback_sharers: usize,
     counts: Counts,
 }
 
@@ -132,7 +132,7 @@
             must_reassign: false,
             start_credit_until: Timestamp::ZERO,
             may_use_fallback: false,
-            owner_factor: 1.0,
+            fallback_sharers: 1,
             counts: Counts::default(),
         }
     }
@@ -255,20 +255,13 @@
         for vm in change.iter().flat_map(|change| &change.joined) {
             self.fallback.record_joined(vm, now);
         }
-        let others = self.ownership.others();
-        let factor = self.fallback.owner_factor(&self.own, others, now);
-        self.lower_rates(factor, view.workspaces, now);
+        self.fallback.forget_left(now);
+        self.keep_parts(view.workspaces, now);
         let hand_overs = if std::mem::take(&mut self.must_reassign) {
             self.reassign(view.workspaces, now)
         } else {
             Vec::new()
         };
-        for (name, ledger) in &mut self.ledgers {
-            if let Some(workspace) = view.workspaces.get(name) {
-                let limit = limit_of(workspace);
-                ledger.set_limit(limit.scaled(factor), now);
-            }
-        }
         for (name, holding) in &mut self.holdings {
             if let Some(workspace) = view.workspaces.get(name) {
                 holding.set_limit(limit_of(workspace));
@@ -328,14 +321,17 @@
         usage.collect()
     }
 
-    /// Takes over the part of its limits that this VM keeps. If it is lower, fallback shares were in use
-    /// before this VM noticed; what they may have spent is withdrawn.
-    fn lower_rates(&mut self, factor: f64, workspaces: &Workspaces, now: Timestamp) {
-        let unnoticed_s = fallback::unnoticed_s(self.owner_factor, factor);
-        self.owner_factor = factor;
+    /// Takes over the configured limits, and lowers them by what others may spend without this owner.
+    fn keep_parts(&mut self, workspaces: &Workspaces, now: Timestamp) {
+        let mut factors = HashMap::new();
         for (name, ledger) in &mut self.ledgers {
+            let owners = self.fallback.owners_of(&self.own, ledger.started_at());
+            let factor = factors.entry(owners).or_insert_with(|| {
+                let others = self.ownership.others();
+                self.fallback.owner_factor(owners, others, now)
+            });
             if let Some(workspace) = workspaces.get(name) {
-                ledger.withdraw(workspace.rate_per_s * unnoticed_s, now);
+                ledger.keep_part(limit_of(workspace), *factor, now);
             }
         }
     }
@@ -375,6 +371,7 @@
         }
         self.fallback.announce(&unreachable, now);
         self.may_use_fallback = self.fallback.is_allowed(self.ownership.others(), now);
+        self.fallback_sharers = self.fallback.sharers(self.ownership.others());
     }
 }
 
--- a/src/entry/quota/exchange.rs
+++ b/src/entry/quota/exchange.rs
@@ -123,11 +123,10 @@
         let is_silent = |first: &Candidate| self.fallback.is_silent(&first.vm, now);
         holding.set_owner_silent(ranks.first().is_some_and(is_silent));
         let rank = holding.rank_to_ask(ranks.len(), now);
-        let gateways = self.ownership.gateway_count();
         let owner = ranks.first().filter(|_| self.may_use_fallback);
         let share = owner.map(|owner| {
             let factor = self.fallback.factor(&owner.vm, now);
-            fallback::share(holding.limit(), factor, gateways)
+            fallback::share(holding.limit(), factor, self.fallback_sharers)
         });
         self.counts.fallbacks_started += usize::from(holding.use_fallback(share, now));
         if rank.is_none() && !holding.is_active() {
--- a/src/entry/quota/fallback.rs
+++ b/src/entry/quota/fallback.rs
@@ -36,7 +36,7 @@
 /// Time for which a gateway may use its fallback after its registration stopped being certain.
 const MAX_UNCERTAIN: Duration = Duration::from_secs(10);
 
-/// Returns the share of a limit that each of `gateways` may use without the owner, if all of them
+/// Returns the share of a limit that each of `gateways` ([`FallbackUse::sharers`]) may use without the owner, if all of them
 /// may use the part `factor`.
 pub fn share(limit: Limit, factor: f64, gateways: usize) -> Limit {
     limit.scaled(factor / gateways.max(1) as f64)
@@ -96,10 +96,6 @@
     (factor_before - factor).max(0.0) * EARLY_FACTOR * UNNOTICED_S
 }
 
-/// Time for which an owner counts those who use the fallback share of a gateway that has left the
-/// list as using its own limits: it may have taken them over.
-const TAKEOVER_RETENTION: Duration = Duration::from_secs(2);
-
 #[derive(Debug, Clone, Copy)]
 struct Peer {
     heard_at: Timestamp,
@@ -165,45 +161,48 @@
         self.certain_until = valid_until;
     }
 
-    /// Returns the part of its limits that the owner `own` keeps, so that it and all gateways that may
-    /// be using their fallback shares of them exceed a limit by at most the tolerance. `others` are the
-    /// gateways in the list beside this one.
+    /// Forgets the gateways that left too long ago to use their fallback shares.
+    pub fn forget_left(&mut self, now: Timestamp) {
+        self.left
+            .retain(|_, left_at| now.since(*left_at) < LEFT_RETENTION);
+    }
+
+    /// Returns the owners whose fallback shares are used by those who don't know that `own` became the
+    /// owner of a limit at `started_at`: it may have taken the limit over from any gateway that had left.
+    pub fn owners_of(&self, own: &VmName, started_at: Timestamp) -> u64 {
+        let left = self.left.iter();
+        let left = left.filter(|(_, left_at)| **left_at <= started_at);
+        left.fold(owner_bit(own), |owners, (vm, _)| owners | owner_bit(vm))
+    }
+
+    /// Returns the part of the limits of `owners` that their present owner keeps, so that it and all
+    /// gateways that may be using their fallback shares of them exceed a limit by at most the tolerance.
+    /// `others` are the gateways in the list beside this one.
     pub fn owner_factor<'a>(
-        &mut self,
-        own: &VmName,
+        &'a self,
+        owners: u64,
         others: impl Iterator<Item = &'a VmName>,
         now: Timestamp,
     ) -> f64 {
-        self.left
-            .retain(|_, left_at| now.since(*left_at) < LEFT_RETENTION);
-        let recently_left = self.left.iter();
-        let recently_left = recently_left
-            .filter(|(_, left_at)| now.since(**left_at) < TAKEOVER_RETENTION)
-            .map(|(vm, _)| owner_bit(vm));
-        let owners = recently_left.fold(owner_bit(own), |owners, bit| owners | bit);
-        let mut gateways = 1_usize;
-        let mut suspected = 0_usize;
-        let mut listed = HashSet::new();
-        for vm in others {
-            gateways += 1;
-            suspected += usize::from(self.may_use(vm, owners, now));
-            listed.insert(vm);
-        }
         // Gateways that aren't in the list: those that left it, and those that announce a fallback
         // to a VM that has restarted since.
-        let left = self.left.keys();
         let announcing = self.peers.iter().filter(|(_, peer)| {
             peer.uses_fallback_of(owners) && now.since(peer.heard_at) < LEFT_RETENTION
         });
-        let unlisted: HashSet<_> = left.chain(announcing.map(|(vm, _)| vm)).collect();
-        for vm in unlisted.difference(&listed) {
-            gateways += 1;
-            suspected += usize::from(self.may_use(vm, owners, now));
-        }
-        let sum = FALLBACK_FACTOR * suspected as f64 / gateways as f64;
+        let unlisted = self.left.keys().chain(announcing.map(|(vm, _)| vm));
+        let known: HashSet<_> = others.chain(unlisted).collect();
+        let suspected = known.iter().filter(|vm| self.may_use(vm, owners, now));
+        let sum = FALLBACK_FACTOR * suspected.count() as f64 / (known.len() + 1) as f64;
         1.0 - (sum - TOLERANCE).max(0.0)
     }
 
+    /// Returns the number of gateways that divide the limit of an unreachable owner: this one, `others` in
+    /// the list, and those that left it and may not know.
+    pub fn sharers<'a>(&'a self, others: impl Iterator<Item = &'a VmName>) -> usize {
+        let known: HashSet<_> = others.chain(self.left.keys()).collect();
+        known.len() + 1
+    }
+
     /// Starts or ends the announcements of this VM's fallback for the limits of unreachable owners.
     ///
     /// Owners that grant tokens don't lower their rates because another one is unreachable.
--- a/src/entry/quota/fallback/tests.rs
+++ b/src/entry/quota/fallback/tests.rs
@@ -21,6 +21,8 @@
     unreachable: Option<usize>,
     /// Gateway that has left the list, and the milliseconds since then.
     left: Option<(usize, u64)>,
+    /// Milliseconds since this owner started the bucket.
+    started_ms: u64,
     lowers_rate: bool,
 }
 
@@ -30,30 +32,35 @@
             name: "nobody uses a fallback",
             unreachable: None,
             left: None,
+            started_ms: 60_000,
             lowers_rate: false,
         },
         Case {
             name: "the others can't reach another owner",
             unreachable: Some(1),
             left: None,
+            started_ms: 60_000,
             lowers_rate: false,
         },
         Case {
             name: "the others can't reach this owner",
             unreachable: Some(0),
             left: None,
+            started_ms: 60_000,
             lowers_rate: true,
         },
         Case {
-            name: "this owner may have taken over the limits of the unreachable one",
+            name: "the limits of the unreachable one, which has left",
             unreachable: Some(8),
-            left: Some((8, 1_000)),
+            left: Some((8, 3_000)),
+            started_ms: 2_900,
             lowers_rate: true,
         },
         Case {
-            name: "the takeover is long past",
+            name: "limits that this owner had before the other one left",
             unreachable: Some(8),
             left: Some((8, 3_000)),
+            started_ms: 3_100,
             lowers_rate: false,
         },
     ]
@@ -61,6 +68,8 @@
 
 /// Guards against a gateway that is gone for good while the store is down: all holders used the
 /// fallback of its limits, and the other owners kept a quarter of theirs for six seconds.
+/// And against an owner that lowered all of its limits because it had taken over a few, and forgot after
+/// two seconds that others still used their shares of these.
 #[test]
 fn an_owner_lowers_its_rate_only_for_those_that_cannot_reach_it() {
     for case in cases() {
@@ -77,7 +86,9 @@
             fallback.record_left(&vm(index), false, left_at);
             fallback.record_status(&vm(index), &status(None), now);
         }
-        let factor = fallback.owner_factor(&vm(0), others.iter(), now);
+        let started_at = Timestamp::from_millis(100_000 - case.started_ms);
+        let owners = fallback.owners_of(&vm(0), started_at);
+        let factor = fallback.owner_factor(owners, others.iter(), now);
         assert_eq!(factor < 0.5, case.lowers_rate, "{}: {factor}", case.name);
     }
 }
--- a/src/entry/quota/ledger.rs
+++ b/src/entry/quota/ledger.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::fallback::unnoticed_s;
 use crate::entry::datagram::{Rest, TokenAnswer};
 use crate::time::Timestamp;
 
@@ -83,8 +84,11 @@
 #[derive(Debug)]
 pub struct Ledger {
     limit: Limit,
+    /// Part of the configured limit that `limit` is.
+    factor: f64,
     tokens: f64,
     as_of: Timestamp,
+    started_at: Timestamp,
     holders: HashMap<SocketAddr, Holder>,
     /// Tokens that a predecessor may have granted, with the time at which they expire.
     inherited: (f64, Timestamp),
@@ -115,8 +119,10 @@
     pub fn inherit(limit: Limit, tokens: f64, outstanding: f64, now: Timestamp) -> Self {
         let mut ledger = Self {
             limit,
+            factor: 1.0,
             tokens: tokens.max(0.0),
             as_of: now,
+            started_at: now,
             holders: HashMap::new(),
             inherited: (outstanding.max(0.0), now + TOKEN_TTL),
         };
@@ -124,14 +130,35 @@
         ledger
     }
 
+    /// Returns the time at which this VM became the owner.
+    pub const fn started_at(&self) -> Timestamp {
+        self.started_at
+    }
+
     /// Returns the tokens left and those that holders may still spend, for a hand-over.
     pub fn balance(&mut self, now: Timestamp) -> (f64, f64) {
         self.refill(now);
         (self.tokens, self.outstanding(now))
     }
 
+    /// Records which part of the configured limit the bucket was created with.
+    #[must_use]
+    pub const fn with_factor(mut self, factor: f64) -> Self {
+        self.factor = factor;
+        self
+    }
+
+    /// Keeps a part of a configured limit beside the fallback shares of others. If it is lower than
+    /// before, shares were in use before this owner noticed; what they may have spent is withdrawn.
+    pub fn keep_part(&mut self, limit: Limit, factor: f64, now: Timestamp) {
+        let unnoticed_s = unnoticed_s(self.factor, factor);
+        self.withdraw(limit.rate_per_s * unnoticed_s, now);
+        self.factor = factor;
+        self.set_limit(limit.scaled(factor), now);
+    }
+
     /// Changes the limit; tokens above the new burst are dropped.
-    pub fn set_limit(&mut self, limit: Limit, now: Timestamp) {
+    fn set_limit(&mut self, limit: Limit, now: Timestamp) {
         if self.limit != limit {
             self.refill(now);
             self.limit = limit;
@@ -147,7 +174,7 @@
 
     /// Withdraws tokens that others have spent without this owner. What is missing is withheld from
     /// later refills.
-    pub fn withdraw(&mut self, tokens: f64, now: Timestamp) {
+    fn withdraw(&mut self, tokens: f64, now: Timestamp) {
         if tokens > 0.0 {
             self.refill(now);
             self.tokens -= tokens;
--- a/src/entry/quota/reassignment.rs
+++ b/src/entry/quota/reassignment.rs
@@ -93,11 +93,10 @@
                 if let Some(first) = ranks.first().filter(|_| is_certain) {
                     buckets.push((first.clone(), handed(name, &mut ledger, now)));
                 }
-            } else if !self.ledgers.contains_key(name)
-                && let Some(ledger) =
-                    self.start_ledger(name, limit_of(workspace).scaled(self.owner_factor), now)
-            {
-                self.ledgers.insert(name.clone(), ledger);
+            } else if !self.ledgers.contains_key(name) {
+                let ledger = self.start_ledger(name, limit_of(workspace), now);
+                self.ledgers
+                    .extend(ledger.map(|ledger| (name.clone(), ledger)));
             }
         }
         self.build_hand_overs(buckets, now)
@@ -108,6 +107,19 @@
         name: &WorkspaceName,
         limit: Limit,
         now: Timestamp,
+    ) -> Option<Ledger> {
+        let owners = self.fallback.owners_of(&self.own, now);
+        let others = self.ownership.others();
+        let factor = self.fallback.owner_factor(owners, others, now);
+        let ledger = self.start_bucket(name, limit.scaled(factor), now)?;
+        Some(ledger.with_factor(factor))
+    }
+
+    fn start_bucket(
+        &mut self,
+        name: &WorkspaceName,
+        limit: Limit,
+        now: Timestamp,
     ) -> Option<Ledger> {
         let lease = self.ownership.own_lease();
         let received = self.hand_overs.remove(name);
--- a/src/entry/quota/tests.rs
+++ b/src/entry/quota/tests.rs
@@ -278,6 +278,62 @@
     }
 }
 
+/// Demand that reaches only some of the gateways while something fails.
+struct UnevenFailure {
+    name: &'static str,
+    rate_per_s: f64,
+    demand_per_s: &'static [f64],
+    changes: &'static [(u64, Change)],
+    /// Period in which requests are counted, from its start.
+    from_ms: u64,
+    until_ms: u64,
+    max_refused: f64,
+}
+
+const UNEVEN_FAILURES: &[UnevenFailure] = &[
+    // Failure: the one gateway that lost contact to the owner but not the store shared the limit with two
+    // gateways instead of six, and the fleet exceeded it.
+    UnevenFailure {
+        name: "all but two lose the store, and these two each other",
+        rate_per_s: 100.0,
+        demand_per_s: &[10.0; 6],
+        changes: &[(0, CutPeers(1)), (0, CutStore(2))],
+        from_ms: 2_000,
+        until_ms: 4_500,
+        max_refused: 0.1,
+    },
+];
+
+#[test]
+fn requests_are_served_where_callers_use_some_of_the_gateways() {
+    for case in UNEVEN_FAILURES {
+        let mut refused = Vec::new();
+        for (factor, seed) in [(1.0, 1), (1.0, 2), (1.0, 3), (10.0, 1), (10.0, 2)] {
+            let demand_per_s = case.demand_per_s.iter();
+            let setup = Setup {
+                rate_per_s: case.rate_per_s,
+                burst: case.rate_per_s,
+                demand_per_s: demand_per_s.map(|demand| demand * factor).collect(),
+                changes: case.changes.to_vec(),
+                loss: 0.01,
+                seed,
+                ..Setup::default()
+            };
+            let outcome = run(&setup);
+            assert_bounded(&setup, &outcome, TOLERANCE);
+            if factor <= 1.0 {
+                refused.push(outcome.refused_fraction_between(case.from_ms, case.until_ms));
+            }
+        }
+        let mean = refused.iter().sum::<f64>() / refused.len() as f64;
+        assert!(
+            mean <= case.max_refused,
+            "{}: refused {refused:?}",
+            case.name
+        );
+    }
+}
+
 #[test]
 fn a_slow_owner_still_grants() {
     // Failure: a response that comes after its request counts as lost is dropped, and so is the next.
--- a/src/entry/quota/tests/world.rs
+++ b/src/entry/quota/tests/world.rs
@@ -132,7 +132,13 @@
 
     /// Returns the part of requests refused from `from_ms` on.
     pub fn refused_fraction(&self, from_ms: u64) -> f64 {
-        let count = |times: &[u64]| times.iter().filter(|at| **at >= from_ms).count() as f64;
+        self.refused_fraction_between(from_ms, u64::MAX)
+    }
+
+    /// Returns the part of requests refused in a period.
+    pub fn refused_fraction_between(&self, from_ms: u64, until_ms: u64) -> f64 {
+        let period = from_ms..until_ms;
+        let count = |times: &[u64]| times.iter().filter(|at| period.contains(at)).count() as f64;
         count(&self.refused) / (count(&self.refused) + count(&self.admitted)).max(1.0)
     }
 }
