Limits: gateways borrow tokens of each other's fallback shares

Cause: while VMs can't reach the owner of a limit, its callers come to a few of the gateways (the first of each zone by the workspace's hash), and the shares of the others are unspent. Change: a holder whose share is used up asks another gateway in contact, the one available for longest, for the tokens that its waiting requests need; that one deducts them from its own share first (new messages LoanRequest and Loan, at the end of their enum). A gateway without requests of its own first finds out whether it reaches the owner, and takes no token for that. The bound is the one of gateways that all use their own shares. limit_exhausted tells the tokens borrowed, and the metric currantlb.entry.tokens has the kind "borrowed".

--- a/src/entry/datagram.rs
+++ b/src/entry/datagram.rs
@@ -134,6 +134,20 @@
         /// Lease of the registration.
         lease: u64,
     },
+    /// Requests tokens of the receiver's fallback shares, while the owners are unreachable.
+    LoanRequest {
+        /// Number of the request.
+        nonce: u64,
+        /// Requested tokens by workspace.
+        asks: Vec<LoanAsk>,
+    },
+    /// Responds to a `LoanRequest`.
+    Loan {
+        /// Number of the request.
+        nonce: u64,
+        /// Responses, in the order of the request.
+        loans: Vec<Loan>,
+    },
 }
 
 /// What a gateway's status tells about limits.
@@ -186,6 +200,24 @@
     pub share_per_s: f32,
 }
 
+/// Request for tokens of a fallback share.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoanAsk {
+    /// Workspace whose tokens are requested.
+    pub workspace: WorkspaceName,
+    /// Tokens that are needed at once.
+    pub wanted: u32,
+}
+
+/// Response to a [`LoanAsk`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loan {
+    /// Tokens, which the sender has already deducted from its share.
+    pub tokens: u32,
+    /// Time in milliseconds after which the sender may have another token.
+    pub wait_ms: u32,
+}
+
 /// Buckets that a former owner hands over.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HandOver {
--- a/src/entry/limiter.rs
+++ b/src/entry/limiter.rs
@@ -12,7 +12,7 @@
 
 use super::catalog::Workspace;
 use super::clock;
-use super::datagram::{Datagram, HandOver, LimitMessage, LimitStatus, TokenAsk};
+use super::datagram::{Datagram, HandOver, LimitMessage, LimitStatus, LoanAsk, TokenAsk};
 use super::node::Node;
 use super::peers;
 use super::quota::holding::{Arrival, Decision};
@@ -135,6 +135,10 @@
         LimitMessage::HandOver(hand_over) => {
             with_quota(node, |quota, now| quota.receive_hand_over(hand_over, now));
         }
+        LimitMessage::LoanRequest { nonce, asks } => return lend(node, nonce, &asks, from),
+        LimitMessage::Loan { nonce, loans } => {
+            with_quota(node, |quota, now| quota.receive_loans(nonce, &loans, now));
+        }
         LimitMessage::LeaseQuery { lease } => return answer_query(node, lease, from),
         LimitMessage::LeaseEnded { vm, lease } => {
             with_quota(node, |quota, now| quota.record_ended(&vm, lease, now));
@@ -176,6 +180,19 @@
     }
 }
 
+/// Lends tokens of this VM's fallback shares to another gateway.
+fn lend(node: &Node, nonce: u64, asks: &[LoanAsk], from: SocketAddr) {
+    let loans = with_state(node, |state, now| {
+        let unknown = Workspaces::new();
+        let catalog = state.catalog.as_ref();
+        let workspaces = catalog.map_or(&unknown, |catalog| &catalog.workspaces);
+        state.quota.lend(asks, workspaces, now)
+    });
+    let loan = LimitMessage::Loan { nonce, loans };
+    node.outbox.send(from, Datagram::Limit(loan));
+    node.limiter.wake.notify_one();
+}
+
 /// Takes over the configuration, the list of gateways and the validity of the registration.
 fn update(node: &Node) {
     let (hand_overs, is_changed) = with_state(node, |state, now| {
@@ -220,10 +237,16 @@
 
 /// Requests tokens where they are needed, and decides on waiting requests.
 fn advance(node: &Node) {
-    let (outgoing, settled) = with_quota(node, |quota, now| {
+    let (outgoing, loans, settled) = with_quota(node, |quota, now| {
         let outgoing = quota.requests(now);
-        (outgoing, quota.settle(now))
+        let settled = quota.settle(now);
+        (outgoing, quota.loan_requests(now), settled)
     });
+    for request in loans {
+        let (nonce, asks) = (request.nonce, request.asks);
+        let message = LimitMessage::LoanRequest { nonce, asks };
+        node.outbox.send(request.to, Datagram::Limit(message));
+    }
     for request in outgoing {
         let (nonce, asks) = (request.nonce, request.asks);
         let message = LimitMessage::Request { nonce, asks };
@@ -268,9 +291,10 @@
     for (workspace, usage) in usages {
         log::info!(
             "event=limit_exhausted workspace={workspace} admitted={} admitted_by_fallback={} \
-             refused={} expired={:.0}",
+             borrowed={} refused={} expired={:.0}",
             usage.admitted,
             usage.admitted_by_fallback,
+            usage.borrowed,
             usage.refused,
             usage.expired
         );
--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -9,6 +9,8 @@
 pub mod fallback;
 pub mod holding;
 pub mod ledger;
+pub mod lenders;
+pub mod lending;
 pub mod ownership;
 pub mod places;
 pub mod queue;
@@ -69,6 +71,8 @@
     pub handed_over: usize,
     /// Workspaces whose fallback share came into use.
     pub fallbacks_started: usize,
+    /// Tokens borrowed from the fallback shares of other gateways.
+    pub tokens_borrowed: u64,
 }
 
 /// Limits of all workspaces at one VM, as their owner and as a holder.
--- a/src/entry/quota/fallback.rs
+++ b/src/entry/quota/fallback.rs
@@ -88,6 +88,11 @@
         self.tokens -= 1.0;
         true
     }
+
+    /// Deducts available tokens that another gateway spends.
+    pub fn lend(&mut self, tokens: f64) {
+        self.tokens -= tokens.min(self.tokens);
+    }
 }
 
 /// Returns how many seconds of rate fallback shares may have spent before an owner noticed them and
--- a/src/entry/quota/holding.rs
+++ b/src/entry/quota/holding.rs
@@ -5,9 +5,10 @@
 
 use super::fallback::FallbackBucket;
 use super::ledger::{Ask, Limit, PROMPT_TOKEN_TTL, TOKEN_TTL};
+use super::lenders::Lenders;
 use super::places::{Place, Places};
 use super::queue::{Queue, Ticket, Waiter};
-use crate::entry::datagram::TokenAnswer;
+use crate::entry::datagram::{Loan, TokenAnswer};
 use crate::name::VmName;
 use crate::time::Timestamp;
 
@@ -53,6 +54,10 @@
 /// Slack of the expected time of a token before a waiting request is refused early.
 const EXPECTATION_SLACK: Duration = Duration::from_millis(20);
 
+/// Bounds of the time after which a gateway that borrows tokens may ask again.
+const MIN_LOAN_WAIT: Duration = Duration::from_millis(20);
+const MAX_LOAN_WAIT: Duration = Duration::from_secs(1);
+
 const EPSILON: f64 = 1e-6;
 
 /// Request for one token.
@@ -75,6 +80,8 @@
     pub admitted: u32,
     /// Requests admitted with tokens of the fallback share.
     pub admitted_by_fallback: u32,
+    /// Tokens borrowed from the fallback shares of other gateways.
+    pub borrowed: u32,
     /// Requests refused.
     pub refused: u32,
     /// Granted tokens that expired unspent.
@@ -129,6 +136,7 @@
     /// Rate of tokens that this VM can expect while the owner has too few; `None` otherwise.
     share_per_s: Option<f64>,
     fallback: Option<FallbackBucket>,
+    lenders: Lenders,
     queue: Queue,
     places: Places,
     usage: Usage,
@@ -153,6 +161,7 @@
             unmet: 0,
             share_per_s: None,
             fallback: None,
+            lenders: Lenders::default(),
             queue: Queue::default(),
             places: Places::default(),
             usage: Usage::default(),
@@ -239,7 +248,7 @@
             return;
         }
         let spare = self.spare(now);
-        let share_per_s = self.expected_rate();
+        let share_per_s = self.expected_rate(now);
         let late = self.queue.drain_late(|position, waiter| {
             let missing = (position as f64 + 1.0 - spare).max(0.0);
             let expected = share_per_s.map(|share| now + duration(missing / share));
@@ -302,7 +311,7 @@
         Ask {
             nonce,
             held: held.ceil(),
-            wanted: wanted.max(1.0).floor(),
+            wanted: wanted.floor(),
             is_prompt,
         }
     }
@@ -380,6 +389,57 @@
         is_started
     }
 
+    /// Returns the number of tokens to borrow from other gateways.
+    pub fn wanted_loan(&mut self, now: Timestamp) -> u32 {
+        if self.fallback.is_none() {
+            return 0;
+        }
+        let missing = self.queue.len() as f64 - self.tokens(now).floor();
+        missing.max(0.0) as u32
+    }
+
+    /// Returns the gateways from which tokens are borrowed.
+    pub const fn lenders(&mut self) -> &mut Lenders {
+        &mut self.lenders
+    }
+
+    /// Accepts the response of a gateway that was asked for a loan.
+    pub fn receive_loan(&mut self, nonce: u64, loan: Loan, now: Timestamp) {
+        let request = self.lenders.receive(nonce, loan, now);
+        let Some((sent_at, owner)) = request.filter(|_| loan.tokens > 0) else {
+            return;
+        };
+        self.usage.borrowed += loan.tokens;
+        self.lots.push_back(Lot {
+            owner,
+            tokens: f64::from(loan.tokens),
+            until: sent_at + PROMPT_TOKEN_TTL,
+        });
+    }
+
+    /// Lends tokens of the fallback share that no request waits for here. Without a share in use, the
+    /// owner is asked whether it is reachable.
+    pub fn lend(&mut self, wanted: u32, now: Timestamp) -> Loan {
+        self.arrived_at = now;
+        self.without_grant_since.get_or_insert(now);
+        let reserved = self.queue.len() as f64 + self.places.expected_until(now);
+        let Some(fallback) = &mut self.fallback else {
+            return Loan {
+                tokens: 0,
+                wait_ms: UNREACHABLE_AFTER.as_millis() as u32,
+            };
+        };
+        let spare = (fallback.tokens(now) - reserved).max(0.0).floor();
+        let lent = spare.min(f64::from(wanted));
+        fallback.lend(lent);
+        let missing = 1.0 - (fallback.tokens(now) - reserved);
+        let wait = duration(missing / fallback.rate_per_s().max(EPSILON));
+        Loan {
+            tokens: lent as u32,
+            wait_ms: wait.clamp(MIN_LOAN_WAIT, MAX_LOAN_WAIT).as_millis() as u32,
+        }
+    }
+
     /// Returns whether something is to be done without a further request or response.
     pub fn is_active(&self) -> bool {
         let is_asking = self.in_flight.is_some() || self.without_grant_since.is_some();
@@ -448,9 +508,9 @@
 
     /// Returns whether the request's token is expected within the time that it may wait.
     fn expects_token(&mut self, arrival: Arrival, now: Timestamp) -> bool {
-        let Some(share_per_s) = self.expected_rate() else {
+        let Some(share_per_s) = self.expected_rate(now) else {
             // Either a grant is on its way, or nobody has granted anything yet.
-            return !self.is_without_owner(now);
+            return !self.is_without_owner(now) || self.lenders.may_lend(now);
         };
         let ahead = self.queue.ahead_of(arrival.priority) as f64;
         let booked = self.places.expected_until(now + arrival.max_wait);
@@ -459,18 +519,21 @@
     }
 
     /// Returns the rate at which tokens arrive while there are too few; `None` if that isn't known.
-    fn expected_rate(&self) -> Option<f64> {
-        let fallback = self.fallback.as_ref();
-        fallback
-            .map(FallbackBucket::rate_per_s)
-            .or(self.share_per_s)
+    fn expected_rate(&self, now: Timestamp) -> Option<f64> {
+        let Some(fallback) = &self.fallback else {
+            return self.share_per_s;
+        };
+        if self.lenders.may_lend(now) {
+            return None;
+        }
+        Some(fallback.rate_per_s() * (1 + self.lenders.active(now)) as f64)
     }
 
     /// Returns the retry delay of a request whose caller gives up at a time.
     fn book(&mut self, request: u64, gives_up_at: Timestamp, now: Timestamp) -> Duration {
         self.unmet += 1;
         self.usage.refused += 1;
-        let rate_per_s = self.expected_rate().unwrap_or(self.limit.rate_per_s);
+        let rate_per_s = self.expected_rate(now).unwrap_or(self.limit.rate_per_s);
         let spacing = duration(1.0 / rate_per_s.max(EPSILON));
         let ahead = u32::try_from(self.queue.len() + 1).unwrap_or(u32::MAX);
         let mut earliest = now + spacing.saturating_mul(ahead);
--- a/src/entry/quota/ownership.rs
+++ b/src/entry/quota/ownership.rs
@@ -215,6 +215,12 @@
             .filter(|vm| **vm != self.own)
     }
 
+    /// Returns the gateways beside this VM that haven't said goodbye, with their addresses.
+    pub fn others_with_address(&self) -> impl Iterator<Item = (&VmName, SocketAddr)> {
+        let others = self.remaining().filter(|(vm, _)| **vm != self.own);
+        others.map(|(vm, record)| (vm, record.peer_address))
+    }
+
     /// Returns the registrations, with their addresses, that must be known to have ended, or to have
     /// seen that of this VM, before this VM is established.
     pub fn unconfirmed(&self) -> Vec<(SocketAddr, u64)> {
--- a/src/entry/quota/tests.rs
+++ b/src/entry/quota/tests.rs
@@ -291,6 +291,17 @@
 }
 
 const UNEVEN_FAILURES: &[UnevenFailure] = &[
+    // Failure: callers come to two gateways on each side of a cut, and the fallback shares of the others
+    // were left unspent.
+    UnevenFailure {
+        name: "the fleet is cut in two, and callers come to four of eight gateways",
+        rate_per_s: 16.0,
+        demand_per_s: &[3.0, 0.0, 3.0, 0.0, 0.0, 3.0, 0.0, 3.0],
+        changes: &[(2_000, CutPeers(4)), (12_000, Heal)],
+        from_ms: 4_000,
+        until_ms: 12_000,
+        max_refused: 0.15,
+    },
     // Failure: the one gateway that lost contact to the owner but not the store shared the limit with two
     // gateways instead of six, and the fleet exceeded it.
     UnevenFailure {
--- a/src/entry/quota/tests/world.rs
+++ b/src/entry/quota/tests/world.rs
@@ -10,7 +10,7 @@
 use slotmap::SlotMap;
 
 use crate::entry::catalog::Workspace;
-use crate::entry::datagram::{HandOver, LimitStatus, TokenAnswer, TokenAsk};
+use crate::entry::datagram::{HandOver, LimitStatus, Loan, LoanAsk, TokenAnswer, TokenAsk};
 use crate::entry::quota::holding::{Arrival, Decision};
 use crate::entry::quota::queue::Ticket;
 use crate::entry::quota::{FleetView, Quota, Workspaces};
@@ -51,6 +51,8 @@
     Ask(SocketAddr, u64, Vec<TokenAsk>),
     Answer(u64, Vec<TokenAnswer>),
     HandOver(HandOver),
+    LoanAsk(SocketAddr, u64, Vec<LoanAsk>),
+    Loan(u64, Vec<Loan>),
 }
 
 struct Vm {
@@ -387,6 +389,13 @@
             Message::Status(from, status) => vm.quota.receive_status(&from, status, now),
             Message::Answer(nonce, answers) => vm.quota.receive(nonce, &answers, now),
             Message::HandOver(hand_over) => vm.quota.receive_hand_over(hand_over, now),
+            Message::Loan(nonce, loans) => vm.quota.receive_loans(nonce, &loans, now),
+            Message::LoanAsk(from, nonce, asks) => {
+                let workspaces = workspaces(self.setup, vm.limit_factor);
+                let loans = vm.quota.lend(&asks, &workspaces, now);
+                let loan = Message::Loan(nonce, loans);
+                self.send(to, from.port().into(), &loan);
+            }
             Message::Ask(from, nonce, asks) => {
                 if let Some(answers) = vm.quota.grant(from, nonce, &asks, now) {
                     let answer = Message::Answer(nonce, answers);
@@ -428,6 +437,7 @@
         };
         let outgoing = vm.quota.requests(now);
         let settled = vm.quota.settle(now);
+        let loans = vm.quota.loan_requests(now);
         let status = vm.quota.status();
         let decided: Vec<_> = settled
             .into_iter()
@@ -438,6 +448,10 @@
             let ask = Message::Ask(address(index), request.nonce, request.asks);
             self.send(index, request.to.port().into(), &ask);
         }
+        for request in loans {
+            let ask = Message::LoanAsk(address(index), request.nonce, request.asks);
+            self.send(index, request.to.port().into(), &ask);
+        }
         if (self.now_ms + 35 * index as u64) % 250 < STEP_MS
             && let Some(status) = status
         {
--- a/src/telemetry/limit_metrics.rs
+++ b/src/telemetry/limit_metrics.rs
@@ -25,7 +25,7 @@
             tokens: counter(
                 meter,
                 "currantlb.entry.tokens",
-                "Tokens of limits requested from and granted to other gateways",
+                "Tokens of limits requested from, granted to and borrowed from other gateways",
             ),
             owners: counter(
                 meter,
@@ -59,6 +59,7 @@
         let kinds = [
             (&self.tokens, "requested", counts.tokens_requested),
             (&self.tokens, "granted", counts.tokens_granted),
+            (&self.tokens, "borrowed", counts.tokens_borrowed),
             (&self.owners, "inherited", counts.inherited as u64),
             (&self.owners, "started", counts.started as u64),
             (&self.owners, "handed_over", counts.handed_over as u64),
