--- a/src/entry/datagram.rs
+++ b/src/entry/datagram.rs
@@ -1,4 +1,8 @@
 //! Datagrams between VMs, and the queue of those to be sent.
+//!
+//! VMs of several versions run side by side. Datagrams are encoded by position, so a new message is a new
+//! variant at the end, which earlier versions skip. [`encode`] and [`decode`] bridge the one layout that
+//! was changed in another way.
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -13,6 +17,16 @@
 /// Largest datagram: fits one packet on common links, with room for the headers of tunnels.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
 
+/// Result of encoding or decoding a datagram.
+pub type Result<T, E = postcard::Error> = std::result::Result<T, E>;
+
+/// Position of [`Datagram::Status`] among the variants.
+const STATUS_VARIANT: u8 = 11;
+
+/// Appended to the status of a gateway that reaches all owners and doesn't stop, so that the version with
+/// [`FormerLimitStatus`] reads it as such.
+const FORMER_STATUS_PADDING: [u8; 2] = [0, 0];
+
 /// Datagram between VMs. Encoded by position: the order of variants and fields must not change.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
@@ -164,6 +178,93 @@
     pub says_goodbye: bool,
 }
 
+/// [`LimitStatus`] as versions up to 0141e8f write it.
+#[derive(Debug, Clone, Copy, Deserialize)]
+struct FormerLimitStatus {
+    lease: u64,
+    gateways_digest: u32,
+    uses_fallback: bool,
+    unreachable_owners: u64,
+    _is_store_silent: bool,
+    says_goodbye: bool,
+}
+
+impl From<FormerLimitStatus> for LimitStatus {
+    fn from(former: FormerLimitStatus) -> Self {
+        let unreachable_owners = if former.uses_fallback {
+            u64::MAX
+        } else {
+            former.unreachable_owners
+        };
+        Self {
+            lease: former.lease,
+            gateways_digest: former.gateways_digest,
+            unreachable_owners,
+            says_goodbye: former.says_goodbye,
+        }
+    }
+}
+
+impl LimitStatus {
+    /// Returns whether both layouts mean the same when [`FORMER_STATUS_PADDING`] follows.
+    const fn is_readable_by_former(&self) -> bool {
+        self.unreachable_owners == 0 && !self.says_goodbye
+    }
+}
+
+/// Encodes a datagram.
+///
+/// # Errors
+///
+/// Fails if the datagram can't be serialized.
+pub fn encode(datagram: &Datagram) -> Result<Vec<u8>> {
+    let mut bytes = postcard::to_stdvec(datagram)?;
+    if let Datagram::Status { limits, .. } = datagram
+        && limits.is_readable_by_former()
+    {
+        bytes.extend(FORMER_STATUS_PADDING);
+    }
+    Ok(bytes)
+}
+
+/// Decodes a datagram of this or an earlier version.
+///
+/// # Errors
+///
+/// Fails for unknown variants and malformed bytes.
+pub fn decode(bytes: &[u8]) -> Result<Datagram> {
+    let decoded = postcard::take_from_bytes(bytes);
+    let is_status = bytes.first() == Some(&STATUS_VARIANT);
+    match decoded {
+        Ok((datagram, _)) if !is_status => Ok(datagram),
+        Ok((datagram, [])) => Ok(datagram),
+        Ok((Datagram::Status { limits, .. }, rest))
+            if rest == FORMER_STATUS_PADDING && limits.is_readable_by_former() =>
+        {
+            postcard::from_bytes(bytes)
+        }
+        Err(error) if !is_status => Err(error),
+        _ => decode_former_status(&bytes[1..]),
+    }
+}
+
+/// Decodes the fields of a status whose limits have the former layout.
+fn decode_former_status(fields: &[u8]) -> Result<Datagram> {
+    type Fields = (VmName, u64, u64, u64, FormerLimitStatus);
+    let (fields, rest): (Fields, _) = postcard::take_from_bytes(fields)?;
+    if !rest.is_empty() {
+        return Err(postcard::Error::DeserializeBadEncoding);
+    }
+    let (vm, version, shared_change, directory_change, limits) = fields;
+    Ok(Datagram::Status {
+        vm,
+        version,
+        shared_change,
+        directory_change,
+        limits: limits.into(),
+    })
+}
+
 /// Request for tokens of one workspace.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TokenAsk {
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -11,7 +11,7 @@
 
 use super::clock;
 use super::confirmation_tracker::Replacement;
-use super::datagram::{Datagram, MAX_DATAGRAM_BYTES, RecordUpdate};
+use super::datagram::{self, Datagram, MAX_DATAGRAM_BYTES, RecordUpdate};
 use super::fetch;
 use super::gateways;
 use super::limiter;
@@ -149,7 +149,7 @@
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         loop {
             match self.socket.recv_from(&mut buffer).await {
-                Ok((length, from)) => match postcard::from_bytes(&buffer[..length]) {
+                Ok((length, from)) => match datagram::decode(&buffer[..length]) {
                     Ok(datagram) => self.handle(datagram, from),
                     Err(error) => {
                         log::debug!("event=datagram_decoding_failed from={from} error=\"{error}\"");
@@ -403,7 +403,7 @@
     pub async fn send_queued(self: Rc<Self>) {
         loop {
             let (to, datagram) = self.node.outbox.next().await;
-            match postcard::to_stdvec(&datagram) {
+            match datagram::encode(&datagram) {
                 Ok(bytes) => {
                     if let Err(error) = self.socket.send_to(&bytes, to).await {
                         log::debug!("event=datagram_send_failed to={to} error=\"{error}\"");
--- a/tests/decoders.rs
+++ b/tests/decoders.rs
@@ -9,7 +9,7 @@
 use currantlb::configuration::{Revision, Timeline};
 use currantlb::entry::catalog::{Consistency, Route};
 use currantlb::entry::channel::{Channel, PeerRequest, PeerResponse};
-use currantlb::entry::datagram::{Datagram, RecordUpdate};
+use currantlb::entry::datagram::{self, Datagram, LimitMessage, Loan, LoanAsk, RecordUpdate};
 use currantlb::entry::encoded::EncodedConfiguration;
 use currantlb::entry::position::Position;
 use currantlb::entry::record::{
@@ -75,6 +75,20 @@
             version: 7,
             records: vec![update],
         },
+        Datagram::Limit(LimitMessage::LoanRequest {
+            nonce: 9,
+            asks: vec![LoanAsk {
+                workspace: "council".into(),
+                wanted: 2,
+            }],
+        }),
+        Datagram::Limit(LimitMessage::Loan {
+            nonce: 9,
+            loans: vec![Loan {
+                tokens: 1,
+                wait_ms: 300,
+            }],
+        }),
     ]
 }
 
@@ -154,7 +168,7 @@
 fn malformed_datagrams_and_records_are_rejected() {
     let datagrams = datagrams()
         .iter()
-        .map(|datagram| postcard::to_stdvec(datagram).unwrap())
+        .map(|datagram| datagram::encode(datagram).unwrap())
         .collect();
     let compressed = EncodedConfiguration::compress(Revision(9), &b"route ".repeat(50));
     let compressed = vec![postcard::to_stdvec(&compressed).unwrap()];
@@ -163,9 +177,7 @@
         lease: 7,
     };
     run_all(&[
-        Decoder::of_whole("datagram", datagrams, |bytes| {
-            postcard::from_bytes::<Datagram>(bytes)
-        }),
+        Decoder::of_whole("datagram", datagrams, datagram::decode),
         Decoder::of_whole("compressed configuration", compressed, |bytes| {
             let encoded: EncodedConfiguration =
                 postcard::from_bytes(bytes).map_err(|error| error.to_string())?;
