--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -69,33 +69,16 @@
 }
 
 fn datagrams() -> Vec<(&'static str, Datagram)> {
+    [control_datagrams(), status_datagrams(), limit_datagrams()].concat()
+}
+
+/// Datagrams about configurations, records, replacements and subleases.
+fn control_datagrams() -> Vec<(&'static str, Datagram)> {
     let update = RecordUpdate {
         database: "db".into(),
         record: record(),
         revision: 9,
     };
-    let ask = TokenAsk {
-        workspace: "council".into(),
-        held: 1,
-        wanted: 300,
-        is_prompt: true,
-    };
-    let rest = Some(Rest {
-        wait_ms: 40,
-        share_per_s: 2.5,
-    });
-    let hand_over = HandOver {
-        vm: "vm-1".into(),
-        lease: 7,
-        to_lease: 8,
-        nonce: 9,
-        is_leaving: true,
-        buckets: vec![HandedBucket {
-            workspace: "council".into(),
-            tokens: 1.5,
-            outstanding: 2.0,
-        }],
-    };
     vec![
         ("version_request", Datagram::VersionRequest { version: 7 }),
         (
@@ -138,10 +121,42 @@
                 zones: vec![("a".into(), 1_500)],
             },
         ),
+    ]
+}
+
+fn status_datagrams() -> Vec<(&'static str, Datagram)> {
+    vec![
         ("status_at_rest", status(0, false)),
         ("status_that_stops", status(0, true)),
         ("status_without_owner_0", status(1, false)),
         ("status_without_owner_33", status(1 << 33, false)),
+    ]
+}
+
+fn limit_datagrams() -> Vec<(&'static str, Datagram)> {
+    let ask = TokenAsk {
+        workspace: "council".into(),
+        held: 1,
+        wanted: 300,
+        is_prompt: true,
+    };
+    let rest = Some(Rest {
+        wait_ms: 40,
+        share_per_s: 2.5,
+    });
+    let hand_over = HandOver {
+        vm: "vm-1".into(),
+        lease: 7,
+        to_lease: 8,
+        nonce: 9,
+        is_leaving: true,
+        buckets: vec![HandedBucket {
+            workspace: "council".into(),
+            tokens: 1.5,
+            outstanding: 2.0,
+        }],
+    };
+    vec![
         (
             "token_request",
             Datagram::Limit(LimitMessage::Request {
