--- a/src/entry/quota/holding/loans.rs
+++ b/src/entry/quota/holding/loans.rs
@@ -33,7 +33,7 @@
         let Some((sent_at, owner)) = request.filter(|_| loan.tokens > 0) else {
             return;
         };
-        self.usage.borrowed += loan.tokens;
+        self.usage.borrowed = self.usage.borrowed.saturating_add(loan.tokens);
         self.lots.push_back(Lot {
             owner,
             tokens: f64::from(loan.tokens),
