Limits: a gateway that reaches the owner of a limit is asked for loans once a second

Cause, by reading: a gateway that isn't in need of a fallback share answered a loan request with 60 ms, and each such request made it ask the owner, also if the owner had just responded. Where one VM alone can't reach an owner, that is 16 requests a second to every other gateway and as many to the owner, for each workspace. Change: an owner that responded within the last second counts as reachable; the response names a second.

--- a/src/entry/quota/holding.rs
+++ b/src/entry/quota/holding.rs
@@ -128,6 +128,8 @@
     /// Rank of the gateway that is asked; above 0 while those before it aren't the owner.
     rank: usize,
     without_grant_since: Option<Timestamp>,
+    /// Time of the last response of the owner.
+    granted_at: Timestamp,
     is_owner_silent: bool,
     /// Requests refused since the last grant; their retries need tokens.
     unmet: u32,
@@ -155,6 +157,7 @@
             response_timeout: MIN_RESPONSE_TIMEOUT,
             rank: 0,
             without_grant_since: None,
+            granted_at: Timestamp::ZERO,
             is_owner_silent: false,
             unmet: 0,
             share_per_s: None,
@@ -331,6 +334,7 @@
             return 0;
         };
         self.without_grant_since = None;
+        self.granted_at = now;
         self.response_timeout = (self.response_timeout / 2).max(MIN_RESPONSE_TIMEOUT);
         self.fallback = None;
         if tokens > 0 {
--- a/src/entry/quota/holding/loans.rs
+++ b/src/entry/quota/holding/loans.rs
@@ -12,6 +12,9 @@
 const MIN_LOAN_WAIT: Duration = Duration::from_millis(20);
 const MAX_LOAN_WAIT: Duration = Duration::from_secs(1);
 
+/// Time for which an owner that has responded counts as reachable.
+const REACHABLE_RETENTION: Duration = Duration::from_secs(1);
+
 impl Holding {
     /// Returns the number of tokens to borrow from other gateways.
     pub fn wanted_loan(&mut self, now: Timestamp) -> u32 {
@@ -44,6 +47,12 @@
     /// Lends tokens of the fallback share that no request waits for here. Without a share in use, the
     /// owner is asked whether it is reachable.
     pub fn lend(&mut self, wanted: u32, now: Timestamp) -> Loan {
+        if self.fallback.is_none() && now.since(self.granted_at) < REACHABLE_RETENTION {
+            return Loan {
+                tokens: 0,
+                wait_ms: REACHABLE_RETENTION.as_millis() as u32,
+            };
+        }
         self.arrived_at = now;
         self.without_grant_since.get_or_insert(now);
         let reserved = self.queue.len() as f64 + self.places.expected_until(now);
@@ -64,3 +73,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
