Limits: a VM whose registration has ended doesn't count itself twice

Cause, by reading the diff: a VM that leaves the list of gateways recorded itself as one that had left, beside counting itself, and divided limits by one gateway too many until it registered again. Change: a VM doesn't record its own leaving. The test counts the gateways before and after (added with the fix; not run on the former code).

--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -253,7 +253,8 @@
         }
         self.must_reassign |= change.is_some() || view.version != self.version;
         self.version = view.version;
-        for (vm, said_goodbye) in change.iter().flat_map(|change| &change.left) {
+        let left = change.iter().flat_map(|change| &change.left);
+        for (vm, said_goodbye) in left.filter(|(vm, _)| *vm != self.own) {
             self.fallback.record_left(vm, *said_goodbye, now);
         }
         for vm in change.iter().flat_map(|change| &change.joined) {
--- a/src/entry/quota/fallback.rs
+++ b/src/entry/quota/fallback.rs
@@ -36,8 +36,8 @@
 /// Time for which a gateway may use its fallback after its registration stopped being certain.
 const MAX_UNCERTAIN: Duration = Duration::from_secs(10);
 
-/// Returns the share of a limit that each of `gateways` ([`FallbackUse::sharers`]) may use without the owner, if all of them
-/// may use the part `factor`.
+/// Returns the share of a limit that each of `gateways` ([`FallbackUse::sharers`]) may use without the
+/// owner, if all of them may use the part `factor`.
 pub fn share(limit: Limit, factor: f64, gateways: usize) -> Limit {
     limit.scaled(factor / gateways.max(1) as f64)
 }
--- a/src/entry/quota/tests.rs
+++ b/src/entry/quota/tests.rs
@@ -329,6 +329,31 @@
     assert_ne!(decisions[2], Decision::Admitted);
 }
 
+/// Guards against a smaller fallback share of a VM that counted itself twice: as a gateway, and as one
+/// that had left the list.
+#[test]
+fn a_vm_whose_registration_ended_is_one_of_those_that_share_a_limit() {
+    let workspaces = Workspaces::new();
+    let record = |index: usize| VmRecord {
+        lease: 1 + index as u64,
+        peer_address: world::address(index),
+        availability_zone: ZoneName::from("a"),
+        cpu_share: 1.0,
+    };
+    let mut quota = Quota::new(world::name(0), world::address(0), Duration::from_secs(5));
+    for (registered, at_s) in [(0..4, 100), (1..4, 101), (2..4, 102)] {
+        let gateways = registered.map(|index| (world::name(index), record(index)));
+        let view = FleetView {
+            workspaces: &workspaces,
+            version: 1,
+            gateways: &gateways.collect(),
+            own_lease: Some(1),
+        };
+        quota.update(view, Timestamp::from_millis(at_s * 1_000));
+        assert_eq!(quota.fallback_sharers, 4, "at {at_s} s");
+    }
+}
+
 /// Prints the time of a decision; run by hand, in release mode:
 /// `cargo test --release --lib decision_time -- --ignored --nocapture`.
 #[test]
