Review: a promotion call that was held up arrives after that of the next holder

Cause: a promotion call that is given up closes its connection without a reset, so that what a partition holds up is still delivered. Nothing is fixed.

--- /dev/null
+++ b/review/standin/consumers.rs
@@ -0,0 +1,116 @@
+//! Consumers: sessions that read and write one after the other, and reconnect after a close.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::record::Record;
+
+/// Host of the route and key of the tenant.
+pub const HOST: &str = "orders";
+pub const KEY: &str = "u6wsjnbanfqasnmgkcuy";
+
+/// Time after which a consumer gives up an operation.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// Pause of a session between two operations.
+const PAUSE: Duration = Duration::from_millis(60);
+
+pub struct Consumers {
+    record: Arc<Record>,
+    served: AtomicU64,
+    next: AtomicU64,
+}
+
+impl Consumers {
+    pub fn new(record: Arc<Record>) -> Arc<Self> {
+        Arc::new(Self {
+            record,
+            served: AtomicU64::new(0),
+            next: AtomicU64::new(0),
+        })
+    }
+
+    /// Opens sessions at a VM that go on until the process ends.
+    pub fn start(self: &Arc<Self>, vm: &str, address: SocketAddr, sessions: usize) {
+        for _ in 0..sessions {
+            let (consumers, vm) = (Arc::clone(self), vm.to_owned());
+            thread::spawn(move || {
+                loop {
+                    let _ = consumers.session(&vm, address);
+                    thread::sleep(Duration::from_millis(100));
+                }
+            });
+        }
+    }
+
+    /// Waits until more operations have succeeded.
+    pub fn await_served(&self, more: u64, within: Duration) -> Result<(), String> {
+        let wanted = self.served.load(Ordering::SeqCst) + more;
+        let end = Instant::now() + within;
+        while Instant::now() < end {
+            if self.served.load(Ordering::SeqCst) >= wanted {
+                return Ok(());
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        Err("the consumers aren't served".to_owned())
+    }
+
+    fn session(&self, vm: &str, address: SocketAddr) -> Option<()> {
+        let mut stream = TcpStream::connect_timeout(&address, PATIENCE).ok()?;
+        stream.set_nodelay(true).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).ok()?;
+        let mut reader = BufReader::new(stream.try_clone().ok()?);
+        stream
+            .write_all(format!("START {HOST} {KEY}\r\n").as_bytes())
+            .ok()?;
+        let mut line = String::new();
+        reader.read_line(&mut line).ok()?;
+        if !line.starts_with("READY") {
+            return None;
+        }
+        loop {
+            let number = self.next.fetch_add(1, Ordering::SeqCst);
+            let id = format!("{number:08x}");
+            let text = if number % 2 == 0 {
+                format!("WRITE 1a4 data{number}")
+            } else {
+                "READ 1a4".to_owned()
+            };
+            self.record.note(format!("consumer at {vm}: {id} {text}"));
+            stream
+                .write_all(format!("QUERY {id} {text}\r\n").as_bytes())
+                .ok()?;
+            let answer = self.answer(&mut reader);
+            let shown = answer.as_deref().unwrap_or("no answer");
+            self.record
+                .note(format!("consumer at {vm}: {id} <- {shown}"));
+            if answer?.starts_with("DONE") {
+                self.served.fetch_add(1, Ordering::SeqCst);
+            }
+            thread::sleep(PAUSE);
+        }
+    }
+
+    /// Returns the line of the answer that says how the statement ended.
+    fn answer(&self, reader: &mut BufReader<TcpStream>) -> Option<String> {
+        let mut outcome = None;
+        loop {
+            let mut line = String::new();
+            if reader.read_line(&mut line).ok()? == 0 {
+                return None;
+            }
+            let line = line.trim_end();
+            if line.starts_with("READY") {
+                return outcome;
+            }
+            if !line.starts_with("ROW") {
+                outcome = Some(line.to_owned());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/review/standin/database.rs
@@ -0,0 +1,510 @@
+//! One database of several instances: a primary and its replicas, with `sync-replicas` 1.
+
+use std::collections::{BTreeMap, HashMap};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crate::platform::Store;
+use crate::record::Record;
+
+/// Name of the service.
+pub const SERVICE: &str = "db";
+
+/// Interval at which instances write to the store.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+/// Time from the promotion call until the instance leads.
+const PROMOTE_TIME: Duration = Duration::from_millis(600);
+
+/// Time after which an old primary that still leads follows the new one, which it can reach.
+const OLD_PRIMARY_TIME: Duration = Duration::from_secs(1);
+
+/// Time that a read or a write takes.
+const WORK_TIME: Duration = Duration::from_millis(4);
+
+/// Interval at which replicas receive commits.
+const REPLICATION_INTERVAL: Duration = Duration::from_millis(1);
+
+/// Longest wait of a commit for a replica.
+const COMMIT_TIMEOUT: Duration = Duration::from_secs(10);
+
+struct Instance {
+    address: SocketAddr,
+    born_ms: u128,
+    seq: u64,
+    is_alive: bool,
+    is_primary: bool,
+    term: u64,
+    /// Term of the `PAUSE` that holds the instance; 0 if none does.
+    held: u64,
+    /// Identifiers of the committed statements.
+    log: Vec<String>,
+    streams: Vec<TcpStream>,
+    crashed_at: Option<Instant>,
+}
+
+pub struct Database {
+    instances: Mutex<BTreeMap<String, Instance>>,
+    /// Commits that were acknowledged to a caller of an instance.
+    acknowledged: Mutex<Vec<String>>,
+    store: Mutex<Option<Arc<Store>>>,
+    record: Arc<Record>,
+}
+
+impl Database {
+    /// Starts the instances; the first one is the primary.
+    pub fn start(names: &[&str], record: Arc<Record>) -> Result<Arc<Self>, String> {
+        let database = Arc::new(Self {
+            instances: Mutex::default(),
+            acknowledged: Mutex::default(),
+            store: Mutex::new(None),
+            record,
+        });
+        for (index, name) in names.iter().enumerate() {
+            let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
+            let address = listener.local_addr().map_err(|error| error.to_string())?;
+            let instance = Instance {
+                address,
+                born_ms: now_ms(),
+                seq: 0,
+                is_alive: true,
+                is_primary: index == 0,
+                term: 1,
+                held: 0,
+                log: Vec::new(),
+                streams: Vec::new(),
+                crashed_at: None,
+            };
+            let mut instances = database.instances.lock().unwrap();
+            instances.insert((*name).to_owned(), instance);
+            drop(instances);
+            database.accept((*name).to_owned(), listener);
+        }
+        let replicating = Arc::clone(&database);
+        thread::spawn(move || {
+            loop {
+                thread::sleep(REPLICATION_INTERVAL);
+                replicating.replicate();
+            }
+        });
+        Ok(database)
+    }
+
+    /// Registers the instances in the store and keeps their entries.
+    pub fn register(self: &Arc<Self>, store: &Arc<Store>) {
+        *self.store.lock().unwrap() = Some(Arc::clone(store));
+        self.write_entries();
+        let database = Arc::clone(self);
+        thread::spawn(move || {
+            loop {
+                thread::sleep(HEARTBEAT);
+                database.write_entries();
+            }
+        });
+    }
+
+    /// Writes the entries of the instances that run, and removes those of the silent ones after
+    /// three intervals.
+    fn write_entries(&self) {
+        let Some(store) = self.store.lock().unwrap().clone() else {
+            return;
+        };
+        let mut instances = self.instances.lock().unwrap();
+        let zones = ["bagmati-a", "bagmati-b", "bagmati-c"];
+        for (index, (name, instance)) in instances.iter_mut().enumerate() {
+            let key = format!("servers/{name}");
+            if !instance.is_alive {
+                let is_silent = |at: &Instant| at.elapsed() >= 3 * HEARTBEAT;
+                if instance.crashed_at.as_ref().is_some_and(is_silent) {
+                    store.delete(&key);
+                }
+                continue;
+            }
+            instance.seq += 1;
+            let role = role(instance);
+            let value = format!(
+                r#"{{"service":"{SERVICE}","addr":"{}","zone":"{}","version":"v1","slots":2,"state":"ready","cold-left-ms":0,"db-role":"{role}","born":{},"seq":{}}}"#,
+                instance.address,
+                zones[index % zones.len()],
+                instance.born_ms,
+                instance.seq
+            );
+            store.put(&key, &value);
+        }
+    }
+
+    pub fn primary(&self) -> Option<String> {
+        let instances = self.instances.lock().unwrap();
+        let mut leading: Vec<_> = instances
+            .iter()
+            .filter(|(_, instance)| instance.is_alive && instance.is_primary)
+            .collect();
+        leading.sort_by_key(|(_, instance)| instance.term);
+        leading.last().map(|(name, _)| (*name).clone())
+    }
+
+    /// Crashes an instance: its connections break and its port refuses.
+    pub fn crash(&self, name: &str) {
+        self.record.note(format!("TROUBLE instance {name} crashes"));
+        let mut instances = self.instances.lock().unwrap();
+        let Some(instance) = instances.get_mut(name) else {
+            return;
+        };
+        instance.is_alive = false;
+        instance.crashed_at = Some(Instant::now());
+        for stream in instance.streams.drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Starts a crashed instance again with its log, as a replica if another one leads.
+    pub fn restart(self: &Arc<Self>, name: &str) -> Result<(), String> {
+        let mut instances = self.instances.lock().unwrap();
+        let newest = instances.values().map(|one| one.term).max().unwrap_or(1);
+        let instance = instances.get_mut(name).ok_or("no such instance")?;
+        instance.is_primary &= instance.term == newest;
+        instance.is_alive = true;
+        instance.held = 0;
+        instance.crashed_at = None;
+        instance.born_ms = now_ms();
+        instance.seq = 0;
+        let listener = TcpListener::bind(instance.address).map_err(|error| error.to_string())?;
+        drop(instances);
+        self.record.note(format!("instance {name} runs again"));
+        self.accept(name.to_owned(), listener);
+        self.write_entries();
+        Ok(())
+    }
+
+    /// Makes an instance the primary after a while, as the platform's call does. Returns whether
+    /// the instance runs.
+    pub fn promote(self: &Arc<Self>, name: &str) -> bool {
+        let instances = self.instances.lock().unwrap();
+        let newest = instances.values().map(|one| one.term).max().unwrap_or(1);
+        let Some(instance) = instances.get(name).filter(|one| one.is_alive) else {
+            return false;
+        };
+        if instance.is_primary && instance.term == newest {
+            return true;
+        }
+        drop(instances);
+        let (database, name) = (Arc::clone(self), name.to_owned());
+        thread::spawn(move || {
+            thread::sleep(PROMOTE_TIME);
+            database.lead(&name);
+        });
+        true
+    }
+
+    fn lead(self: &Arc<Self>, name: &str) {
+        let mut instances = self.instances.lock().unwrap();
+        let term = instances.values().map(|one| one.term).max().unwrap_or(1) + 1;
+        let Some(leader) = instances.get_mut(name).filter(|one| one.is_alive) else {
+            return;
+        };
+        leader.is_primary = true;
+        leader.term = term;
+        leader.held = 0;
+        let log = leader.log.clone();
+        let acknowledged = self.acknowledged.lock().unwrap();
+        let lost: Vec<_> = acknowledged.iter().filter(|id| !log.contains(id)).collect();
+        self.record.note(format!(
+            "database: {name} leads term {term} with {} commits; acknowledged commits that it lacks: {lost:?}",
+            log.len()
+        ));
+        for (other, instance) in instances.iter_mut() {
+            instance.held = 0;
+            if other != name && instance.is_primary {
+                let (database, other) = (Arc::clone(self), other.clone());
+                thread::spawn(move || {
+                    thread::sleep(OLD_PRIMARY_TIME);
+                    database.step_down(&other, term);
+                });
+            }
+        }
+        drop(acknowledged);
+        drop(instances);
+        self.write_entries();
+    }
+
+    fn step_down(&self, name: &str, term: u64) {
+        let mut instances = self.instances.lock().unwrap();
+        if let Some(instance) = instances.get_mut(name).filter(|one| one.term < term) {
+            instance.is_primary = false;
+            self.record.note(format!(
+                "database: {name} follows the primary of term {term}"
+            ));
+        }
+        drop(instances);
+        self.write_entries();
+    }
+
+    /// Sends the log of the newest primary to the replicas that receive.
+    fn replicate(&self) {
+        let mut instances = self.instances.lock().unwrap();
+        let leading = instances
+            .values()
+            .filter(|one| one.is_alive && one.is_primary)
+            .max_by_key(|one| one.term);
+        let Some((term, log)) = leading.map(|leader| (leader.term, leader.log.clone())) else {
+            return;
+        };
+        for instance in instances.values_mut() {
+            let receives = instance.is_alive && !instance.is_primary && instance.held == 0;
+            if receives && (instance.term < term || instance.log.len() < log.len()) {
+                instance.term = term;
+                instance.log.clone_from(&log);
+            }
+        }
+    }
+
+    fn accept(self: &Arc<Self>, name: String, listener: TcpListener) {
+        let database = Arc::clone(self);
+        let _ = listener.set_nonblocking(true);
+        thread::spawn(move || {
+            while database.is_alive(&name) {
+                let Ok((stream, _)) = listener.accept() else {
+                    thread::sleep(Duration::from_millis(1));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                let _ = stream.set_nodelay(true);
+                if let (Ok(kept), Some(instance)) = (
+                    stream.try_clone(),
+                    database.instances.lock().unwrap().get_mut(&name),
+                ) {
+                    instance.streams.push(kept);
+                }
+                let (database, name) = (Arc::clone(&database), name.clone());
+                thread::spawn(move || Session::new(database, name).serve(stream));
+            }
+        });
+    }
+
+    fn is_alive(&self, name: &str) -> bool {
+        let instances = self.instances.lock().unwrap();
+        instances.get(name).is_some_and(|one| one.is_alive)
+    }
+
+    /// Appends a commit at an instance and waits until a replica has received it.
+    fn commit(&self, name: &str, id: &str) -> Result<(), &'static str> {
+        let index = {
+            let mut instances = self.instances.lock().unwrap();
+            let instance = instances.get_mut(name).ok_or("FAILED")?;
+            if !instance.is_primary {
+                return Err("READONLY");
+            }
+            instance.log.push(id.to_owned());
+            instance.log.len()
+        };
+        let end = Instant::now() + COMMIT_TIMEOUT;
+        while Instant::now() < end {
+            thread::sleep(REPLICATION_INTERVAL);
+            let instances = self.instances.lock().unwrap();
+            let kept = instances.get(name).is_some_and(|one| {
+                one.is_alive && one.is_primary && one.log.get(index - 1).is_some_and(|at| at == id)
+            });
+            if !kept {
+                return Err("UNKNOWN");
+            }
+            let received = instances.iter().any(|(other, one)| {
+                other != name && one.is_alive && one.log.get(index - 1).is_some_and(|at| at == id)
+            });
+            if received {
+                self.acknowledged.lock().unwrap().push(id.to_owned());
+                return Ok(());
+            }
+        }
+        Err("TIMEOUT")
+    }
+}
+
+fn role(instance: &Instance) -> &'static str {
+    if instance.is_primary {
+        "primary"
+    } else {
+        "replica"
+    }
+}
+
+fn now_ms() -> u128 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_millis()
+}
+
+/// Connection to one instance.
+struct Session {
+    database: Arc<Database>,
+    instance: String,
+    prepared: HashMap<String, String>,
+    open: Option<Vec<String>>,
+}
+
+impl Session {
+    fn new(database: Arc<Database>, instance: String) -> Self {
+        Self {
+            database,
+            instance,
+            prepared: HashMap::new(),
+            open: None,
+        }
+    }
+
+    fn serve(mut self, stream: TcpStream) {
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
+        let mut reader = BufReader::new(stream);
+        let mut line = String::new();
+        while reader.read_line(&mut line).is_ok_and(|length| length > 0) {
+            let response = self.respond(line.trim_end_matches(['\r', '\n']));
+            line.clear();
+            let Some(response) = response else { break };
+            if !self.database.is_alive(&self.instance)
+                || writer.write_all(response.as_bytes()).is_err()
+            {
+                break;
+            }
+        }
+        let _ = writer.shutdown(Shutdown::Both);
+    }
+
+    fn respond(&mut self, line: &str) -> Option<String> {
+        if let Some(rest) = line.strip_prefix("START ") {
+            let mut fields = rest.split(' ');
+            let is_right = fields.next() == Some(SERVICE)
+                && fields.nth(1).is_none_or(|id| id == self.instance);
+            if !is_right {
+                return Some(format!("ERR MISROUTED {}\r\n", self.instance));
+            }
+            return Some(self.ready());
+        }
+        let (id, text) = line.strip_prefix("QUERY ")?.split_once(' ')?;
+        let result = match self.run(id, text) {
+            Ok(rows) => rows,
+            Err(code) => format!("ERR {code} {}\r\n", self.instance),
+        };
+        if id != "-" {
+            let answer = result.lines().last().unwrap_or_default();
+            self.database.record.note(format!(
+                "instance {}: {id} {text} -> {answer}",
+                self.instance
+            ));
+        }
+        Some(result + &self.ready())
+    }
+
+    fn run(&mut self, id: &str, text: &str) -> Result<String, &'static str> {
+        let (after, text) = match text.strip_prefix("AFTER ") {
+            Some(rest) => {
+                let (position, text) = rest.split_once(' ').ok_or("BADMSG")?;
+                (Some(parse_position(position)), text)
+            }
+            None => (None, text),
+        };
+        let (term, length, is_primary) = {
+            let instances = self.database.instances.lock().unwrap();
+            let instance = &instances[&self.instance];
+            (instance.term, instance.log.len(), instance.is_primary)
+        };
+        if after.is_some_and(|after| after > (term, length)) {
+            return Err("LAGGING");
+        }
+        let (word, rest) = text.split_once(' ').unwrap_or((text, ""));
+        match word {
+            "STATUS" | "PAUSE" | "RESUME" | "DEMOTE" => return self.control(word, rest),
+            "SET" | "DEALLOC" => {}
+            "RESET" => self.prepared.clear(),
+            "PREPARE" => {
+                let (name, shape) = rest.split_once(' ').ok_or("BADMSG")?;
+                self.prepared.insert(name.to_owned(), shape.to_owned());
+            }
+            "BEGIN" if rest.is_empty() && !is_primary => return Err("READONLY"),
+            "BEGIN" => self.open = Some(Vec::new()),
+            "ROLLBACK" => self.open = None,
+            _ => return self.execute(id, word, rest, is_primary),
+        }
+        Ok("DONE -\r\n".to_owned())
+    }
+
+    fn execute(
+        &mut self,
+        id: &str,
+        word: &str,
+        rest: &str,
+        is_primary: bool,
+    ) -> Result<String, &'static str> {
+        let word = match word {
+            "EXEC" => {
+                let name = rest.split(' ').next().unwrap_or_default();
+                let shape = self.prepared.get(name).ok_or("NOSTMT")?;
+                shape.split(' ').next().unwrap_or_default().to_owned()
+            }
+            word => word.to_owned(),
+        };
+        thread::sleep(WORK_TIME);
+        let done = format!("DONE sig-{}-{id}\r\n", self.instance);
+        match word.as_str() {
+            "READ" => Ok(format!("ROW data\r\n{done}")),
+            "WRITE" if !is_primary => Err("READONLY"),
+            "WRITE" => match &mut self.open {
+                Some(open) => {
+                    open.push(id.to_owned());
+                    Ok(done)
+                }
+                None => self.database.commit(&self.instance, id).map(|()| done),
+            },
+            "COMMIT" => {
+                let open = self.open.take().ok_or("BADMSG")?;
+                for id in &open {
+                    self.database.commit(&self.instance, id)?;
+                }
+                Ok(done)
+            }
+            _ => Err("BADMSG"),
+        }
+    }
+
+    fn control(&self, word: &str, rest: &str) -> Result<String, &'static str> {
+        let term: u64 = rest.parse().unwrap_or(0);
+        let mut instances = self.database.instances.lock().unwrap();
+        let instance = instances.get_mut(&self.instance).ok_or("FAILED")?;
+        match word {
+            "PAUSE" if instance.is_primary || term <= instance.term => return Err("BADMSG"),
+            "PAUSE" => instance.held = term,
+            "RESUME" => instance.held = 0,
+            "DEMOTE" if instance.is_primary && instance.term < term => instance.is_primary = false,
+            _ => {}
+        }
+        let (role, length) = (role(instance), instance.log.len());
+        let row = format!(
+            "ROW {role} {term} {term}.{length} {} 0 0 1\r\nDONE -\r\n",
+            instance.held,
+            term = instance.term
+        );
+        drop(instances);
+        if word != "STATUS" {
+            self.database.record.note(format!(
+                "instance {}: {word} {rest} -> {}",
+                self.instance,
+                row.lines().next().unwrap_or_default()
+            ));
+        }
+        Ok(row)
+    }
+
+    fn ready(&self) -> String {
+        let instances = self.database.instances.lock().unwrap();
+        let instance = &instances[&self.instance];
+        let state = if self.open.is_some() { "T" } else { "I" };
+        format!("READY {state} {}.{}\r\n", instance.term, instance.log.len())
+    }
+}
+
+fn parse_position(text: &str) -> (u64, usize) {
+    let (term, number) = text.split_once('.').unwrap_or(("0", "0"));
+    (term.parse().unwrap_or(0), number.parse().unwrap_or(0))
+}
