Review: a line feed in a save's data ends the message

Cause: the decoder ends a message at the first line feed, although CR LF ends one. Change: a script that sends one save whose data holds a line feed. Nothing is fixed.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -51,6 +51,7 @@
         let result = match case {
             "frozen-holder" => frozen_holder(&deployment, trouble),
             "held-up-call" => held_up_call(&deployment, trouble),
+            "line-feed" => line_feed(&deployment, trouble),
             _ => Err(format!("no such case: {case}")),
         };
         for vm in &deployment.vms {
@@ -117,6 +118,29 @@
     Ok(deployment.cloud.violations())
 }
 
+/// A consumer saves data that contains a line feed, which doesn't end a message.
+fn line_feed(deployment: &Deployment, trouble: bool) -> Result<Vec<String>, String> {
+    let id = "5c0e7a21d94b36f8";
+    let data = if trouble {
+        "first\nQUERY 9b1f44d07c2ae613 WRITE 2b5 second"
+    } else {
+        "first, QUERY 9b1f44d07c2ae613 WRITE 2b5 second"
+    };
+    let text = format!("WRITE 1a4 {data}");
+    let answers = deployment
+        .consumers
+        .send_alone(deployment.vms[0].callers, id, &text)?;
+    deployment.record.note(format!("answers: {answers:?}"));
+    let sent = deployment.consumers.sent();
+    let requests = deployment.database.requests();
+    let unasked = requests.iter().filter(|request| !sent.contains(request));
+    Ok(unasked
+        .map(|(id, text)| {
+            format!("UNASKED: an instance was sent {id} {text:?}, which no consumer sent")
+        })
+        .collect())
+}
+
 impl Deployment {
     fn start(folder: &Path, record: &Arc<Record>) -> Result<Self, String> {
         let (store, store_address) = Store::start(Arc::clone(record))?;
--- a/review/standin/consumers.rs
+++ b/review/standin/consumers.rs
@@ -2,8 +2,8 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -23,6 +23,8 @@
     record: Arc<Record>,
     served: AtomicU64,
     next: AtomicU64,
+    /// Identifiers and texts of the statements sent.
+    sent: Mutex<Vec<(String, String)>>,
 }
 
 impl Consumers {
@@ -31,6 +33,7 @@
             record,
             served: AtomicU64::new(0),
             next: AtomicU64::new(0),
+            sent: Mutex::default(),
         })
     }
 
@@ -47,6 +50,44 @@
         }
     }
 
+    /// Returns the identifiers and texts of the statements sent.
+    pub fn sent(&self) -> Vec<(String, String)> {
+        self.sent.lock().unwrap().clone()
+    }
+
+    fn note_sent(&self, id: &str, text: &str) {
+        let request = (id.to_owned(), text.to_owned());
+        self.sent.lock().unwrap().push(request);
+    }
+
+    /// Sends one statement in a session of its own; returns the lines that arrive within a second.
+    pub fn send_alone(&self, vm: SocketAddr, id: &str, text: &str) -> Result<Vec<String>, String> {
+        let failed = |error: std::io::Error| error.to_string();
+        let mut stream = TcpStream::connect_timeout(&vm, PATIENCE).map_err(failed)?;
+        stream
+            .set_read_timeout(Some(Duration::from_secs(1)))
+            .map_err(failed)?;
+        let mut reader = BufReader::new(stream.try_clone().map_err(failed)?);
+        stream
+            .write_all(format!("START {HOST} {KEY}\r\n").as_bytes())
+            .map_err(failed)?;
+        let mut line = String::new();
+        reader.read_line(&mut line).map_err(failed)?;
+        self.record.note(format!("consumer: {id} {text:?}"));
+        self.note_sent(id, text);
+        stream
+            .write_all(format!("QUERY {id} {text}\r\n").as_bytes())
+            .map_err(failed)?;
+        let mut lines = Vec::new();
+        loop {
+            let mut line = String::new();
+            match reader.read_line(&mut line) {
+                Ok(length) if length > 0 => lines.push(line.trim_end().to_owned()),
+                _ => return Ok(lines),
+            }
+        }
+    }
+
     /// Waits until more operations have succeeded.
     pub fn await_served(&self, more: u64, within: Duration) -> Result<(), String> {
         let wanted = self.served.load(Ordering::SeqCst) + more;
@@ -82,6 +123,7 @@
                 "READ 1a4".to_owned()
             };
             self.record.note(format!("consumer at {vm}: {id} {text}"));
+            self.note_sent(&id, &text);
             stream
                 .write_all(format!("QUERY {id} {text}\r\n").as_bytes())
                 .ok()?;
--- a/review/standin/database.rs
+++ b/review/standin/database.rs
@@ -48,6 +48,8 @@
 
 pub struct Database {
     instances: Mutex<BTreeMap<String, Instance>>,
+    /// Identifiers and texts of the statements that callers of an instance have sent.
+    requests: Mutex<Vec<(String, String)>>,
     /// Commits that were acknowledged to a caller of an instance.
     acknowledged: Mutex<Vec<String>>,
     store: Mutex<Option<Arc<Store>>>,
@@ -59,6 +61,7 @@
     pub fn start(names: &[&str], record: Arc<Record>) -> Result<Arc<Self>, String> {
         let database = Arc::new(Self {
             instances: Mutex::default(),
+            requests: Mutex::default(),
             acknowledged: Mutex::default(),
             store: Mutex::new(None),
             record,
@@ -146,6 +149,11 @@
         leading.last().map(|(name, _)| (*name).clone())
     }
 
+    /// Returns the identifiers and texts of the statements that the instances were sent.
+    pub fn requests(&self) -> Vec<(String, String)> {
+        self.requests.lock().unwrap().clone()
+    }
+
     /// Crashes an instance: its connections break and its port refuses.
     pub fn crash(&self, name: &str) {
         self.record.note(format!("TROUBLE instance {name} crashes"));
@@ -358,10 +366,8 @@
             return;
         };
         let mut reader = BufReader::new(stream);
-        let mut line = String::new();
-        while reader.read_line(&mut line).is_ok_and(|length| length > 0) {
-            let response = self.respond(line.trim_end_matches(['\r', '\n']));
-            line.clear();
+        while let Some(line) = read_message(&mut reader) {
+            let response = self.respond(&line);
             let Some(response) = response else { break };
             if !self.database.is_alive(&self.instance)
                 || writer.write_all(response.as_bytes()).is_err()
@@ -388,6 +394,8 @@
             Err(code) => format!("ERR {code} {}\r\n", self.instance),
         };
         if id != "-" {
+            let request = (id.to_owned(), text.to_owned());
+            self.database.requests.lock().unwrap().push(request);
             let answer = result.lines().last().unwrap_or_default();
             self.database.record.note(format!(
                 "instance {}: {id} {text} -> {answer}",
@@ -504,6 +512,18 @@
     }
 }
 
+/// Reads a message, which CR LF ends; `None` when the connection has ended.
+fn read_message(reader: &mut impl BufRead) -> Option<String> {
+    let mut line = Vec::new();
+    while !line.ends_with(b"\r\n") {
+        if reader.read_until(b'\n', &mut line).ok()? == 0 {
+            return None;
+        }
+    }
+    line.truncate(line.len() - 2);
+    String::from_utf8(line).ok()
+}
+
 fn parse_position(text: &str) -> (u64, usize) {
     let (term, number) = text.split_once('.').unwrap_or(("0", "0"));
     (term.parse().unwrap_or(0), number.parse().unwrap_or(0))
