--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -51,6 +51,7 @@
         let result = match case {
             "frozen-holder" => frozen_holder(&deployment, trouble),
             "held-up-call" => held_up_call(&deployment, trouble),
+            "joining-replica" => joining_replica(&deployment, trouble),
             "line-feed" => line_feed(&deployment, trouble),
             _ => Err(format!("no such case: {case}")),
         };
@@ -118,6 +119,40 @@
     Ok(deployment.cloud.violations())
 }
 
+/// A replica is replaced as planned, the new one first, while the primary is partitioned from one VM.
+/// That VM replaces the primary; the others still reach it.
+fn joining_replica(deployment: &Deployment, trouble: bool) -> Result<Vec<String>, String> {
+    let primary = deployment.await_primary()?;
+    let vm = &deployment.vms[0];
+    if trouble {
+        deployment
+            .record
+            .note(format!("TROUBLE {primary} is partitioned from {}", vm.name));
+        deployment.database.cut(vm.process(), &primary);
+        deployment.await_holder()?;
+    }
+    thread::sleep(disturbed_after());
+    deployment.database.join("i-5840f93bc3")?;
+    thread::sleep(Duration::from_secs(1));
+    deployment.database.drain("i-40f425ee5c");
+    thread::sleep(Duration::from_secs(2));
+    deployment.database.heal();
+    thread::sleep(Duration::from_secs(2));
+    deployment
+        .consumers
+        .await_served(50, Duration::from_secs(10))?;
+    let succeeded = deployment.consumers.succeeded();
+    let lost = deployment.database.lost();
+    let lost = lost.iter().filter(|(id, _)| succeeded.contains(id));
+    Ok(lost
+        .map(|(id, name)| {
+            format!(
+                "LOST: {id} was acknowledged to its consumer, and {name} was promoted without it"
+            )
+        })
+        .collect())
+}
+
 /// A consumer saves data that contains a line feed, which doesn't end a message.
 fn line_feed(deployment: &Deployment, trouble: bool) -> Result<Vec<String>, String> {
     let id = "5c0e7a21d94b36f8";
@@ -162,6 +197,7 @@
             })
             .collect();
         let vms = vms?;
+        database.set_processes(vms.iter().map(Vm::process).collect());
         thread::sleep(Duration::from_secs(2));
         let consumers = Consumers::new(Arc::clone(record));
         for vm in &vms {
@@ -189,6 +225,23 @@
     fn crash_primary(&self) -> Result<&Vm, String> {
         let primary = self.database.primary().ok_or("no primary")?;
         self.database.crash(&primary);
+        self.await_holder()
+    }
+
+    /// Waits until an instance leads; returns its name.
+    fn await_primary(&self) -> Result<String, String> {
+        let end = Instant::now() + Duration::from_secs(10);
+        while Instant::now() < end {
+            if let Some(primary) = self.database.primary() {
+                return Ok(primary);
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        Err("no primary".to_owned())
+    }
+
+    /// Waits until a VM has claimed the failover lease; returns it.
+    fn await_holder(&self) -> Result<&Vm, String> {
         let end = Instant::now() + Duration::from_secs(10);
         while Instant::now() < end {
             if let Some(value) = self.store.get(FAILOVER_LEASE) {
@@ -201,7 +254,7 @@
             }
             thread::sleep(Duration::from_millis(2));
         }
-        Err("nobody replaces the crashed primary".to_owned())
+        Err("nobody replaces the primary".to_owned())
     }
 }
 
--- a/review/standin/consumers.rs
+++ b/review/standin/consumers.rs
@@ -19,10 +19,15 @@
 /// Pause of a session between two operations.
 const PAUSE: Duration = Duration::from_millis(60);
 
+/// Pause of a session inside a transaction.
+const TRANSACTION_PAUSE: Duration = Duration::from_millis(250);
+
 pub struct Consumers {
     record: Arc<Record>,
     served: AtomicU64,
     next: AtomicU64,
+    /// Identifiers of the single statements and commits that have succeeded.
+    succeeded: Mutex<Vec<String>>,
     /// Identifiers and texts of the statements sent.
     sent: Mutex<Vec<(String, String)>>,
 }
@@ -33,6 +38,7 @@
             record,
             served: AtomicU64::new(0),
             next: AtomicU64::new(0),
+            succeeded: Mutex::default(),
             sent: Mutex::default(),
         })
     }
@@ -116,6 +122,10 @@
         }
         loop {
             let number = self.next.fetch_add(1, Ordering::SeqCst);
+            if number % 3 == 0 {
+                self.transaction(vm, &mut stream, &mut reader)?;
+                continue;
+            }
             let id = format!("{number:08x}");
             let text = if number % 2 == 0 {
                 format!("WRITE 1a4 data{number}")
@@ -133,11 +143,50 @@
                 .note(format!("consumer at {vm}: {id} <- {shown}"));
             if answer?.starts_with("DONE") {
                 self.served.fetch_add(1, Ordering::SeqCst);
+                self.succeeded.lock().unwrap().push(id);
             }
             thread::sleep(PAUSE);
         }
     }
 
+    /// Runs a transaction of one write, with a pause before it commits. Returns nothing if the
+    /// session must be opened anew.
+    fn transaction(
+        &self,
+        vm: &str,
+        stream: &mut TcpStream,
+        reader: &mut BufReader<TcpStream>,
+    ) -> Option<()> {
+        for text in ["BEGIN", "WRITE 1a4 data", "COMMIT"] {
+            if text == "COMMIT" {
+                thread::sleep(TRANSACTION_PAUSE);
+            }
+            let id = format!("{:08x}", self.next.fetch_add(1, Ordering::SeqCst));
+            self.record.note(format!("consumer at {vm}: {id} {text}"));
+            self.note_sent(&id, text);
+            stream
+                .write_all(format!("QUERY {id} {text}\r\n").as_bytes())
+                .ok()?;
+            let answer = self.answer(reader);
+            let shown = answer.as_deref().unwrap_or("no answer");
+            self.record
+                .note(format!("consumer at {vm}: {id} <- {shown}"));
+            if !answer?.starts_with("DONE") {
+                return None;
+            }
+            if text == "COMMIT" {
+                self.served.fetch_add(1, Ordering::SeqCst);
+                self.succeeded.lock().unwrap().push(id);
+            }
+        }
+        Some(())
+    }
+
+    /// Returns the identifiers of the single statements and commits that have succeeded.
+    pub fn succeeded(&self) -> Vec<String> {
+        self.succeeded.lock().unwrap().clone()
+    }
+
     /// Returns the line of the answer that says how the statement ended.
     fn answer(&self, reader: &mut BufReader<TcpStream>) -> Option<String> {
         let mut outcome = None;
--- a/review/standin/vm.rs
+++ b/review/standin/vm.rs
@@ -78,6 +78,10 @@
         })
     }
 
+    pub fn process(&self) -> u32 {
+        self.process.id()
+    }
+
     /// Suspends the process.
     pub fn freeze(&self) -> Result<(), String> {
         self.record
