Observability: why a replacement no longer waits for a VM, and by which right a statement is sent

The hypotheses on stale reads couldn't be told apart: the log named neither why the holder ceased to wait for a VM (it confirmed, refused connections, or its lease lapsed) nor whether a read relied on the VM's own lease, a sublease or a position. move_released names the former; statement_sent, at debug level only, the latter, with the record's revision and the start of the instance. No logic changes.

--- a/src/entry/confirmation.rs
+++ b/src/entry/confirmation.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use futures::future::join_all;
+use strum::Display;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -51,6 +52,18 @@
     lease_ended_at: Option<Instant>,
 }
 
+/// Why a replacement no longer waits for a VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+enum Released {
+    /// It has confirmed the replacement.
+    Confirmed,
+    /// It refuses connections.
+    RefusesConnections,
+    /// Its validity lease has lapsed since its registration was revoked.
+    Lapsed,
+}
+
 /// Confirms to the holder that this VM sends nothing new to the former primary.
 ///
 /// The record that this VM acts on already names the replacement. The confirmation waits until the
@@ -133,9 +146,15 @@
             store_read_at = Instant::now();
             read(node, &replacement).await;
         }
-        pending.retain(|vm, _| !node.confirmations.has_confirmed(&replacement, vm));
+        pending.retain(|vm, _| {
+            let has_confirmed = node.confirmations.has_confirmed(&replacement, vm);
+            if has_confirmed {
+                log_released(&record.database, vm, Released::Confirmed, started);
+            }
+            !has_confirmed
+        });
         if started.elapsed() >= CONFIRMATION_TIMEOUT {
-            revoke_registrations(node, &record.database, &mut pending).await;
+            revoke_registrations(node, &record.database, &mut pending, started).await;
         }
         if pending.is_empty() && node.timeline_age() >= node.settings.gateway_ttl {
             node.confirmations.end(&replacement);
@@ -192,14 +211,16 @@
     node: &Rc<Node>,
     database: &DatabaseName,
     pending: &mut HashMap<VmName, Pending>,
+    started: Instant,
 ) {
     let ttl = node.settings.gateway_ttl;
     let revoking = pending.iter_mut().map(async |(vm, pending)| {
         if let Some(ended_at) = pending.lease_ended_at {
-            return (vm.clone(), ended_at.elapsed() >= ttl);
+            let has_lapsed = ended_at.elapsed() >= ttl;
+            return (vm.clone(), has_lapsed.then_some(Released::Lapsed));
         }
         if is_stopped(&pending.record).await {
-            return (vm.clone(), true);
+            return (vm.clone(), Some(Released::RefusesConnections));
         }
         let lease = pending.record.lease;
         let response = node.call(PlatformRequest::Revoke { lease }).await;
@@ -207,10 +228,11 @@
         if response.is_ok() {
             pending.lease_ended_at = Some(Instant::now());
         }
-        (vm.clone(), false)
+        (vm.clone(), None)
     });
-    for (vm, is_done) in join_all(revoking).await {
-        if is_done {
+    for (vm, released) in join_all(revoking).await {
+        if let Some(released) = released {
+            log_released(database, &vm, released, started);
             pending.remove(&vm);
         }
     }
@@ -223,3 +245,10 @@
     let refused = timeout(PROBE_TIMEOUT, connecting).await;
     matches!(refused, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
 }
+
+fn log_released(database: &DatabaseName, vm: &VmName, released: Released, started: Instant) {
+    log::info!(
+        "event=move_released database={database} vm={vm} reason={released} waited_ms={}",
+        started.elapsed().as_millis()
+    );
+}
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -160,6 +160,7 @@
         let (target, slot, mut pooled) =
             acquired.map_err(|refused| progress.may_have_run.take().unwrap_or(refused))?;
         let sent_at = clock::now();
+        log_sent(node, context, &target, sent_at);
         let route = &context.route.name;
         metrics().record_step(route, Step::Connect, sent_at.since(started_at));
         let pool = Rc::clone(pooled.pool());
@@ -420,6 +421,28 @@
     }
 }
 
+/// Logs by which right a statement is sent: a position that the instance must have reached, or the
+/// lease by which this VM relies on the record of the primary.
+fn log_sent(node: &Node, context: &StatementContext<'_>, target: &Target, sent_at: Timestamp) {
+    if !log::log_enabled!(log::Level::Debug) {
+        return;
+    }
+    let state = node.state.borrow();
+    let record = state.databases.get(&context.route.database);
+    let revision = record.and_then(|known| Some(known.record.as_ref()?.revision.0));
+    log::debug!(
+        "event=statement_sent id={} instance={} started_at_ms={} is_primary={} min_position={:?} \
+         guard_left_ms={} sublease_left_ms={} record_revision={revision:?}",
+        context.id,
+        target.instance.name,
+        target.instance.started_at_ms,
+        target.is_primary,
+        target.min_position,
+        state.validity_lease.time_left(sent_at).as_millis(),
+        state.sublease.time_left(sent_at).as_millis()
+    );
+}
+
 fn record_available_primary(node: &Node, context: &StatementContext<'_>, target: &Target) {
     let database = &context.route.database;
     if target.is_primary && node.state.borrow().primary(database).is_some() {
