A revocation that is carried out is bound to a store lease, so that successive holders wait once

A holder that ended left its record behind.

Change: after the revocation the record is written again under a lease of the time-to-live that was granted afterwards. The next holder waits until the record is gone, at most one time-to-live itself; the store deletes it.

--- a/src/entry/record.rs
+++ b/src/entry/record.rs
@@ -130,13 +130,16 @@
 }
 
 /// Registrations that are revoked because their VMs haven't confirmed a replacement. The record is
-/// written before the revocation, and deleted when no validity lease of theirs is left.
+/// written before the revocation, and gone when no validity lease of theirs is left.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RevocationRecord {
     /// Timeline of the store in which the record was written.
     pub timeline: Timeline,
     /// VMs whose registrations are revoked.
     pub vms: Vec<RegisteredVm>,
+    /// Whether the store has revoked all of them. The record is then bound to a store lease that was
+    /// granted afterwards for the time-to-live of a registration.
+    pub is_carried_out: bool,
 }
 
 /// Registered gateways.
--- a/src/entry/revocation.rs
+++ b/src/entry/revocation.rs
@@ -2,9 +2,10 @@
 //! replacement.
 //!
 //! A revoked registration is gone from the store at once, but its VM may rely on its validity lease
-//! for up to one time-to-live longer. A revocation is therefore recorded before it is carried out, and
-//! the record is deleted only when those leases have ended. Every replacement waits for the recorded
-//! leases: another one at the same time, and that of the next holder of the failover lease.
+//! for up to one time-to-live longer. A revocation is therefore recorded before it is carried out.
+//! Afterwards the record is bound to a store lease of that time-to-live, so that it is gone when the
+//! validity leases have ended. Every replacement waits for the recorded leases: another one at the same
+//! time, and that of the next holder of the failover lease.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -25,22 +26,29 @@
 /// Delay before a call that the store didn't respond to is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Number of attempts to delete the record of a revocation. The next replacement deletes what
-/// remains.
-const MAX_DELETE_ATTEMPTS: usize = 4;
+/// Interval at which a record that another VM has written is read until it is gone.
+const READ_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Validity lease that ends because the registration behind it is revoked.
 #[derive(Debug, Default)]
 pub struct RevokedLease {
     /// Time at which the store had certainly revoked the registration; `None` before.
     revoked_at: Cell<Option<Instant>>,
+    /// Whether the record of the revocation was gone, before this VM had waited that long itself.
+    is_record_gone: Cell<bool>,
 }
 
 impl RevokedLease {
     /// Returns whether the lease has ended: the store accepts no renewal after the revocation.
     pub fn has_ended(&self, ttl: Duration) -> bool {
         let revoked_at = self.revoked_at.get();
-        revoked_at.is_some_and(|at| at.elapsed() >= ttl)
+        self.is_record_gone.get() || revoked_at.is_some_and(|at| at.elapsed() >= ttl)
+    }
+
+    fn record_revoked(&self) {
+        if self.revoked_at.get().is_none() {
+            self.revoked_at.set(Some(Instant::now()));
+        }
     }
 }
 
@@ -78,7 +86,11 @@
 /// no fewer VMs had yet to confirm.
 pub async fn begin(node: &Rc<Node>, key: String, vms: Vec<RegisteredVm>) -> Option<Vec<Revoked>> {
     let timeline = node.adapter.store.timeline();
-    let record = RevocationRecord { timeline, vms };
+    let record = RevocationRecord {
+        timeline,
+        vms,
+        is_carried_out: false,
+    };
     let request = PlatformRequest::CompareAndSwap {
         key: key.clone(),
         expected: Revision(0),
@@ -143,56 +155,94 @@
     }
     let node = Rc::clone(node);
     tokio::task::spawn_local(async move {
-        carry_out(&node, &record).await;
-        delete(&node, &key, revision).await;
+        if record.is_carried_out {
+            await_end(&node, &key, &record).await;
+        } else {
+            carry_out(&node, &key, revision, &record).await;
+        }
         node.revocations.forget(&record);
         node.revocations.running.borrow_mut().remove(&key);
     });
 }
 
-/// Revokes the registrations and waits until their validity leases have ended.
-async fn carry_out(node: &Node, record: &RevocationRecord) {
+/// Revokes the registrations, binds the record to a lease and waits until the validity leases have
+/// ended. The record of an earlier timeline is bound only: its leases may be those of other VMs now.
+async fn carry_out(node: &Node, key: &str, revision: Revision, record: &RevocationRecord) {
     let ttl = node.settings.gateway_ttl;
     let revoking = record.vms.iter().map(async |vm| {
         let lease = node.revocations.lease(record.timeline, vm);
-        while !lease.has_ended(ttl) && node.adapter.store.timeline() == record.timeline {
-            if lease.revoked_at.get().is_none() {
-                revoke(node, vm, &lease).await;
+        while lease.revoked_at.get().is_none() && node.adapter.store.timeline() == record.timeline {
+            if !revoke(node, vm, &lease).await {
+                sleep(RETRY_DELAY).await;
             }
-            sleep(RETRY_DELAY).await;
         }
     });
     join_all(revoking).await;
-    while node.timeline_age() < ttl {
+    while !bind(node, key, revision, record).await {
         sleep(RETRY_DELAY).await;
     }
+    sleep(ttl).await;
 }
 
-async fn revoke(node: &Node, vm: &RegisteredVm, revoked: &RevokedLease) {
+/// Returns whether the store responded.
+async fn revoke(node: &Node, vm: &RegisteredVm, revoked: &RevokedLease) -> bool {
     let lease = vm.registration.lease;
     let response = node.call(PlatformRequest::Revoke { lease }).await;
     log::info!(
         "event=guard_ended vm={} lease={lease} answer={response:?}",
         vm.vm
     );
-    if response.is_ok() && revoked.revoked_at.get().is_none() {
-        revoked.revoked_at.set(Some(Instant::now()));
+    if response.is_ok() {
+        revoked.record_revoked();
     }
+    response.is_ok()
 }
 
-async fn delete(node: &Node, key: &str, revision: Revision) {
-    for _ in 0..MAX_DELETE_ATTEMPTS {
-        let request = PlatformRequest::CompareAndSwap {
-            key: key.to_owned(),
-            expected: revision,
-            value: None,
-            lease: None,
-        };
-        match node.call(request).await {
-            Ok(PlatformResponse::Swapped { .. } | PlatformResponse::Conflict { .. }) => return,
-            response => {
-                log::warn!("event=revocation_undeleted key={key} answer={response:?}");
-                sleep(RETRY_DELAY).await;
+/// Binds the record of a revocation that is carried out to a lease, which deletes it one time-to-live
+/// later. Returns whether it is bound or gone.
+async fn bind(node: &Node, key: &str, revision: Revision, record: &RevocationRecord) -> bool {
+    let ttl = node.settings.gateway_ttl;
+    let granted = node.call(PlatformRequest::GrantLease { ttl }).await;
+    let Ok(PlatformResponse::Lease { lease, .. }) = granted else {
+        log::warn!("event=revocation_unbound key={key} answer={granted:?}");
+        return false;
+    };
+    let record = RevocationRecord {
+        is_carried_out: true,
+        ..record.clone()
+    };
+    let request = PlatformRequest::CompareAndSwap {
+        key: key.to_owned(),
+        expected: revision,
+        value: serde_json::to_vec(&record).ok(),
+        lease: Some(lease),
+    };
+    match node.call(request).await {
+        Ok(PlatformResponse::Swapped { .. } | PlatformResponse::Conflict { .. }) => true,
+        response => {
+            log::warn!("event=revocation_unbound key={key} answer={response:?}");
+            false
+        }
+    }
+}
+
+/// Waits until a record that is bound to a lease is gone, or the time-to-live has passed here.
+async fn await_end(node: &Node, key: &str, record: &RevocationRecord) {
+    let leases: Vec<_> = leases(node, record)
+        .into_iter()
+        .map(|(_, lease)| lease)
+        .collect();
+    for lease in &leases {
+        lease.record_revoked();
+    }
+    let ttl = node.settings.gateway_ttl;
+    while !leases.iter().all(|lease| lease.has_ended(ttl)) {
+        sleep(READ_INTERVAL).await;
+        let key = key.to_owned();
+        let found = node.call(PlatformRequest::Get { key }).await;
+        if matches!(found, Ok(PlatformResponse::Found { keys, .. }) if keys.is_empty()) {
+            for lease in &leases {
+                lease.is_record_gone.set(true);
             }
         }
     }
