A position counts as fresh only by the lease of the time of its request

Callers of routes with a staleness limit could read from a replica that lacked saves acknowledged longer ago than the limit.

Cause: when the response of the recorded primary arrived, record_response asked whether the validity lease covered the time of the request, by comparing that time with the end of the lease. A lease that had lapsed when the request was sent and was regained before the response passed this comparison. Meanwhile the primary may have been replaced: the position of the former one then counted as covering every save before the request.

Why the fix works: target::authorize decides once, just before the statement is sent and without a wait in between, by the record that names the target and the lease that hold at that time. The decision travels with the statement to its response; nothing asks later about an earlier time. It replaces is_still_valid, whose conditions are unchanged. No other call passes a time in the past to has_validity_lease.

--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -17,11 +17,10 @@
 use super::refusal::{Cause, refuse};
 use super::slots::{Slot, SlotRequest};
 use super::statement::{Access, Failure, FailureKind, InstanceCommand, Outcome, StatementResponse};
-use super::target::{self, NoTarget, Target};
+use super::target::{self, Authorization, NoTarget, Target};
 use crate::control::fairness::QueueClass;
 use crate::name::{InstanceName, WorkspaceName};
 use crate::telemetry::metrics::{Step, metrics};
-use crate::time::Timestamp;
 
 /// Delay before the first retry on a primary that had no capacity; doubles with each further one.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(15);
@@ -157,9 +156,9 @@
     let started_at = clock::now();
     loop {
         let acquired = acquire(node, context, &mut progress).await;
-        let (target, slot, mut pooled) =
+        let (target, slot, mut pooled, authorization) =
             acquired.map_err(|refused| progress.may_have_run.take().unwrap_or(refused))?;
-        let sent_at = clock::now();
+        let sent_at = authorization.sent_at;
         let route = &context.route.name;
         metrics().record_step(route, Step::Connect, sent_at.since(started_at));
         let pool = Rc::clone(pooled.pool());
@@ -180,7 +179,7 @@
                 return Err(failure);
             }
         };
-        record_response(node, context, &target, &response, sent_at);
+        record_response(node, context, &target, &response, authorization);
         let elapsed = clock::now().since(sent_at);
         let answer = answer(node, context, &target, &response, elapsed);
         pool.statement_answered(&answer);
@@ -364,13 +363,13 @@
     failure.not_run() || (failed_read && tried_count == 0)
 }
 
-/// Selects an instance and takes a slot of it and a connection to it. The target is checked again
-/// afterwards, because it may have become invalid while they were awaited.
+/// Selects an instance and takes a slot of it and a connection to it. The decision to send is made
+/// last, because the target may have become invalid while they were awaited.
 async fn acquire(
     node: &Rc<Node>,
     context: &StatementContext<'_>,
     progress: &mut Progress,
-) -> Result<(Target, Slot, PooledLink), Failure> {
+) -> Result<(Target, Slot, PooledLink, Authorization), Failure> {
     loop {
         let chosen = target::select(&node.state.borrow(), node, context, &progress.tried);
         let target = match chosen {
@@ -404,11 +403,12 @@
         };
         let taken = pool.take(&link_request).await;
         match taken {
-            Ok(pooled) if target::is_still_valid(node, context, &target) => {
-                record_available_primary(node, context, &target);
-                return Ok((target, slot, pooled));
+            Ok(pooled) => {
+                if let Some(authorization) = target::authorize(node, context, &target) {
+                    record_available_primary(node, context, &target);
+                    return Ok((target, slot, pooled, authorization));
+                }
             }
-            Ok(_) => {}
             Err(error) => {
                 record_connect_failure(node, context, &target, &error);
                 if Instant::now() >= progress.selection_deadline {
@@ -501,7 +501,7 @@
     context: &StatementContext<'_>,
     target: &Target,
     response: &StatementResponse,
-    sent_at: Timestamp,
+    authorization: Authorization,
 ) {
     if !target.is_primary {
         return;
@@ -512,14 +512,15 @@
         node.pool(&target.instance)
             .record_health(|health, _| health.on_save(true));
     }
-    let mut state = node.state.borrow_mut();
-    let had_validity_lease = state.has_validity_lease(sent_at);
-    let known = state.database(&target.instance.database);
     if let Some(position) = response
         .position
-        .filter(|_| had_validity_lease && leads(response))
+        .filter(|_| authorization.covers_saves && leads(response))
     {
-        known.freshness.record(position, sent_at, clock::now());
+        let mut state = node.state.borrow_mut();
+        let known = state.database(&target.instance.database);
+        known
+            .freshness
+            .record(position, authorization.sent_at, clock::now());
     }
 }
 
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -15,6 +15,7 @@
 use super::state::State;
 use super::statement::{Access, FailureKind};
 use crate::name::InstanceName;
+use crate::time::Timestamp;
 
 /// Result of selecting an instance.
 pub type Result<T, E = NoTarget> = std::result::Result<T, E>;
@@ -33,6 +34,18 @@
     pub delay: Duration,
 }
 
+/// Decision to send a statement to a target, by the record and the validity lease of that time.
+///
+/// A lease that holds later says nothing about that time: it may have lapsed and been regained.
+#[derive(Debug, Clone, Copy)]
+pub struct Authorization {
+    /// Time of the decision, at which the statement is sent.
+    pub sent_at: Timestamp,
+    /// Whether a position that the instance reports covers every save acknowledged before: it is the
+    /// primary, and the record that names it could be relied on.
+    pub covers_saves: bool,
+}
+
 /// Why no instance could be selected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoTarget {
@@ -294,22 +307,34 @@
     }
 }
 
-/// Returns whether a target that was selected before a wait may still be used.
-pub fn is_still_valid(node: &Node, context: &StatementContext<'_>, target: &Target) -> bool {
+/// Decides whether a statement may be sent to a target now, which may have become invalid since it was
+/// selected. The statement must be sent without a wait in between.
+pub fn authorize(
+    node: &Node,
+    context: &StatementContext<'_>,
+    target: &Target,
+) -> Option<Authorization> {
     let state = node.state.borrow();
     let now = clock::now();
-    let has_validity_lease = state.has_validity_lease(now);
     let (zones, zone) = (&state.evacuated_zones, &target.instance.availability_zone);
     if !target.is_primary {
-        return !zones.contains(zone);
-    }
-    if zones.is_closed(zone, now) {
-        return false;
+        let authorization = Authorization {
+            sent_at: now,
+            covers_saves: false,
+        };
+        return Some(authorization).filter(|_| !zones.contains(zone));
     }
-    let same = primary(&state, context).is_some_and(|primary| primary.name == target.instance.name);
-    same && (has_validity_lease
+    let is_recorded =
+        primary(&state, context).is_some_and(|primary| primary.name == target.instance.name);
+    let has_validity_lease = state.has_validity_lease(now);
+    let is_safe = has_validity_lease
         || target.min_position.is_some()
-        || is_safe_without_lease(&state, context))
+        || is_safe_without_lease(&state, context);
+    let authorization = Authorization {
+        sent_at: now,
+        covers_saves: has_validity_lease,
+    };
+    Some(authorization).filter(|_| is_recorded && is_safe && !zones.is_closed(zone, now))
 }
 
 /// Returns whether another instance may run the statement. Only then is an instance without capacity
