The validity ends within the requested and the granted time-to-live

A VM could go on reading from a former primary after its replacement, if the store granted a longer lease than was asked for, or shortened it at a renewal.

Cause: the validity lasted as long as the lease that the store granted first. But a VM that replaces a primary waits for the time-to-live in the settings (gateway_ttl), and the store counts from the time-to-live of the latest renewal.

Why the fix works: what is granted or renewed counts only up to gateway_ttl, and the latest renewal sets the end of the validity instead of extending it. So the validity ends before both of what holders and the store wait for.

--- a/src/entry/registration.rs
+++ b/src/entry/registration.rs
@@ -32,7 +32,6 @@
 #[derive(Debug, Clone, Copy)]
 struct Registration {
     lease: u64,
-    ttl: Duration,
     /// Timeline of the store in which the lease was granted.
     timeline: Timeline,
 }
@@ -126,6 +125,7 @@
         log::warn!("event=lease_not_granted answer={response:?}");
         return None;
     };
+    let ttl = usable_ttl(node, ttl);
     node.state.borrow_mut().pending_lease = Some(lease);
     write_record(node, lease).await?;
     // Read after the registration is written: a replacement that began earlier is visible now, and
@@ -146,11 +146,13 @@
         node.settings.vm,
         ttl.as_millis()
     );
-    Some(Registration {
-        lease,
-        ttl,
-        timeline,
-    })
+    Some(Registration { lease, timeline })
+}
+
+/// Returns the part of a granted time-to-live that this VM may use: a VM that replaces a primary waits
+/// for the one in the settings, even if the store grants a longer one.
+fn usable_ttl(node: &Node, granted: Duration) -> Duration {
+    granted.min(node.settings.gateway_ttl)
 }
 
 /// Returns whether this VM should be a gateway. A VM that is stopping keeps its role.
@@ -224,8 +226,8 @@
             return Ended::Restored;
         }
         match response {
-            Ok(PlatformResponse::Lease { .. }) => {
-                record_renewal(node, sent_at, registration.ttl);
+            Ok(PlatformResponse::Lease { ttl, .. }) => {
+                record_renewal(node, sent_at, usable_ttl(node, ttl));
                 if std::mem::take(&mut is_store_silent) {
                     node.store_regained.notify_waiters();
                 }
--- a/src/entry/validity.rs
+++ b/src/entry/validity.rs
@@ -19,10 +19,9 @@
 }
 
 impl ValidityLease {
-    /// Extends the validity by a store lease whose renewal was sent at `sent_at`.
+    /// Sets the validity to that of a store lease whose latest renewal was sent at `sent_at`.
     pub fn renew(&mut self, sent_at: Timestamp, ttl: Duration) {
-        let until = sent_at + ttl.saturating_sub(LAPSE_MARGIN);
-        self.valid_until = self.valid_until.max(until);
+        self.valid_until = sent_at + ttl.saturating_sub(LAPSE_MARGIN);
     }
 
     /// Extends the validity by a sublease that was requested from another VM at `requested_at`.
