A renewal answered during a stop doesn't restore the validity

A VM that had ended its registration could grant subleases for as long as its process lingers. Their holders could read from a former primary, as no VM that replaces a primary waits for a VM that isn't registered.

Cause: release() ends the validity, while a renewal may be under way. If its response is ready when the registration task is next polled, the task may handle it before it sees that the VM has stopped, and extends the validity.

Evidence: the store's answer to a renewal arrives in the same poll as the stop. Failed before:

assertion failed: !node.state.borrow().has_validity_lease(clock::now())

Why the fix works: a renewal extends nothing once the registration is released, in whatever order the two are polled; a released VM never registers again.

Ruled out by a failed run: to compare with the lease in the state instead. A restoration of the store clears that one, also after a new registration, and restoration::saves_and_reads_go_on_while_the_store_is_restored failed.

--- a/src/entry/registration.rs
+++ b/src/entry/registration.rs
@@ -282,6 +282,10 @@
 
 fn record_renewal(node: &Rc<Node>, sent_at: Timestamp, ttl: Duration) {
     let mut state = node.state.borrow_mut();
+    // The registration was released while the renewal was under way.
+    if state.stop == StopPhase::Deregistered {
+        return;
+    }
     let now = clock::now();
     if !state.validity_lease.is_valid(now) {
         log::info!("event=guard_regained");
