Replacement: count and pause the instances that join meanwhile

A primary that some VMs can't reach is replaced by one of these, while the others still save at it. An instance joins, or a replica's restart ends its pause, and is the one that confirms a save. Another one is promoted.

Cause: the replicas that the VM knew were paused once, then it waited 0.4 s for the primary's report, and the promotion took effect some hundred ms later still. Whoever joined in either span, or had joined before the watch told of it, was neither paused nor counted.

Change, only where the former primary didn't report (otherwise its report covers every save, and it is demoted first) or the record was restored: - The replicas are paused again while the announcements are read from the store. If the read or the watch shows an instance or a restart that this round didn't cover, there is another round. The set is thus complete for a time after the last round began, also where the watch delivers nothing. Reads of several replacements are shared. - From the promotion call until the instance leads, it alone receives: it is resumed, and those that join are paused. It leads with what it has received, so what the former primary still has confirmed by it is kept. A replica that should catch up and doesn't is paused and asked again before another is promoted.

This isn't a longer wait: a decision is taken only on reports sent after the announcements were known. What remains: the former primary reaches an instance that joins after that read, but not the chosen one.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -40,6 +40,7 @@
 pub mod limiter;
 pub mod link;
 pub mod listener;
+pub mod members;
 pub mod node;
 pub mod outlier;
 pub mod overload;
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -1,14 +1,16 @@
 //! Keeps the directory of instances up to date with their announcements in the store.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::sync::Mutex;
+
 use super::clock;
 use super::follow::{self, Follower};
 use super::health::Verdict;
-use super::instance::Change;
+use super::instance::{Change, Instance};
 use super::keys;
 use super::node::Node;
 use crate::configuration::Revision;
@@ -68,6 +70,62 @@
     follower.run(node).await;
 }
 
+/// Reads of the announcements beside the watch. Callers that wait at the same time share one read.
+#[derive(Debug, Default)]
+pub struct Refresh {
+    /// Number of reads that have begun.
+    begun: Cell<u64>,
+    /// Number of the last read that the store responded to.
+    completed: Mutex<u64>,
+}
+
+/// Adds every instance that is announced at the time of the call, also those that the watch hasn't
+/// delivered yet. Returns whether the store responded.
+pub async fn refresh(node: &Rc<Node>) -> bool {
+    let refresh = &node.directory_refresh;
+    // A read that has already begun may lack what was announced since.
+    let needed = refresh.begun.get() + 1;
+    let mut completed = refresh.completed.lock().await;
+    if *completed >= needed {
+        return true;
+    }
+    let number = refresh.begun.get() + 1;
+    refresh.begun.set(number);
+    let Some((found, _)) = follow::list(node, keys::INSTANCES).await else {
+        return false;
+    };
+    *completed = number;
+    for key in &found {
+        add_announced(node, key);
+    }
+    true
+}
+
+/// Applies an announcement unless the watch has delivered it, or a later change, already.
+fn add_announced(node: &Rc<Node>, key: &KeyValue) {
+    let (Some(name), Some(value)) = (key.key.strip_prefix(keys::INSTANCES), &key.value) else {
+        return;
+    };
+    if key.revision <= node.directory_progress.own() {
+        return;
+    }
+    // The watch logs those that can't be decoded.
+    if let Ok(instance) = (node.adapter.decode_instance)(name, value) {
+        update(node, instance);
+    }
+}
+
+fn update(node: &Rc<Node>, instance: Instance) {
+    let change = {
+        let mut state = node.state.borrow_mut();
+        state.missing.remove(&instance.name);
+        state.directory.update(instance, clock::now())
+    };
+    if let Some(change) = change {
+        publish_change(node, &change);
+    }
+}
+
 /// Time since when each database has had fewer instances than its group size.
 pub type UndersizedSince = HashMap<DatabaseName, Timestamp>;
 
@@ -107,16 +165,7 @@
         return;
     };
     match (node.adapter.decode_instance)(name, value) {
-        Ok(instance) => {
-            let change = {
-                let mut state = node.state.borrow_mut();
-                state.missing.remove(&instance.name);
-                state.directory.update(instance, clock::now())
-            };
-            if let Some(change) = change {
-                publish_change(node, &change);
-            }
-        }
+        Ok(instance) => update(node, instance),
         Err(error) => {
             let known = unreadable
                 .borrow_mut()
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -13,6 +13,7 @@
 use super::confirmation_tracker::ConfirmationTracker;
 use super::connections::Connections;
 use super::datagram::Outbox;
+use super::directory::Refresh;
 use super::ejection;
 use super::follow::Progress;
 use super::gateways::Gateways;
@@ -55,6 +56,8 @@
     pub shared_progress: Progress,
     /// Latest change of the instances' announcements seen here, and by other VMs.
     pub directory_progress: Progress,
+    /// Reads of the instances' announcements beside the watch.
+    pub directory_refresh: Refresh,
     /// Confirmations that VMs have stopped using a former primary.
     pub confirmations: ConfirmationTracker,
     /// Requests that wait for a token of their workspace.
@@ -106,6 +109,7 @@
             store_regained: Notify::new(),
             shared_progress: Progress::default(),
             directory_progress: Progress::default(),
+            directory_refresh: Refresh::default(),
             confirmations: ConfirmationTracker::default(),
             limiter: Limiter::default(),
             outbox: Outbox::default(),
--- a/src/entry/promotion.rs
+++ b/src/entry/promotion.rs
@@ -121,6 +121,16 @@
     Decision::Promote(best.instance.clone())
 }
 
+/// Returns whether a decision relies on the reports of all replicas: that of the former primary,
+/// which holds every acknowledged save and can be demoted, is missing, or there may have been a
+/// later primary. A replica that isn't paused can then confirm further saves.
+pub fn needs_all_replicas(replaced: &Replaced<'_>, reports: &[MemberReport]) -> bool {
+    let is_heard = reports
+        .iter()
+        .any(|member| member.instance == *replaced.primary);
+    !is_heard || replaced.knowledge == Knowledge::Restored
+}
+
 /// Returns the instance with the furthest log if no instance leads: then nobody can send its log to
 /// the others, and only its promotion keeps every acknowledged save. It may have to leave.
 pub fn furthest_without_leader(reports: &[MemberReport]) -> Option<InstanceName> {
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -12,11 +12,12 @@
 use super::control::ControlLink;
 use super::datagram::{Datagram, RecordUpdate};
 use super::instance::Instance;
+use super::members;
 use super::node::Node;
 use super::position::Position;
 use super::promotion::{
     Decision, Knowledge, MemberReport, RecordCheck, Replaced, check_record, decide,
-    furthest_without_leader,
+    furthest_without_leader, needs_all_replicas,
 };
 use super::record::{Phase, PrimaryRecord, VersionedRecord};
 use super::records;
@@ -249,25 +250,32 @@
             let term = replaced.term.max(self.reported_term) + 1;
             let pausing =
                 reports::pause_replicas(&self.node, self.members(), replaced.primary, term);
-            let reports = pausing.await;
-            let decision = decide(&replaced, &reports);
+            let mut reports = pausing.await;
+            let mut decision = decide(&replaced, &reports);
+            let pause_term = needs_all_replicas(&replaced, &reports).then_some(term);
+            if let Some(term) = pause_term
+                && matches!(decision, Decision::Promote(_) | Decision::CatchUp(..))
+            {
+                reports = self.pause_all_replicas(reports, term).await;
+                decision = decide(&self.replaced(knowledge), &reports);
+            }
             log::info!(
                 "event=takeover_decided database={} attempt={attempt} heard={} of={} \
                  decision=\"{decision:?}\"",
                 self.database,
                 reports.len(),
-                replaced.instances
+                self.replaced(knowledge).instances
             );
             let chosen = match decision {
                 Decision::AlreadyLeads(instance) => self.await_leadership(&instance).await,
-                Decision::Promote(instance) => self.depose_and_promote(&instance, &reports).await,
+                Decision::Promote(instance) => {
+                    self.promote_chosen(&instance, &reports, pause_term).await
+                }
                 Decision::CatchUp(instance, position) => {
                     if self.catch_up(&instance, position).await {
-                        self.depose_and_promote(&instance, &reports).await
-                    } else if let Some(holder) = furthest_without_leader(&reports) {
-                        self.call_promotion(&holder).await
+                        self.promote_chosen(&instance, &reports, pause_term).await
                     } else {
-                        None
+                        self.promote_furthest(reports, pause_term).await
                     }
                 }
                 Decision::Unheard => None,
@@ -280,6 +288,59 @@
         None
     }
 
+    /// Pauses the replicas again together with those that have joined or restarted since, and
+    /// returns their reports beside the former primary's. Returns none if the store doesn't respond.
+    async fn pause_all_replicas(
+        &self,
+        mut reports: Vec<MemberReport>,
+        term: u64,
+    ) -> Vec<MemberReport> {
+        let former = &self.record.record.primary;
+        let Some(paused) = members::pause_all(&self.node, &self.database, former, term).await
+        else {
+            return Vec::new();
+        };
+        reports.retain(|member| member.instance == *former);
+        reports.extend(paused);
+        reports
+    }
+
+    /// Promotes an instance. With a `pause_term`, the former primary may still acknowledge saves,
+    /// and the instance is the only one that receives them until it leads.
+    async fn promote_chosen(
+        &self,
+        name: &InstanceName,
+        reports: &[MemberReport],
+        pause_term: Option<u64>,
+    ) -> Option<(InstanceName, u64)> {
+        let promoting = self.depose_and_promote(name, reports);
+        let Some(term) = pause_term else {
+            return promoting.await;
+        };
+        let former = &self.record.record.primary;
+        let receiving =
+            members::receive_alone(&self.node, &self.database, former, name, reports, term);
+        tokio::select! {
+            promoted = promoting => promoted,
+            never = receiving => match never {},
+        }
+    }
+
+    /// Promotes the instance with the furthest log if no instance leads. With a `pause_term`, the
+    /// one that was to catch up is paused again before.
+    async fn promote_furthest(
+        &self,
+        mut reports: Vec<MemberReport>,
+        pause_term: Option<u64>,
+    ) -> Option<(InstanceName, u64)> {
+        let count = reports.len();
+        if let Some(term) = pause_term {
+            reports = self.pause_all_replicas(reports, term).await;
+        }
+        let furthest = furthest_without_leader(&reports).filter(|_| reports.len() >= count)?;
+        self.promote_chosen(&furthest, &reports, pause_term).await
+    }
+
     fn replaced(&self, knowledge: Knowledge) -> Replaced<'_> {
         Replaced {
             primary: &self.record.record.primary,
