--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -13,6 +13,7 @@
 use super::confirmation_tracker::ConfirmationTracker;
 use super::connections::Connections;
 use super::datagram::Outbox;
+use super::directory::Refresh;
 use super::ejection;
 use super::follow::Progress;
 use super::gateways::Gateways;
@@ -56,6 +57,8 @@
     pub shared_progress: Progress,
     /// Latest change of the instances' announcements seen here, and by other VMs.
     pub directory_progress: Progress,
+    /// Reads of the instances' announcements beside the watch.
+    pub directory_refresh: Refresh,
     /// Confirmations that VMs have stopped using a former primary.
     pub confirmations: ConfirmationTracker,
     /// Revocations of other VMs' registrations that this VM carries out.
@@ -109,6 +112,7 @@
             store_regained: Notify::new(),
             shared_progress: Progress::default(),
             directory_progress: Progress::default(),
+            directory_refresh: Refresh::default(),
             confirmations: ConfirmationTracker::default(),
             revocations: Revocations::default(),
             limiter: Limiter::default(),
