Directory: an announcement with too high a sequence is superseded

Callers saw: once another writer had left a copy of an instance's announcement with a high sequence, VMs no longer followed that instance: that it was draining, or had another address, went unnoticed until it restarted or left.

Cause: an announcement of the same process with a lower sequence counts as older, for one that a restoration of the store brings back. Nothing could supersede u64::MAX.

Why it works: an instance's own announcements go on with rising sequences. The first one below the known one is ignored, as before; the next one that rises above it shows that the instance writes these, and is taken. A single older announcement that comes back, also several times, is ignored.

--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -59,6 +59,9 @@
     by_name: HashMap<InstanceName, Rc<Instance>>,
     /// End of the cold time of instances that didn't start warm.
     cold: HashMap<InstanceName, ColdTime>,
+    /// Sequence of the last announcement that was older than the known one, for each instance that
+    /// has received one since.
+    outdated: HashMap<InstanceName, u64>,
 }
 
 /// End of the time for which an instance is slow because it has just started.
@@ -125,14 +128,28 @@
         self.cold.insert(instance.name.clone(), cold);
     }
 
-    /// Stores an announcement that was received at `now`. Returns the change, or `None` when the announcement is the same as
-    /// the previous one, or older: a restoration of the store brings older ones back.
+    /// Returns whether an announcement is older than the known one: a restoration of the store brings
+    /// older ones back, and a write may arrive late. Announcements that go on with rising sequences
+    /// below the known one are from the instance, and the known one isn't.
+    fn is_outdated(&mut self, received: &Instance, known: &Instance) -> bool {
+        if !received.precedes(known) {
+            return false;
+        }
+        let sequence = received.sequence;
+        let last = self.outdated.insert(received.name.clone(), sequence);
+        last.is_none_or(|last| sequence <= last)
+    }
+
+    /// Stores an announcement that was received at `now`. Returns the change, or `None` when the
+    /// announcement is the same as the previous one, or older.
     pub fn update(&mut self, instance: Instance, now: Timestamp) -> Option<Change> {
-        let previous = self.by_name.get(&instance.name);
-        if previous.is_some_and(|previous| **previous == instance || instance.precedes(previous)) {
+        let previous = self.by_name.get(&instance.name).cloned();
+        if let Some(previous) = &previous
+            && (**previous == instance || self.is_outdated(&instance, previous))
+        {
             return None;
         }
-        let previous = previous.cloned();
+        self.outdated.remove(&instance.name);
         self.record_cold_time(&instance, now);
         let current = Rc::new(instance);
         self.by_name
@@ -145,6 +162,7 @@
 
     /// Removes an instance. Returns the change, or `None` when the instance isn't known.
     pub fn remove(&mut self, name: &str) -> Option<Change> {
+        self.outdated.remove(name);
         let previous = self.by_name.remove(name)?;
         Some(Change {
             previous: Some(previous),
--- a/src/entry/instance/tests.rs
+++ b/src/entry/instance/tests.rs
@@ -104,3 +104,38 @@
     let until = directory.cold_until(&InstanceName::from("i-1"));
     assert_eq!(until, Some(Timestamp::from_millis(8_100)));
 }
+
+#[test]
+fn an_announcement_with_a_sequence_that_is_too_high_is_superseded() {
+    struct Case {
+        name: &'static str,
+        sequences: Vec<u64>,
+        expected: u64,
+    }
+    let case = |name, sequences, expected| Case {
+        name,
+        sequences,
+        expected,
+    };
+    let cases = [
+        case("in order", vec![1, 2, 3], 3),
+        case("an older one came back", vec![5, 3], 5),
+        case("the same older one again and again", vec![5, 3, 3, 3], 5),
+        case("an older one came back between two", vec![5, 3, 6], 6),
+        case("older ones in reverse", vec![5, 4, 3, 2], 5),
+        case("of another writer", vec![4, u64::MAX, 5, 6, 7], 7),
+        case(
+            "of another writer, again and again",
+            vec![4, u64::MAX, 5, 6, u64::MAX, 7, 8, 9],
+            9,
+        ),
+    ];
+    for case in cases {
+        let mut directory = Directory::default();
+        for sequence in case.sequences {
+            directory.update(instance(received(0, 1, sequence, 0)), Timestamp::ZERO);
+        }
+        let known = directory.get(&InstanceName::from("i-1")).unwrap();
+        assert_eq!(known.sequence, case.expected, "{}", case.name);
+    }
+}
