--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -15,8 +15,8 @@
 use super::instance::Instance;
 use super::position::Position;
 use super::statement::{
-    Failure, FailureKind, InstanceCommand, InstanceMessage, Outcome, Prepared, Protocol,
-    StatementResponse,
+    Failure, FailureKind, InstanceCommand, InstanceMessage, MalformedMessage, Outcome, Prepared,
+    Protocol, SessionState, StatementResponse,
 };
 use crate::name::WorkspaceName;
 
@@ -153,12 +153,15 @@
     }
 
     async fn start(&mut self, deadline: Instant) -> Result<()> {
-        (self.protocol.encode_start)(
+        let encoded = (self.protocol.encode_start)(
             &mut self.output,
             &self.instance.database,
             &self.workspace,
             &self.instance.name,
         );
+        encoded.map_err(|error| LinkError::Rejected {
+            failure: not_sendable(&error),
+        })?;
         self.flush(deadline).await?;
         match self.read_message(deadline).await? {
             InstanceMessage::Ready { .. } => Ok(()),
@@ -241,7 +244,8 @@
     }
 
     /// Sends a command and waits for its complete response. Setup commands for the session's values
-    /// and prepared statement are sent ahead of it, without a round trip of their own.
+    /// and prepared statement are sent ahead of it, without a round trip of their own. If one of them
+    /// can't be encoded, nothing is sent, and the response says so.
     ///
     /// # Errors
     ///
@@ -254,10 +258,16 @@
         deadline: Instant,
     ) -> Result<StatementResponse> {
         let setup_commands = self.setup_commands(setup);
-        for command in &setup_commands {
-            (self.protocol.encode_command)(&mut self.output, command, None);
+        if let Err(error) = self.encode(&setup_commands, command, min_position) {
+            self.output.clear();
+            let state = if setup.in_transaction {
+                SessionState::Open
+            } else {
+                SessionState::Idle
+            };
+            let outcome = Outcome::Failed(not_sendable(&error));
+            return Ok(StatementResponse::local(outcome, state));
         }
-        (self.protocol.encode_command)(&mut self.output, command, min_position);
         self.awaits_response = true;
         self.flush(deadline).await?;
         self.receive_setup_responses(setup_commands, deadline)
@@ -268,6 +278,18 @@
         Ok(response)
     }
 
+    fn encode(
+        &mut self,
+        setup: &[InstanceCommand],
+        command: &InstanceCommand,
+        min_position: Option<Position>,
+    ) -> Result<(), MalformedMessage> {
+        for command in setup {
+            (self.protocol.encode_command)(&mut self.output, command, None)?;
+        }
+        (self.protocol.encode_command)(&mut self.output, command, min_position)
+    }
+
     /// Sends a command that needs no session state, and waits for its complete response.
     ///
     /// # Errors
@@ -278,7 +300,8 @@
         command: &InstanceCommand,
         deadline: Instant,
     ) -> Result<StatementResponse> {
-        (self.protocol.encode_command)(&mut self.output, command, None);
+        let encoded = (self.protocol.encode_command)(&mut self.output, command, None);
+        encoded.map_err(|error| broken(&error))?;
         self.awaits_response = true;
         self.flush(deadline).await?;
         let response = self.read_response(deadline).await?;
@@ -354,6 +377,11 @@
     }
 }
 
+fn not_sendable(error: &MalformedMessage) -> Failure {
+    let text = format!("not run: {}; change the value", error.reason);
+    Failure::local(FailureKind::Invalid, text)
+}
+
 fn unexpected_message() -> LinkError {
     broken(&"unexpected message from the instance")
 }
--- a/src/entry/pool/tests.rs
+++ b/src/entry/pool/tests.rs
@@ -19,8 +19,8 @@
     encode_accepted: |_| {},
     encode_rejected: |_, _| {},
     encode_response: |_, _| {},
-    encode_start: |_, _, _, _| {},
-    encode_command: |_, _, _| {},
+    encode_start: |_, _, _, _| Ok(()),
+    encode_command: |_, _, _| Ok(()),
 };
 
 fn instance(started_at_ms: u64, sequence: u64) -> Rc<Instance> {
--- a/src/entry/statement.rs
+++ b/src/entry/statement.rs
@@ -12,11 +12,11 @@
 /// Result of decoding a message.
 pub type Result<T, E = MalformedMessage> = std::result::Result<T, E>;
 
-/// Bytes that can't be decoded as a message of the protocol.
+/// Bytes that can't be decoded as a message of the protocol, or fields that it can't carry.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 #[snafu(display("malformed message: {reason}; the connection is closed"))]
 pub struct MalformedMessage {
-    /// Why decoding failed.
+    /// Why decoding or encoding failed.
     pub reason: &'static str,
 }
 
@@ -359,9 +359,9 @@
     /// Encodes a response to a caller.
     pub encode_response: fn(&mut BytesMut, &StatementResponse),
     /// Encodes the first message on a connection to an instance: database, workspace and
-    /// instance name.
-    pub encode_start: fn(&mut BytesMut, &str, &str, &str),
+    /// instance name. Fails, and writes nothing, when the protocol can't carry one of them.
+    pub encode_start: fn(&mut BytesMut, &str, &str, &str) -> Result<()>,
     /// Encodes a command. Reads and transaction starts may give the position that the instance
-    /// must have reached.
-    pub encode_command: fn(&mut BytesMut, &InstanceCommand, Option<Position>),
+    /// must have reached. Fails, and writes nothing, when the protocol can't carry a field of it.
+    pub encode_command: fn(&mut BytesMut, &InstanceCommand, Option<Position>) -> Result<()>,
 }
