A restarted VM confirms only after the subleases of its former process

Callers of a VM that can't reach the store could read from a former primary for up to 0.4 s after its successor took saves.

Cause: a VM confirms a replacement once the subleases that it granted have ended, but a process that was just started knows nothing of those that the former one granted, and confirmed at once.

Evidence: a VM starts while the store names a replacement and still holds the registration of its former process.

Why the fix works: once a process has bound the datagram socket, no other one grants subleases from this address. All that were granted before end within MAX_SUBLEASE, so subleased_until begins there. Costs nothing unless a replacement is under way in the first 0.4 s. MAX_SUBLEASE moves to the validity leases.

--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -18,6 +18,7 @@
 use super::node::Node;
 use super::state::State;
 use super::synchronization;
+use super::validity::MAX_SUBLEASE;
 use crate::configuration::Revision;
 use crate::name::{VmName, ZoneName};
 use crate::time::Timestamp;
@@ -31,9 +32,6 @@
 /// Time without a response of the store after which subleases are requested.
 const STORE_SILENCE_LIMIT: Duration = Duration::from_millis(1_800);
 
-/// Longest validity of a sublease. A replacement of a primary may have to wait for its end.
-const MAX_SUBLEASE: Duration = Duration::from_millis(400);
-
 /// Shortest validity of a sublease that is worth sending.
 const MIN_SUBLEASE: Duration = Duration::from_millis(100);
 
@@ -65,6 +63,8 @@
     pub async fn bind(node: Rc<Node>) -> io::Result<(Rc<Self>, TcpListener)> {
         let address = node.settings.peer_address;
         let socket = UdpSocket::bind(address).await?;
+        // The former process of this VM may have granted subleases until the address was free.
+        node.state.borrow_mut().subleased_until = clock::now() + MAX_SUBLEASE;
         let listener = TcpListener::bind(address).await?;
         let peers = Self {
             node,
--- a/src/entry/validity.rs
+++ b/src/entry/validity.rs
@@ -8,6 +8,9 @@
 /// clock drift and timer granularity.
 pub const LAPSE_MARGIN: Duration = Duration::from_millis(250);
 
+/// Longest validity of a sublease. A replacement of a primary may have to wait for its end.
+pub const MAX_SUBLEASE: Duration = Duration::from_millis(400);
+
 /// Time until which a VM may rely on the records that it has read.
 ///
 /// A VM that replaces a primary first waits until every registered gateway has confirmed the change
