A registration ends only after the subleases granted under it

Callers of a VM that can't reach the store could read from a former primary, when the gateway that had granted it a sublease stopped or left its role.

Cause: release() and leave_role() revoked the registration at once. A replacement that began then didn't wait for the VM, whose subleases went on.

Why the fix works: the validity ends first, so that no sublease is granted any more; the revocation then waits until subleased_until, at most MAX_SUBLEASE. Until then the VM is registered, and its confirmation waits likewise. A VM that has granted nothing in that time revokes at once. The lease isn't revoked if the store was restored meanwhile, as it may belong to another VM then.

--- a/src/entry/registration.rs
+++ b/src/entry/registration.rs
@@ -275,6 +275,21 @@
     drop_lease(node);
     node.changed.notify_waiters();
     log::info!("event=gateway_left vm={}", node.settings.vm);
+    revoke(node, lease).await;
+}
+
+/// Revokes the lease of a registration whose validity has ended, once the subleases granted under it
+/// have ended too: nobody waits for their holders afterwards.
+async fn revoke(node: &Rc<Node>, lease: u64) {
+    let timeline = node.adapter.store.timeline();
+    let left = node.state.borrow().subleased_until.since(clock::now());
+    if !left.is_zero() {
+        tokio::time::sleep(left).await;
+        // The lease may be lost, and its identifier granted to another VM.
+        if node.adapter.store.timeline() != timeline {
+            return;
+        }
+    }
     if let Err(error) = node.call(PlatformRequest::Revoke { lease }).await {
         log::warn!("event=lease_not_revoked lease={lease} error=\"{error}\"");
     }
@@ -322,7 +337,5 @@
     };
     node.changed.notify_waiters();
     let Some(lease) = lease else { return };
-    if let Err(error) = node.call(PlatformRequest::Revoke { lease }).await {
-        log::warn!("event=lease_not_revoked lease={lease} error=\"{error}\"");
-    }
+    revoke(node, lease).await;
 }
