Requests for subleases have random numbers

A VM that was restarted could rely on a sublease for longer than its grantor knew of, and read from a former primary.

Cause: requests were numbered from 1 in each process. A late answer to the former process could carry the number of the latest request of the new one, and its validity was counted from that later request.

Why the fix works: each request has a random number of 64 bits, so an answer matches only the request that it was granted for, which was sent before.

--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -122,7 +122,7 @@
 
     /// Requests subleases from two other gateways at a time while the store doesn't respond.
     pub async fn request_subleases(self: Rc<Self>) {
-        let mut round = 0;
+        let mut round: usize = 0;
         loop {
             sleep(SUBLEASE_REQUEST_INTERVAL).await;
             let now = clock::now();
@@ -134,11 +134,13 @@
                 continue;
             }
             round += 1;
-            self.sublease_request.set(Some((round, now)));
-            let request = Datagram::SubleaseRequest { nonce: round };
-            let index = usize::try_from(round).unwrap_or_default();
+            // A counter would start again in a restarted process, which could then take the response
+            // to a request of the former one as that to a later request.
+            let nonce = rand::random();
+            self.sublease_request.set(Some((nonce, now)));
+            let request = Datagram::SubleaseRequest { nonce };
             for offset in 0..2.min(others.len()) {
-                let other = others[(index + offset) % others.len()];
+                let other = others[(round + offset) % others.len()];
                 self.node.outbox.send(other, request.clone());
             }
         }
