--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -18,6 +18,7 @@
 use super::node::Node;
 use super::state::State;
 use super::synchronization;
+use super::validity::MAX_SUBLEASE;
 use crate::configuration::Revision;
 use crate::name::{VmName, ZoneName};
 use crate::time::Timestamp;
@@ -31,9 +32,6 @@
 /// Time without a response of the store after which subleases are requested.
 const STORE_SILENCE_LIMIT: Duration = Duration::from_millis(1_800);
 
-/// Longest validity of a sublease. A replacement of a primary may have to wait for its end.
-const MAX_SUBLEASE: Duration = Duration::from_millis(400);
-
 /// Shortest validity of a sublease that is worth sending.
 const MIN_SUBLEASE: Duration = Duration::from_millis(100);
 
@@ -65,6 +63,8 @@
     pub async fn bind(node: Rc<Node>) -> io::Result<(Rc<Self>, TcpListener)> {
         let address = node.settings.peer_address;
         let socket = UdpSocket::bind(address).await?;
+        // The former process of this VM may have granted subleases until the address was free.
+        node.state.borrow_mut().subleased_until = clock::now() + MAX_SUBLEASE;
         let listener = TcpListener::bind(address).await?;
         let peers = Self {
             node,
@@ -122,7 +122,7 @@
 
     /// Requests subleases from two other gateways at a time while the store doesn't respond.
     pub async fn request_subleases(self: Rc<Self>) {
-        let mut round = 0;
+        let mut round: usize = 0;
         loop {
             sleep(SUBLEASE_REQUEST_INTERVAL).await;
             let now = clock::now();
@@ -134,11 +134,13 @@
                 continue;
             }
             round += 1;
-            self.sublease_request.set(Some((round, now)));
-            let request = Datagram::SubleaseRequest { nonce: round };
-            let index = usize::try_from(round).unwrap_or_default();
+            // A counter would start again in a restarted process, which could then take the response
+            // to a request of the former one as that to a later request.
+            let nonce = rand::random();
+            self.sublease_request.set(Some((nonce, now)));
+            let request = Datagram::SubleaseRequest { nonce };
             for offset in 0..2.min(others.len()) {
-                let other = others[(index + offset) % others.len()];
+                let other = others[(round + offset) % others.len()];
                 self.node.outbox.send(other, request.clone());
             }
         }
