Confirmations wait for subleases without a second limit

Cause: MAX_SUBLEASE_WAIT was 500 ms while subleases end after at most 400 ms, so that it never took effect, and would have hidden a longer sublease. The wait is bounded by the subleases themselves. No other change.

--- a/src/entry/confirmation.rs
+++ b/src/entry/confirmation.rs
@@ -34,9 +34,6 @@
 /// confirmation doesn't arrive.
 const MAX_ATTEMPTS: usize = 100;
 
-/// Longest time for which a confirmation waits for the subleases granted to other VMs to end.
-const MAX_SUBLEASE_WAIT: Duration = Duration::from_millis(500);
-
 /// Time after which the registration of a VM that hasn't confirmed is revoked.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -63,15 +60,9 @@
 /// The record that this VM acts on already names the replacement. The confirmation waits until the
 /// subleases that this VM granted have ended, because their holders may still use the old record.
 pub async fn send(node: Rc<Node>, holder: VmName, replacement: Replacement) {
-    let now = clock::now();
-    let remaining = node
-        .state
-        .borrow()
-        .subleased_until
-        .since(now)
-        .min(MAX_SUBLEASE_WAIT);
-    if !remaining.is_zero() {
-        sleep(remaining).await;
+    let subleased_for = node.state.borrow().subleased_until.since(clock::now());
+    if !subleased_for.is_zero() {
+        sleep(subleased_for).await;
     }
     let (database, generation) = replacement.clone();
     if holder == node.settings.vm {
