Failover: a holder that wakes after its lease has lapsed sends nothing

A VM that was frozen while it replaced a primary went on where it was when it woke, and promoted with a lower generation than the next holder had used; the newer primary was deposed.

Cause: only the renewal compared the clock with the end of the lease, and only after its answer. The takeover beside it never looked.

Change: `FailoverLease` holds the time until which the lease is certainly held: boot-time clock, from when the grant or renewal was sent, less LAPSE_MARGIN. PAUSE, RESUME and DEMOTE of a takeover, its record and its promotion call check it, with no wait between check and write. A renewal that is not answered by then ends the tenure. RESUME after a replacement runs before the lease is released, 400 ms at most instead of 5 s after it; the new primary still notifies the others. A lease under which a call is unanswered is left to lapse instead of being revoked. A DEMOTE after the record is written needs no lease: a later primary has a higher term.

Open: a freeze between the check and the write. The platform doesn't check fences here, so nothing else can refuse the call.

--- a/lab/src/entry_store.rs
+++ b/lab/src/entry_store.rs
@@ -96,6 +96,13 @@
         String::from_utf8(item.value.clone()).ok()
     }
 
+    /// Returns the revision of a key; `None` if the key doesn't exist or its lease has lapsed.
+    pub fn live_revision(&self, key: &str) -> Option<u64> {
+        let mut content = self.content();
+        content.expire();
+        content.items.get(key).map(|item| item.revision)
+    }
+
     /// Sets whether every call fails and every watch ends.
     pub fn set_down(&self, down: bool) {
         self.content().down = down;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -25,6 +25,7 @@
 pub mod evacuation;
 pub mod execution;
 pub mod failover;
+pub mod failover_lease;
 pub mod fetch;
 pub mod follow;
 pub mod forwarding;
--- a/src/entry/adapter.rs
+++ b/src/entry/adapter.rs
@@ -11,6 +11,7 @@
 use super::statement::Protocol;
 use crate::name::{DatabaseName, InstanceName, VmName};
 use crate::store::Platform;
+use crate::time::Timestamp;
 
 /// Result of decoding a value of the store.
 pub type Result<T, E = UnreadableValue> = std::result::Result<T, E>;
@@ -34,6 +35,9 @@
     pub holder: VmName,
     /// Generation of the failover lease; increases each time the lease is acquired.
     pub generation: u64,
+    /// End of the failover lease on the clock of [`super::clock`]. Nothing may be sent later, and
+    /// the call must be given up by then.
+    pub valid_until: Timestamp,
 }
 
 /// Outcome of a [`PromotionCall`].
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -5,6 +5,7 @@
 
 use tokio::time::{Instant, sleep};
 
+use super::failover_lease::FailoverLease;
 use super::instance::Instance;
 use super::link::{first_row, rejection};
 use super::node::Node;
@@ -25,6 +26,8 @@
     instance: Rc<Instance>,
     pooled: Option<PooledLink>,
     responded: bool,
+    /// Failover lease without which only reports are requested.
+    lease: Option<Rc<FailoverLease>>,
 }
 
 impl ControlLink {
@@ -35,9 +38,18 @@
             instance,
             pooled: None,
             responded: false,
+            lease: None,
         }
     }
 
+    /// Creates a control connection of the holder of the failover lease. Commands that change the
+    /// instance are sent only while the lease is valid.
+    pub fn of_holder(node: Rc<Node>, instance: Rc<Instance>, lease: Rc<FailoverLease>) -> Self {
+        let mut link = Self::new(node, instance);
+        link.lease = Some(lease);
+        link
+    }
+
     /// Returns whether the instance has sent any response, including a refusal.
     pub const fn has_responded(&self) -> bool {
         self.responded
@@ -71,14 +83,18 @@
         command: &InstanceCommand,
         deadline: Instant,
     ) -> Option<InstanceReport> {
-        let mut pooled = match self.pooled.take() {
-            Some(pooled) => pooled,
-            None => self.open(deadline).await?,
-        };
-        match pooled.link().run_control_command(command, deadline).await {
+        if self.pooled.is_none() {
+            self.pooled = Some(self.open(deadline).await?);
+        }
+        // No wait may come between this check and the write.
+        if !self.may_send(command) {
+            log::info!("event=command_outdated instance={}", self.instance.name);
+            return None;
+        }
+        let link = self.pooled.as_mut()?.link();
+        match link.run_control_command(command, deadline).await {
             Ok(response) => {
                 self.responded = true;
-                self.pooled = Some(pooled);
                 if let Outcome::Failed(failure) = &response.outcome {
                     log::debug!(
                         "event=command_refused instance={} reason={}",
@@ -94,12 +110,23 @@
                     "event=command_failed instance={} error=\"{error}\"",
                     self.instance.name
                 );
-                pooled.close();
+                self.close();
                 None
             }
         }
     }
 
+    fn close(&mut self) {
+        if let Some(pooled) = self.pooled.take() {
+            pooled.close();
+        }
+    }
+
+    fn may_send(&self, command: &InstanceCommand) -> bool {
+        matches!(command, InstanceCommand::Report)
+            || self.lease.as_ref().is_none_or(|lease| lease.is_valid())
+    }
+
     async fn open(&mut self, deadline: Instant) -> Option<PooledLink> {
         let pool = self.node.pool(&self.instance);
         let workspace = WorkspaceName::from(CONTROL_WORKSPACE);
@@ -122,8 +149,6 @@
 
 impl Drop for ControlLink {
     fn drop(&mut self) {
-        if let Some(pooled) = self.pooled.take() {
-            pooled.close();
-        }
+        self.close();
     }
 }
--- a/src/entry/reports.rs
+++ b/src/entry/reports.rs
@@ -7,6 +7,7 @@
 
 use super::clock;
 use super::control::ControlLink;
+use super::failover_lease::FailoverLease;
 use super::instance::Instance;
 use super::node::Node;
 use super::promotion::MemberReport;
@@ -32,6 +33,7 @@
 /// Pauses the replicas under `term` and collects a report of every instance that responds in time.
 pub async fn pause_replicas(
     node: &Rc<Node>,
+    lease: &Rc<FailoverLease>,
     members: Vec<Rc<Instance>>,
     primary: &InstanceName,
     term: u64,
@@ -43,7 +45,7 @@
         } else {
             InstanceCommand::Pause { term }
         };
-        let mut link = ControlLink::new(Rc::clone(node), instance);
+        let mut link = ControlLink::of_holder(Rc::clone(node), instance, Rc::clone(lease));
         async move {
             let mut report = link.request(&command, REPORT_TIMEOUT).await;
             if report.is_none() && !is_former {
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -11,6 +11,7 @@
 use super::confirmation;
 use super::control::ControlLink;
 use super::datagram::{Datagram, RecordUpdate};
+use super::failover_lease::FailoverLease;
 use super::instance::Instance;
 use super::node::Node;
 use super::position::Position;
@@ -43,7 +44,7 @@
 /// Time limit for the promotion within one takeover. If it fails, the next takeover tries again.
 const PROMOTION_TIMEOUT: Duration = Duration::from_secs(12);
 
-/// Time limit for notifying one of the other instances of a replacement.
+/// Time limit for notifying the former primary of its replacement.
 const NOTIFY_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Why a primary is replaced.
@@ -89,9 +90,12 @@
     node: Rc<Node>,
     database: DatabaseName,
     generation: u64,
+    lease: Rc<FailoverLease>,
     record: VersionedRecord,
     /// Newest term that an instance has reported before the replicas are paused.
     reported_term: u64,
+    /// Tasks that let the replicas resume.
+    resuming: JoinSet<()>,
 }
 
 impl Takeover {
@@ -101,6 +105,7 @@
         node: Rc<Node>,
         database: DatabaseName,
         generation: u64,
+        lease: Rc<FailoverLease>,
         reason: Reason,
     ) -> bool {
         let known = node.state.borrow_mut().database(&database).record.clone();
@@ -109,8 +114,10 @@
             node,
             database,
             generation,
+            lease,
             reported_term: record.record.term,
             record,
+            resuming: JoinSet::new(),
         };
         let started = Instant::now();
         let done = takeover.replace(reason).await;
@@ -123,6 +130,7 @@
             takeover.record.record.primary,
             takeover.record.record.term
         );
+        while takeover.resuming.join_next().await.is_some() {}
         done
     }
 
@@ -247,8 +255,8 @@
             attempt += 1;
             let replaced = self.replaced(knowledge);
             let term = replaced.term.max(self.reported_term) + 1;
-            let pausing =
-                reports::pause_replicas(&self.node, self.members(), replaced.primary, term);
+            let (members, primary) = (self.members(), replaced.primary);
+            let pausing = reports::pause_replicas(&self.node, &self.lease, members, primary, term);
             let reports = pausing.await;
             let decision = decide(&replaced, &reports);
             log::info!(
@@ -335,7 +343,7 @@
             .iter()
             .filter(|member| member.may_lead && member.instance != former.name);
         let successor = successors.max_by_key(|member| member.report.received)?;
-        let mut link = ControlLink::new(Rc::clone(&self.node), former);
+        let mut link = self.control_link(former);
         let last_report = self.demote(&mut link, newest_term + 1).await?;
         self.await_position(&successor.instance, last_report.received, DELIVERY_TIMEOUT)
             .await;
@@ -366,7 +374,7 @@
         let Some(former) = reports.iter().find(leads) else {
             return self.call_promotion(name).await;
         };
-        let mut link = ControlLink::new(Rc::clone(&self.node), self.instance(&former.instance)?);
+        let mut link = self.control_link(self.instance(&former.instance)?);
         let last_report = self.demote(&mut link, former.report.term + 1).await?;
         // Saves that the former primary accepted after its report may still be in transit to the
         // chosen replica. If they don't arrive in time, the next attempt decides again.
@@ -383,7 +391,7 @@
         let Some(instance) = self.instance(name) else {
             return false;
         };
-        let mut link = ControlLink::new(Rc::clone(&self.node), instance);
+        let mut link = self.control_link(instance);
         link.request(&InstanceCommand::Resume, REPORT_TIMEOUT).await;
         drop(link);
         self.await_position(name, to, CATCH_UP_TIMEOUT).await
@@ -414,13 +422,26 @@
             instance: name.clone(),
             holder: self.node.settings.vm.clone(),
             generation: self.generation,
+            valid_until: self.lease.valid_until(),
         };
+        if !self.lease.is_valid() {
+            log::warn!(
+                "event=promotion_outdated database={} instance={name} generation={}",
+                self.database,
+                self.generation
+            );
+            return None;
+        }
+        self.lease.begin_call();
         let outcome = (self.node.adapter.promote)(call).await;
         log::info!(
             "event=promotion_called database={} instance={name} generation={} outcome={outcome:?}",
             self.database,
             self.generation
         );
+        if outcome != PromotionOutcome::NoAnswer {
+            self.lease.end_call();
+        }
         match outcome {
             PromotionOutcome::Accepted | PromotionOutcome::NoAnswer => {
                 self.await_leadership(name).await
@@ -429,6 +450,10 @@
         }
     }
 
+    fn control_link(&self, instance: Rc<Instance>) -> ControlLink {
+        ControlLink::of_holder(Rc::clone(&self.node), instance, Rc::clone(&self.lease))
+    }
+
     async fn await_leadership(&self, name: &InstanceName) -> Option<(InstanceName, u64)> {
         let mut link = ControlLink::new(Rc::clone(&self.node), self.instance(name)?);
         let end = Instant::now() + LEADERSHIP_TIMEOUT;
@@ -450,6 +475,9 @@
             instances: self.members().len().max(self.group_size()),
             timeline: self.node.adapter.store.timeline(),
         };
+        if !self.lease.is_valid() {
+            return false;
+        }
         let expected = self.record.stored;
         let written = records::write(&self.node, &self.database, expected, record).await;
         match written {
@@ -464,25 +492,36 @@
     /// Notifies the other instances of the replacement: the former primary steps down, the replicas
     /// resume. Without this, the new primary notifies them, but later. It ends when the next
     /// replacement begins, whose holder counts on the replicas that it has paused.
-    fn notify_instances(&self, former: &InstanceName, current: &InstanceName, term: u64) {
+    ///
+    /// A replica must not resume after another VM has paused it for the next replacement. The lease
+    /// is therefore kept until the replicas have resumed, or a time limit has passed. A late demotion
+    /// has no effect, because the next primary has a higher term.
+    fn notify_instances(&mut self, former: &InstanceName, current: &InstanceName, term: u64) {
         for instance in self.members() {
             if instance.name == *current {
                 continue;
             }
-            let command = if instance.name == *former {
-                InstanceCommand::Demote { term }
-            } else {
-                InstanceCommand::Resume
-            };
             let (node, database) = (Rc::clone(&self.node), self.database.clone());
             let revision = self.record.revision;
-            tokio::task::spawn_local(async move {
-                let mut link = ControlLink::new(Rc::clone(&node), instance);
+            let is_former = instance.name == *former;
+            let (mut link, command, limit) = if is_former {
+                let link = ControlLink::new(Rc::clone(&node), instance);
+                (link, InstanceCommand::Demote { term }, NOTIFY_TIMEOUT)
+            } else {
+                let link = self.control_link(instance);
+                (link, InstanceCommand::Resume, REPORT_TIMEOUT)
+            };
+            let notifying = async move {
                 tokio::select! {
-                    _ = link.request(&command, NOTIFY_TIMEOUT) => {}
+                    _ = link.request(&command, limit) => {}
                     () = node.wait_until(|state| !state.is_latest(&database, revision)) => {}
                 }
-            });
+            };
+            if is_former {
+                tokio::task::spawn_local(notifying);
+            } else {
+                self.resuming.spawn_local(notifying);
+            }
         }
     }
 
--- a/src/entry/tenure.rs
+++ b/src/entry/tenure.rs
@@ -8,9 +8,10 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use tokio::sync::Notify;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::clock;
+use super::failover_lease::FailoverLease;
 use super::keys;
 use super::node::Node;
 use super::record::FailoverLeaseRecord;
@@ -75,11 +76,14 @@
     async fn hold(&self, node: &Rc<Node>) {
         let ttl = node.settings.failover_lease_ttl;
         let timeline = node.adapter.store.timeline();
+        let held = Rc::<FailoverLease>::default();
+        let sent_at = clock::now();
         let granted = node.call(PlatformRequest::GrantLease { ttl }).await;
-        let Ok(PlatformResponse::Lease { lease, .. }) = granted else {
+        let Ok(PlatformResponse::Lease { lease, ttl }) = granted else {
             log::warn!("event=duty_lease_not_granted answer={granted:?}");
             return;
         };
+        held.renew(sent_at, ttl);
         if let Some(generation) = claim(node, lease).await {
             log::info!(
                 "event=duty_taken generation={} databases={}",
@@ -87,8 +91,8 @@
                 self.due.borrow().len()
             );
             tokio::select! {
-                () = self.replace(node, generation) => {}
-                () = renew(node, lease) => log::warn!("event=duty_lost generation={}", generation.0),
+                () = self.replace(node, &held, generation) => {}
+                () = renew(node, lease, &held) => log::warn!("event=duty_lost generation={}", generation.0),
                 // The lease may be lost, and its identifier granted to another VM.
                 () = node.adapter.store.wait_for_timeline_after(timeline) => {
                     log::warn!("event=duty_outdated generation={}", generation.0);
@@ -96,21 +100,29 @@
                 }
             }
         }
+        held.end();
         if node.adapter.store.timeline() != timeline {
             return;
         }
+        // A call that was given up may still arrive. The next holder gets the lease after it has
+        // lapsed, which is later than any call of this tenure can take effect.
+        if held.has_unanswered_call() {
+            log::warn!("event=duty_left_to_lapse lease={lease}");
+            return;
+        }
         if let Err(error) = node.call(PlatformRequest::Revoke { lease }).await {
             log::warn!("event=duty_not_released lease={lease} error=\"{error}\"");
         }
     }
 
     /// Replaces the primaries that are due, and those that become due meanwhile.
-    async fn replace(&self, node: &Rc<Node>, generation: Revision) {
+    async fn replace(&self, node: &Rc<Node>, held: &Rc<FailoverLease>, generation: Revision) {
         let mut running = FuturesUnordered::new();
         loop {
             let due = std::mem::take(&mut *self.due.borrow_mut());
             let started = due.into_iter().map(|(database, reason)| {
-                Takeover::run(Rc::clone(node), database, generation.0, reason)
+                let held = Rc::clone(held);
+                Takeover::run(Rc::clone(node), database, generation.0, held, reason)
             });
             running.extend(started);
             tokio::select! {
@@ -153,18 +165,18 @@
 }
 
 /// Renews the failover lease; returns once it has lapsed or can't be relied on any longer.
-async fn renew(node: &Rc<Node>, lease: u64) {
-    let ttl = node.settings.failover_lease_ttl;
-    let mut held_until = clock::now() + ttl / 2;
+async fn renew(node: &Rc<Node>, lease: u64, held: &FailoverLease) {
+    let delay = node.settings.failover_lease_ttl / 5;
     loop {
-        sleep(ttl / 5).await;
+        sleep(delay.min(held.time_left())).await;
         let sent_at = clock::now();
-        match node.call(PlatformRequest::KeepAlive { lease }).await {
-            Ok(PlatformResponse::Lease { .. }) => held_until = sent_at + ttl.mul_f64(0.8),
-            Ok(PlatformResponse::LeaseLapsed) => return,
+        let renewal = node.call(PlatformRequest::KeepAlive { lease });
+        match timeout(held.time_left(), renewal).await {
+            Ok(Ok(PlatformResponse::Lease { ttl, .. })) => held.renew(sent_at, ttl),
+            Ok(Ok(PlatformResponse::LeaseLapsed)) => return,
             response => log::warn!("event=duty_renewal_failed lease={lease} answer={response:?}"),
         }
-        if clock::now() >= held_until {
+        if !held.is_valid() {
             return;
         }
     }
