Failover: a promotion call that was given up is not delivered later

A promotion call that a partition held up was given up with the lease, and reached the platform when the partition healed, after the call of the next holder.

Cause: the connection was closed in order, by the task that drove it. The system goes on delivering the bytes of a connection closed in order.

Commands of a holder to an instance that were given up are reset too, because a late RESUME would undo a pause of the next holder.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -116,10 +116,16 @@
         }
     }
 
+    /// Closes the connection. A command of a holder that was given up is discarded, so that it
+    /// doesn't arrive after the commands of the next holder.
     fn close(&mut self) {
-        if let Some(pooled) = self.pooled.take() {
-            pooled.close();
+        let Some(mut pooled) = self.pooled.take() else {
+            return;
+        };
+        if self.lease.is_some() {
+            pooled.link().discard_unanswered();
         }
+        pooled.close();
     }
 
     fn may_send(&self, command: &InstanceCommand) -> bool {
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -286,6 +286,17 @@
         Ok(response)
     }
 
+    /// Lets the close of the connection reset it if a response is outstanding, which discards what
+    /// the instance hasn't received yet.
+    pub fn discard_unanswered(&self) {
+        if !self.awaits_response {
+            return;
+        }
+        if let Err(error) = self.stream.set_zero_linger() {
+            log::debug!("event=reset_not_enabled error=\"{error}\"");
+        }
+    }
+
     async fn read_response(&mut self, deadline: Instant) -> Result<StatementResponse> {
         let mut rows = BytesMut::new();
         let mut outcome = None;
