An instance that starts again under another name counts once, and its former name as gone

Cause: a session that the address refuses as misrouted counted as a sign of life of the former name, so that it was never suspected; and the group counted the former and the new name as two logs, so that too few instances could report, without end.

Change: a misrouted session counts as a failure. Logs are counted by address.

Evidence: a_database_whose_instances_start_again_under_other_names_has_a_primary failed before (no save in 20 s: 'no instance has capacity'), and with the counting alone; with both it passes in 1.6 s.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -7,7 +7,7 @@
 
 use super::failover_lease::FailoverLease;
 use super::instance::Instance;
-use super::link::{first_row, rejection};
+use super::link::{first_row, is_misrouted, rejection};
 use super::node::Node;
 use super::pool::PooledLink;
 use super::statement::{FailureKind, InstanceCommand, InstanceReport, Outcome};
@@ -139,7 +139,7 @@
         match pool.open_beyond_limits(&workspace, deadline).await {
             Ok(pooled) => Some(pooled),
             Err(error) => {
-                self.responded |= rejection(&error).is_some();
+                self.responded |= rejection(&error).is_some() && !is_misrouted(&error);
                 if rejection(&error) == Some(FailureKind::TooManyConnections) {
                     pool.close_idle();
                 }
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -221,7 +221,7 @@
     let mut state = node.state.borrow_mut();
     let databases: Vec<DatabaseName> = state.databases.keys().cloned().collect();
     for database in databases {
-        let count = state.directory.in_database(&database).count();
+        let count = state.directory.count_logs(&database);
         let healthy = state
             .primary(&database)
             .is_some_and(|primary| node.health_verdict(&primary.name) == Verdict::Healthy);
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -10,7 +10,7 @@
 use super::clock;
 use super::health::Health;
 use super::latency::StatementKind;
-use super::link::{LinkError, Setup};
+use super::link::{LinkError, Setup, is_misrouted};
 use super::node::Node;
 use super::pool::{Answer, LinkRequest, PooledLink};
 use super::position::Position;
@@ -496,7 +496,8 @@
         context.id,
         target.instance.name
     );
-    if !matches!(error, LinkError::Rejected { .. } | LinkError::Exhausted) {
+    let is_alive = matches!(error, LinkError::Rejected { .. } | LinkError::Exhausted);
+    if !is_alive || is_misrouted(error) {
         node.pool(&target.instance).record_health(Health::on_failed);
     }
 }
--- a/src/entry/failover.rs
+++ b/src/entry/failover.rs
@@ -172,12 +172,7 @@
         primary: primary.name.clone(),
         term: report.term,
         phase: Phase::Steady,
-        instances: node
-            .state
-            .borrow()
-            .directory
-            .in_database(&primary.database)
-            .count(),
+        instances: node.state.borrow().directory.count_logs(&primary.database),
         timeline: node.adapter.store.timeline(),
     };
     records::write(node, &primary.database, Revision(0), record).await;
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -382,6 +382,11 @@
     }
 }
 
+/// Returns whether another instance listens on the address, so that the one that was sought is gone.
+pub fn is_misrouted(error: &LinkError) -> bool {
+    rejection(error) == Some(FailureKind::Misrouted)
+}
+
 fn broken(error: &impl ToString) -> LinkError {
     LinkError::Broken {
         reason: error.to_string(),
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -361,7 +361,7 @@
         Replaced {
             primary: &self.record.record.primary,
             term: self.record.record.term,
-            instances: self.members().len().max(self.group_size()),
+            instances: self.group_size(),
             knowledge,
         }
     }
@@ -541,7 +541,7 @@
             primary,
             term,
             phase,
-            instances: self.members().len().max(self.group_size()),
+            instances: self.group_size(),
             timeline: self.node.adapter.store.timeline(),
         };
         if !self.lease.is_valid() {
@@ -607,9 +607,11 @@
         self.node.state.borrow().directory.get(name).cloned()
     }
 
-    /// Returns how many instances of the database may hold acknowledged saves.
+    /// Returns how many instances of the database may hold acknowledged saves, including those that are
+    /// missing now.
     fn group_size(&self) -> usize {
         let mut state = self.node.state.borrow_mut();
-        state.database(&self.database).group_size
+        let announced = state.directory.count_logs(&self.database);
+        announced.max(state.database(&self.database).group_size)
     }
 }
