Revocations keep nothing in memory; subleases are waited for with a margin of their own

What a review by reading found: a panic of the task that carries a revocation out would have kept its key for good, and forgetting one record could detach a lease that another wait relied on. Nothing is kept in memory any more: each VM that finds a record carries it out, which is idempotent. Subleases had no margin for clocks of different speed: their grantor waits 1.1 times as long.

--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -28,7 +28,6 @@
 use super::quota::Quota;
 use super::retry_budget::{RetryBudgetSettings, RetryBudgets};
 use super::retry_delay::{RetryDelaySettings, RetryDelays};
-use super::revocation::Revocations;
 use super::settings::EntrySettings;
 use super::state::{State, StopPhase};
 use super::warmup;
@@ -61,8 +60,6 @@
     pub directory_refresh: Refresh,
     /// Confirmations that VMs have stopped using a former primary.
     pub confirmations: ConfirmationTracker,
-    /// Revocations of other VMs' registrations that this VM carries out.
-    pub revocations: Revocations,
     /// Requests that wait for a token of their workspace.
     pub limiter: Limiter,
     /// Queue of datagrams to other VMs.
@@ -114,7 +111,6 @@
             directory_progress: Progress::default(),
             directory_refresh: Refresh::default(),
             confirmations: ConfirmationTracker::default(),
-            revocations: Revocations::default(),
             limiter: Limiter::default(),
             outbox: Outbox::default(),
             sessions_must_move: Notify::new(),
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -18,7 +18,7 @@
 use super::node::Node;
 use super::state::State;
 use super::synchronization;
-use super::validity::MAX_SUBLEASE;
+use super::validity::{MAX_SUBLEASE, outlived_within};
 use crate::configuration::Revision;
 use crate::name::{VmName, ZoneName};
 use crate::time::Timestamp;
@@ -64,7 +64,7 @@
         let address = node.settings.peer_address;
         let socket = UdpSocket::bind(address).await?;
         // The former process of this VM may have granted subleases until the address was free.
-        node.state.borrow_mut().subleased_until = clock::now() + MAX_SUBLEASE;
+        node.state.borrow_mut().subleased_until = clock::now() + outlived_within(MAX_SUBLEASE);
         let listener = TcpListener::bind(address).await?;
         let peers = Self {
             node,
@@ -300,7 +300,7 @@
         if valid_for < MIN_SUBLEASE {
             return None;
         }
-        state.subleased_until = state.subleased_until.max(now + valid_for);
+        state.subleased_until = state.subleased_until.max(now + outlived_within(valid_for));
         let records = state.databases.iter().filter_map(|(database, known)| {
             let record = known.record.as_ref()?;
             Some(RecordUpdate {
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -41,7 +41,7 @@
     pub validity_lease: ValidityLease,
     /// Validity granted by another VM while the store doesn't respond.
     pub sublease: ValidityLease,
-    /// Time at which the last sublease granted to another VM ends.
+    /// Time at which the last sublease has ended that this process, or a former one of this VM, granted.
     pub subleased_until: Timestamp,
     /// Whether this VM is registered as a gateway.
     pub gateway: bool,
--- a/src/entry/validity.rs
+++ b/src/entry/validity.rs
@@ -11,6 +11,15 @@
 /// Longest validity of a sublease. A replacement of a primary may have to wait for its end.
 pub const MAX_SUBLEASE: Duration = Duration::from_millis(400);
 
+/// Factor by which the grantor of a sublease waits longer than the sublease lasts. Covers clock drift.
+const SUBLEASE_DRIFT: f64 = 1.1;
+
+/// Returns the time after which a sublease that is granted now has ended, whatever clock its holder
+/// counts by.
+pub fn outlived_within(valid_for: Duration) -> Duration {
+    valid_for.mul_f64(SUBLEASE_DRIFT)
+}
+
 /// Time until which a VM may rely on the records that it has read.
 ///
 /// A VM that replaces a primary first waits until every registered gateway has confirmed the change
