Replacement: saves that are confirmed meanwhile are counted after a catch-up, and without synchronous replicas

What callers could see: reads at a new primary that lack saves which the former one went on to acknowledge. Cause: (1) a database without synchronous replicas was promoted before the VMs had confirmed, while some still saved at the former primary, which acknowledges alone; (2) while the chosen instance caught up, for up to 1.9 s, nobody paused replicas that joined or restarted; (3) a panic of the wait for confirmations counted as its end. Change: (1) such a database waits for the confirmations first; (2) all are paused again after a catch-up, and nothing is promoted if another has more; (3) only a completed wait counts. A misnamed resume is repeated until the instance has answered.

--- a/src/entry/catalog.rs
+++ b/src/entry/catalog.rs
@@ -30,6 +30,12 @@
     pub fn workspace_of(&self, key: &str) -> Option<&Arc<Workspace>> {
         self.workspaces.get(self.keys.get(key)?)
     }
+
+    /// Returns whether a database acknowledges a save only once a replica has received it.
+    pub fn is_synchronous(&self, database: &DatabaseName) -> bool {
+        let database = self.databases.get(database);
+        database.is_some_and(|database| database.synchronous_replicas > 0)
+    }
 }
 
 /// Consistency of the reads of a route.
--- a/src/entry/confirmation.rs
+++ b/src/entry/confirmation.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use strum::Display;
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout};
 
 use super::clock;
@@ -117,12 +118,49 @@
     }
 }
 
+/// Wait for the confirmations of a replacement, in the background. It ends when this is dropped, for
+/// example because the failover lease is lost.
+#[derive(Debug)]
+pub struct Confirming {
+    task: JoinSet<()>,
+    has_ended: bool,
+}
+
+impl Confirming {
+    /// Starts to wait until no VM relies on an earlier record than `record` any more.
+    pub fn start(node: &Rc<Node>, record: RecordUpdate, generation: u64) -> Self {
+        let node = Rc::clone(node);
+        let mut task = JoinSet::new();
+        task.spawn_local(async move { await_all(&node, &record, generation).await });
+        Self {
+            task,
+            has_ended: false,
+        }
+    }
+
+    /// Waits for the rest. Returns false if the wait was cut off by a panic.
+    pub async fn wait(&mut self) -> bool {
+        if !self.has_ended {
+            let ended = self.task.join_next().await;
+            self.has_ended = matches!(ended, Some(Ok(())));
+        }
+        self.has_ended
+    }
+
+    /// Returns whether no VM relies on an earlier record any more.
+    pub fn has_ended(&mut self) -> bool {
+        let ended = self.task.try_join_next();
+        self.has_ended |= matches!(ended, Some(Ok(())));
+        self.has_ended
+    }
+}
+
 /// Waits until every VM that may rely on an earlier record has confirmed, or has no validity lease
 /// left. A VM that refuses connections may still rely on one: a broken network can refuse them for it.
 ///
 /// A restoration of the store may have lost registrations whose VMs still hold a validity lease.
 /// Such a lease was renewed before the restoration, so it has ended after one time-to-live.
-pub async fn await_all(node: &Rc<Node>, record: &RecordUpdate, generation: u64) {
+async fn await_all(node: &Rc<Node>, record: &RecordUpdate, generation: u64) {
     let replacement = (record.database.clone(), generation);
     let started = Instant::now();
     let mut store_read_at = started;
@@ -239,8 +277,10 @@
         return;
     };
     for pending in pending {
-        let lease = revoked.iter().find(|(vm, _)| *vm == pending.vm);
-        if let Some((_, lease)) = lease {
+        let is_same = |vm: &RegisteredVm| {
+            vm.vm == pending.vm.vm && vm.registration.lease == pending.vm.registration.lease
+        };
+        if let Some((_, lease)) = revoked.iter().find(|(vm, _)| is_same(vm)) {
             pending.revoked = Some(Rc::clone(lease));
         }
     }
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -104,8 +104,11 @@
         let Some(instance) = instance else { return };
         let (node, lease) = (Rc::clone(self.node), Rc::clone(self.lease));
         let mut link = ControlLink::of_holder(node, instance, lease);
-        let resumed = link.request(&InstanceCommand::Resume, REPORT_TIMEOUT).await;
-        if resumed.is_none() {
+        while link
+            .request(&InstanceCommand::Resume, REPORT_TIMEOUT)
+            .await
+            .is_none()
+        {
             log::warn!(
                 "event=replica_not_resumed instance={}",
                 link.instance().name
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::adapter::{PromotionCall, PromotionOutcome};
-use super::confirmation;
+use super::confirmation::Confirming;
 use super::control::ControlLink;
 use super::datagram::{Datagram, RecordUpdate};
 use super::failover_lease::FailoverLease;
@@ -154,15 +154,13 @@
         if !self.begin().await {
             return false;
         }
-        let (node, record) = (Rc::clone(&self.node), self.record_update());
-        let generation = self.generation;
-        // Dropping the set aborts the task when the failover lease is lost and the takeover ends.
-        let mut confirmation_task = JoinSet::new();
-        confirmation_task.spawn_local(async move {
-            confirmation::await_all(&node, &record, generation).await;
-        });
+        let mut confirming = Confirming::start(&self.node, self.record_update(), self.generation);
+        // Without synchronous replicas, the former primary acknowledges saves until nobody sends it any.
+        let must_confirm = reason.is_planned() || !self.is_synchronous();
+        if must_confirm && !confirming.wait().await {
+            return false;
+        }
         if reason.is_planned() {
-            confirmation_task.join_next().await;
             sleep(STATEMENT_GRACE_PERIOD).await;
             self.depose_serving_primary().await;
         }
@@ -170,16 +168,18 @@
             return false;
         };
         let former = self.record.record.primary.clone();
-        if confirmation_task.try_join_next().is_none() && !confirmation_task.is_empty() {
+        if !confirming.has_ended() {
             let settling = Phase::Settling {
                 holder: self.node.settings.vm.clone(),
-                generation,
+                generation: self.generation,
             };
             if !self.write(instance.clone(), term, settling).await {
                 return false;
             }
             self.send_record_to_all();
-            confirmation_task.join_next().await;
+            if !confirming.wait().await {
+                return false;
+            }
         }
         let recorded = self.write(instance.clone(), term, Phase::Steady).await;
         if recorded {
@@ -281,7 +281,7 @@
                 }
                 Decision::CatchUp(instance, position) => {
                     if self.catch_up(&instance, position).await {
-                        self.promote_chosen(&instance, &reports, pause_term).await
+                        self.promote_caught_up(&instance, reports, pause_term).await
                     } else {
                         self.promote_furthest(reports, pause_term).await
                     }
@@ -332,6 +332,26 @@
         }
     }
 
+    /// Promotes an instance that has caught up. With a `pause_term`, replicas that have joined or
+    /// restarted meanwhile may have confirmed further saves: all are paused again, and nothing is promoted
+    /// if another one has more.
+    async fn promote_caught_up(
+        &self,
+        name: &InstanceName,
+        mut reports: Vec<MemberReport>,
+        pause_term: Option<u64>,
+    ) -> Option<(InstanceName, u64)> {
+        if let Some(term) = pause_term {
+            reports = self.pause_all_replicas(reports, term).await;
+            let furthest = reports.iter().map(|member| member.report.received).max();
+            let chosen = reports.iter().find(|member| member.instance == *name)?;
+            if Some(chosen.report.received) < furthest {
+                return None;
+            }
+        }
+        self.promote_chosen(name, &reports, pause_term).await
+    }
+
     /// Promotes the instance with the furthest log if no instance leads. With a `pause_term`, the
     /// one that was to catch up is paused again before.
     async fn promote_furthest(
@@ -347,6 +367,11 @@
         self.promote_chosen(&furthest, &reports, pause_term).await
     }
 
+    fn is_synchronous(&self) -> bool {
+        let catalog = self.node.catalog();
+        catalog.is_some_and(|catalog| catalog.is_synchronous(&self.database))
+    }
+
     fn replicas(&self, term: u64) -> Replicas<'_> {
         Replicas {
             node: &self.node,
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -134,8 +134,7 @@
 
 fn is_synchronous(state: &State, context: &StatementContext<'_>) -> bool {
     let catalog = state.catalog.as_ref();
-    let database = catalog.and_then(|catalog| catalog.databases.get(&context.route.database));
-    database.is_some_and(|database| database.synchronous_replicas > 0)
+    catalog.is_some_and(|catalog| catalog.is_synchronous(&context.route.database))
 }
 
 fn select_read_target(
