Replacement: an unfinished one goes on if the primary is about to leave

Cause: the next holder kept the recorded primary because it still led, although it was leaving, recorded it as settling, and lost the failover lease while it waited for VMs. Change: it is kept only if it may lead, or no other instance may. Evidence: an_unfinished_replacement_goes_on_if_the_primary_is_about_to_leave; the former test took a primary that may not lead as one that stays, by the default of its fixture: it now names a serving one, and asks the same.

--- a/src/entry/promotion.rs
+++ b/src/entry/promotion.rs
@@ -75,13 +75,17 @@
     if knowledge == Knowledge::Restored && reports.len() + 1 < instances {
         return Decision::Unheard;
     }
+    let may_others_lead = reports
+        .iter()
+        .any(|member| member.may_lead && member.instance != *former_primary);
     let leader = reports.iter().find(|member| {
         let newer = member.report.term > term && member.instance != *former_primary;
         let kept = member.report.term >= term
             && member.instance == *former_primary
             && match knowledge {
                 Knowledge::Former => false,
-                Knowledge::Unfinished => true,
+                // One that is about to leave must still be replaced.
+                Knowledge::Unfinished => member.may_lead || !may_others_lead,
                 Knowledge::Restored => Some(member.report.term) == newest_term,
             };
         member.report.is_primary && (newer || kept)
--- a/src/entry/promotion/tests.rs
+++ b/src/entry/promotion/tests.rs
@@ -184,15 +184,29 @@
 }
 
 #[test]
-fn with_keep_leader_a_primary_that_leads_the_recorded_term_stays() {
-    let reports = [member_report("p", 30), member_report("a", 30)];
+fn an_unfinished_replacement_keeps_a_primary_that_leads_the_recorded_term() {
     let primary = InstanceName::from("p");
+    let mut serving = member_report("p", 30);
+    serving.may_lead = true;
+    let reports = [serving, member_report("a", 30)];
     let kept = decide(&replaced(&primary, 3, Knowledge::Unfinished), &reports);
     assert_eq!(kept, Decision::AlreadyLeads(primary.clone()));
     let promoted = decide(&replaced(&primary, 4, Knowledge::Unfinished), &reports);
     assert_eq!(promoted, Decision::Promote(InstanceName::from("a")));
 }
 
+/// Callers' statements used to reach such a primary until the next replacement.
+#[test]
+fn an_unfinished_replacement_goes_on_if_the_primary_is_about_to_leave() {
+    let primary = InstanceName::from("p");
+    let replaced = replaced(&primary, 3, Knowledge::Unfinished);
+    let reports = [draining("p", 30), member_report("a", 30)];
+    let decision = decide(&replaced, &reports);
+    assert_eq!(decision, Decision::Promote(InstanceName::from("a")));
+    let alone = decide(&replaced, &[draining("p", 30), draining("a", 30)]);
+    assert_eq!(alone, Decision::AlreadyLeads(primary.clone()));
+}
+
 fn with_term(member: MemberReport, term: u64) -> MemberReport {
     let mut member = member;
     member.report.term = term;
