Entry: the search for an instance in a module of its own

Cause: execution.rs ran statements and also sought their instances, slots and connections.

Change: acquisition.rs has the search, with its deadline and the instances that were tried; execution.rs sends, retries and reports. No behaviour changes.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -7,6 +7,7 @@
 //! without its knowledge. This module doesn't depend on the protocols spoken with callers,
 //! instances and the store: an [`Adapter`] provides them.
 
+pub mod acquisition;
 pub mod adapter;
 pub mod admission;
 pub mod catalog;
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -4,22 +4,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
+use super::acquisition::{Acquired, Search, acquire};
 use super::catalog::Route;
 use super::clock;
-use super::health::Health;
 use super::latency::StatementKind;
-use super::link::{LinkError, Setup, is_misrouted};
+use super::link::{LinkError, Setup};
 use super::node::Node;
-use super::pool::{Answer, LinkRequest, PooledLink};
+use super::pool::{Answer, PooledLink};
 use super::position::Position;
 use super::refusal::{Cause, refuse};
-use super::slots::{Slot, SlotRequest};
+use super::slots::Slot;
 use super::statement::{Access, Failure, FailureKind, InstanceCommand, Outcome, StatementResponse};
-use super::target::{self, Authorization, NoTarget, Target};
-use crate::control::fairness::QueueClass;
-use crate::name::{InstanceName, WorkspaceName};
+use super::target::{self, Authorization, Target};
+use crate::name::WorkspaceName;
 use crate::telemetry::metrics::{Step, metrics};
 use crate::time::Timestamp;
 
@@ -29,18 +28,7 @@
 /// Maximum time between two attempts to select an instance while none is eligible, for example
 /// because a primary is being replaced. An instance that says that it isn't the primary is tried
 /// again after this time, and after four times as long with each further retry.
-const TARGET_POLL_INTERVAL: Duration = Duration::from_millis(25);
-
-/// Time for which a statement that can't meet its latency objective any more waits for a slot, as a
-/// fraction of the objective.
-const LATE_WAIT_FRACTION: f64 = 0.5;
-
-/// Number of instances without capacity that are tried for one statement.
-const MAX_FULL_INSTANCES: usize = 2;
-
-/// Fraction of a statement's time limit for which it waits for an instance that accepts it: less
-/// than half, so that a refused caller has time to try another VM.
-const TARGET_WAIT_FRACTION: f64 = 0.2;
+pub const TARGET_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Everything needed to run a statement, apart from its command.
 #[derive(Debug)]
@@ -88,32 +76,20 @@
 /// What has been done for a statement so far.
 #[derive(Debug)]
 struct Progress {
-    /// Instances that are left out of the next selection.
-    tried: Vec<InstanceName>,
+    /// Search for the next instance.
+    search: Search,
     /// Number of attempts, including those of other VMs.
     attempts: u8,
     /// Failure to report if there is no further attempt: that of an attempt that may have run.
     may_have_run: Option<Failure>,
-    /// Time by which the response is due.
-    due: Instant,
-    /// Time until which an instance is sought.
-    selection_deadline: Instant,
 }
 
 impl Progress {
     fn new(node: &Node, context: &StatementContext<'_>) -> Self {
-        let now = Instant::now();
-        let wait_limit = context
-            .route
-            .statement_timeout
-            .mul_f64(TARGET_WAIT_FRACTION);
-        let wait_limit = wait_limit.min(node.settings.target_wait_limit);
         Self {
-            tried: Vec::new(),
+            search: Search::new(node, context),
             attempts: context.attempts.saturating_add(1),
             may_have_run: None,
-            due: now + context.route.latency_objective,
-            selection_deadline: context.deadline.min(now + wait_limit),
         }
     }
 
@@ -125,7 +101,7 @@
         context: &StatementContext<'_>,
         reason: &'static str,
     ) -> bool {
-        if Instant::now() >= self.selection_deadline {
+        if self.search.has_ended() {
             return false;
         }
         // Preparing a statement again takes no capacity from others.
@@ -156,9 +132,13 @@
     }
     let started_at = clock::now();
     loop {
-        let acquired = acquire(node, context, &mut progress).await;
-        let (target, slot, mut pooled, authorization) =
-            acquired.map_err(|refused| progress.may_have_run.take().unwrap_or(refused))?;
+        let acquired = acquire(node, context, &mut progress.search).await;
+        let Acquired {
+            target,
+            slot,
+            mut pooled,
+            authorization,
+        } = acquired.map_err(|refused| progress.may_have_run.take().unwrap_or(refused))?;
         let sent_at = authorization.sent_at;
         log_sent(node, context, &target, sent_at);
         let route = &context.route.name;
@@ -173,7 +153,7 @@
                 record_missing_response(node, context, &target, &error);
                 let failure = missing_response_failure(context, command, &error);
                 if is_repeatable(context) && progress.take_retry(node, context, "answer_missing") {
-                    progress.tried.push(target.instance.name.clone());
+                    progress.search.tried.push(target.instance.name.clone());
                     // The start of a transaction runs nothing of the caller.
                     progress.may_have_run = Some(failure).filter(|_| !context.starts_transaction);
                     continue;
@@ -190,24 +170,13 @@
         let Outcome::Failed(failure) = &response.outcome else {
             return Ok(Executed { response, pooled });
         };
-        if !is_retryable(context, failure, progress.tried.len()) {
+        if !is_retryable(context, failure, progress.search.tried.len()) {
             return Ok(Executed { response, pooled });
         }
         if !progress.take_retry(node, context, failure.kind.into()) {
             return last_failure(node, context, progress, Executed { response, pooled });
         }
-        if !failure.not_run() {
-            progress.may_have_run = Some(failure.clone());
-        }
-        prepare_retry(
-            node,
-            context,
-            &target,
-            failure.kind,
-            &mut pooled,
-            &mut progress,
-        )
-        .await;
+        prepare_retry(node, context, &target, failure, &mut pooled, &mut progress).await;
     }
 }
 
@@ -309,10 +278,14 @@
     node: &Node,
     context: &StatementContext<'_>,
     target: &Target,
-    kind: FailureKind,
+    failure: &Failure,
     pooled: &mut PooledLink,
     progress: &mut Progress,
 ) {
+    if !failure.not_run() {
+        progress.may_have_run = Some(failure.clone());
+    }
+    let kind = failure.kind;
     metrics().count_retry(kind.into());
     log::info!(
         "event=statement_moved id={} from={} reason={kind} attempts={}",
@@ -339,7 +312,7 @@
         FailureKind::Busy if !target::may_leave(context, target) => {
             sleep(BUSY_RETRY_DELAY * 2_u32.pow(retries)).await;
         }
-        _ => progress.tried.push(target.instance.name.clone()),
+        _ => progress.search.tried.push(target.instance.name.clone()),
     }
 }
 
@@ -365,63 +338,6 @@
     failure.not_run() || (failed_read && tried_count == 0)
 }
 
-/// Selects an instance and takes a slot of it and a connection to it. The decision to send is made
-/// last, because the target may have become invalid while they were awaited.
-async fn acquire(
-    node: &Rc<Node>,
-    context: &StatementContext<'_>,
-    progress: &mut Progress,
-) -> Result<(Target, Slot, PooledLink, Authorization), Failure> {
-    loop {
-        let chosen = target::select(&node.state.borrow(), node, context, &progress.tried);
-        let target = match chosen {
-            Ok(target) => target,
-            Err(cause) => {
-                wait_for_target(node, context, cause, progress).await?;
-                continue;
-            }
-        };
-        if !target.delay.is_zero() {
-            metrics().record_lag_wait(&context.route.name, target.delay);
-            sleep(target.delay).await;
-        }
-        let pool = node.pool(&target.instance);
-        let slot = match take_slot(node, context, &target, progress.due).await {
-            Ok(slot) => slot,
-            Err(_)
-                if target::may_leave(context, &target)
-                    && progress.tried.len() < MAX_FULL_INSTANCES =>
-            {
-                progress.tried.push(target.instance.name.clone());
-                continue;
-            }
-            Err(cause) => return Err(refuse(node, context, cause)),
-        };
-        let link_request = LinkRequest {
-            workspace: context.workspace,
-            claim: target::claim(context, target.is_primary),
-            connect_timeout: node.settings.connect_timeout,
-            deadline: progress.selection_deadline,
-        };
-        let taken = pool.take(&link_request).await;
-        match taken {
-            Ok(pooled) => {
-                if let Some(authorization) = target::authorize(node, context, &target) {
-                    record_available_primary(node, context, &target);
-                    return Ok((target, slot, pooled, authorization));
-                }
-            }
-            Err(error) => {
-                record_connect_failure(node, context, &target, &error);
-                if Instant::now() >= progress.selection_deadline {
-                    return Err(refuse(node, context, Cause::Connections));
-                }
-                progress.tried.push(target.instance.name.clone());
-            }
-        }
-    }
-}
-
 /// Logs by which right a statement is sent: a position that the instance must have reached, or the
 /// lease by which this VM relies on the record of the primary.
 fn log_sent(node: &Node, context: &StatementContext<'_>, target: &Target, sent_at: Timestamp) {
@@ -444,64 +360,6 @@
     );
 }
 
-fn record_available_primary(node: &Node, context: &StatementContext<'_>, target: &Target) {
-    let database = &context.route.database;
-    if target.is_primary && node.state.borrow().primary(database).is_some() {
-        let mut delays = node.retry_delays.borrow_mut();
-        delays.on_primary_available(database, clock::now());
-    }
-}
-
-/// Waits until an instance may be eligible, or refuses the statement.
-async fn wait_for_target(
-    node: &Rc<Node>,
-    context: &StatementContext<'_>,
-    no_target: NoTarget,
-    progress: &mut Progress,
-) -> Result<(), Failure> {
-    let cause = match no_target {
-        NoTarget::NoValidityLease => Cause::NoValidityLease,
-        NoTarget::PrimaryUnavailable => Cause::Replacement,
-        NoTarget::Evacuated => Cause::Evacuated,
-        NoTarget::AllTried => Cause::AllTried,
-        NoTarget::Lagging { after } => Cause::Lagging { after },
-    };
-    if cause == Cause::Replacement {
-        let mut delays = node.retry_delays.borrow_mut();
-        delays.on_primary_unavailable(&context.route.database, clock::now());
-    }
-    let is_late = |after: Duration| Instant::now() + after >= progress.selection_deadline;
-    let lags_too_long = matches!(cause, Cause::Lagging { after } if is_late(after));
-    let is_hopeless = matches!(cause, Cause::NoValidityLease | Cause::Evacuated);
-    if is_hopeless || lags_too_long || is_late(TARGET_POLL_INTERVAL) {
-        return Err(refuse(node, context, cause));
-    }
-    let pause = sleep_until(Instant::now() + TARGET_POLL_INTERVAL);
-    tokio::select! {
-        () = pause => {}
-        () = node.changed.notified() => {}
-    }
-    progress.tried.clear();
-    Ok(())
-}
-
-fn record_connect_failure(
-    node: &Node,
-    context: &StatementContext<'_>,
-    target: &Target,
-    error: &LinkError,
-) {
-    log::debug!(
-        "event=connection_failed id={} instance={} error=\"{error}\"",
-        context.id,
-        target.instance.name
-    );
-    let is_alive = matches!(error, LinkError::Rejected { .. } | LinkError::Exhausted);
-    if !is_alive || is_misrouted(error) {
-        node.pool(&target.instance).record_health(Health::on_failed);
-    }
-}
-
 fn record_missing_response(
     node: &Node,
     context: &StatementContext<'_>,
@@ -559,79 +417,6 @@
     }
 }
 
-/// Describes a statement to the queue of an instance. It waits until its response is due; those that
-/// would end late go last, so that they take no room from others. One that is late before it waits,
-/// for example after the replacement of a primary, is still served where there is room.
-fn slot_request(node: &Node, context: &StatementContext<'_>, due: Instant) -> SlotRequest {
-    let catalog = node.catalog();
-    let workspace = catalog
-        .as_ref()
-        .and_then(|catalog| catalog.workspaces.get(context.workspace));
-    let rate_per_s = workspace.map_or(1.0, |workspace| workspace.rate_per_s);
-    let due_in = due.saturating_duration_since(Instant::now());
-    let late_wait = context.route.latency_objective.mul_f64(LATE_WAIT_FRACTION);
-    SlotRequest {
-        workspace: context.workspace.clone(),
-        class: QueueClass::of_priority(context.route.priority),
-        weight: (rate_per_s as u32).max(1),
-        kind: kind(context),
-        due_in,
-        max_wait: due_in.max(late_wait),
-    }
-}
-
-/// Returns a number for the statements of the same route, access and place in a transaction.
-fn kind(context: &StatementContext<'_>) -> u64 {
-    let form = u64::from(context.access == Access::Write);
-    let form = form | (u64::from(context.starts_transaction) << 1);
-    xxhash_rust::xxh3::xxh3_64_with_seed(context.route.name.as_bytes(), form)
-}
-
-/// Waits for a place in the rate that a cold instance takes, and for a slot of the instance. A
-/// statement that may leave the instance doesn't wait for the former.
-///
-/// # Errors
-///
-/// Fails with the cause to refuse the statement with when no slot is expected in time, or the
-/// instance has become unreachable.
-async fn take_slot(
-    node: &Node,
-    context: &StatementContext<'_>,
-    target: &Target,
-    due: Instant,
-) -> Result<Slot, Cause> {
-    let pool = node.pool(&target.instance);
-    let mut request = slot_request(node, context, due);
-    let waiting_since = Instant::now();
-    let max_rate_wait = if target::may_leave(context, target) {
-        Duration::ZERO
-    } else {
-        request.max_wait
-    };
-    let rate_wait = pool
-        .reserve_rate(max_rate_wait)
-        .map_err(|after| Cause::ColdInstance { after })?;
-    if !rate_wait.is_zero() {
-        sleep(rate_wait).await;
-    }
-    request.max_wait = request.max_wait.saturating_sub(rate_wait);
-    let unreachable = if target.is_primary {
-        Cause::Replacement
-    } else {
-        Cause::AllTried
-    };
-    let taken = tokio::select! {
-        taken = pool.slots().take(&request) => taken,
-        () = pool.wait_until_unreachable() => return Err(unreachable),
-    };
-    metrics().record_step(&context.route.name, Step::Wait, waiting_since.elapsed());
-    taken.map_err(|refused| {
-        let mut drain = pool.slots().drain();
-        drain.expected = refused.retry_after.unwrap_or(drain.expected);
-        Cause::Slots(drain)
-    })
-}
-
 /// Builds the failure for a statement without a response. Reads and transaction starts have kept
 /// nothing; a single save may have been kept.
 fn missing_response_failure(
