Replacement: no save of an unreachable former primary is acknowledged once another is chosen

What callers could see: an acknowledged save is gone (LOST; PROMISES.md, Open). The former primary is cut off from the VM that replaces it, other VMs still reach it. An instance joins or restarts after the last read of the announcements, confirms a save, and the chosen one doesn't receive it before it leads.

Cause: made the set of instances complete for a time after the last round, and let the chosen instance alone receive from then on. That every later save reaches the chosen instance was an assumption; and a VM passed a success on whenever it came, although it had confirmed the replacement.

Change: - A VM gives saves under way 60 ms to end before it confirms a replacement, and acknowledges no save of the former primary afterwards: a success that arrives later is reported as unknown, and a commit that isn't sent yet is refused as not kept (`entry::saves`). This takes the place of the 60 ms that the holder waited in each planned replacement. - If the former primary doesn't report, the holder waits for the confirmations before it asks the instances once more and promotes one. What was acknowledged before is in one of these reports, unless the instance that confirmed it isn't announced; nothing is acknowledged after. Saves had to wait for the confirmations before, too; reads of the new primary now wait as well.

This isn't a longer wait but an end: that of the last acknowledgement. It also covers a holder that dies between two steps, since a VM that has confirmed acknowledges nothing until a steady record. What remains: a VM whose lease has lapsed confirms nothing and may pass saves on.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -64,6 +64,7 @@
 pub mod retry_delay;
 pub mod revocation;
 pub mod role;
+pub mod saves;
 pub mod service;
 pub mod session;
 pub mod settings;
--- a/src/entry/confirmation.rs
+++ b/src/entry/confirmation.rs
@@ -15,6 +15,7 @@
 use super::node::Node;
 use super::record::RegisteredVm;
 use super::revocation::{self, RevokedLease};
+use super::saves;
 use super::synchronization;
 use crate::configuration::Revision;
 use crate::control::command::PlatformRequest;
@@ -35,6 +36,9 @@
 /// confirmation doesn't arrive.
 const MAX_ATTEMPTS: usize = 100;
 
+/// Time that saves under way get to end before a confirmation.
+const SAVE_GRACE_PERIOD: Duration = Duration::from_millis(60);
+
 /// Time after which the registration of a VM that hasn't confirmed is revoked.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -56,16 +60,18 @@
     Lapsed,
 }
 
-/// Confirms to the holder that this VM sends nothing new to the former primary.
+/// Confirms to the holder that this VM sends nothing new to the former primary, and acknowledges no
+/// further save of it.
 ///
 /// The record that this VM acts on already names the replacement. The confirmation waits until the
-/// subleases that this VM granted have ended, because their holders may still use the old record.
+/// subleases that this VM granted have ended, because their holders may still use the old record, and
+/// for a short time until the saves under way have been answered.
 pub async fn send(node: Rc<Node>, holder: VmName, replacement: Replacement) {
-    let subleased_for = node.state.borrow().subleased_until.since(clock::now());
-    if !subleased_for.is_zero() {
-        sleep(subleased_for).await;
-    }
     let (database, generation) = replacement.clone();
+    let subleased_for = node.state.borrow().subleased_until.since(clock::now());
+    let saves_ended = timeout(SAVE_GRACE_PERIOD, saves::wait_until_none(&node, &database));
+    let _ = tokio::join!(sleep(subleased_for), saves_ended);
+    saves::withhold(&node, &database);
     if holder == node.settings.vm {
         node.confirmations.record_confirmation(&replacement, holder);
         return;
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -15,6 +15,7 @@
 use super::pool::{Answer, PooledLink};
 use super::position::Position;
 use super::refusal::{Cause, refuse};
+use super::saves;
 use super::slots::Slot;
 use super::statement::{Access, Failure, FailureKind, InstanceCommand, Outcome, StatementResponse};
 use super::target::{self, Authorization, Target};
@@ -168,7 +169,7 @@
         target::record_lag(node, &target, &answer);
         metrics().record_step(route, Step::Run, elapsed);
         let Outcome::Failed(failure) = &response.outcome else {
-            return Ok(Executed { response, pooled });
+            return acknowledged(node, context, &target, Executed { response, pooled });
         };
         if !is_retryable(context, failure, progress.search.tried.len()) {
             return Ok(Executed { response, pooled });
@@ -190,6 +191,7 @@
     pooled: &mut PooledLink,
 ) -> Result<StatementResponse, LinkError> {
     let pool = Rc::clone(pooled.pool());
+    let _save = (context.kind() == StatementKind::Save).then(|| pool.saves().begin());
     pool.statement_started();
     let running = pooled.link().run(
         &context.setup,
@@ -208,6 +210,21 @@
     result
 }
 
+/// Returns the response of a statement that succeeded, unless it is a save that may not be acknowledged.
+fn acknowledged(
+    node: &Node,
+    context: &StatementContext<'_>,
+    target: &Target,
+    executed: Executed,
+) -> Result<Executed, Failure> {
+    let is_save = context.kind() == StatementKind::Save;
+    let (database, instance) = (&context.route.database, &target.instance.name);
+    if is_save && !saves::may_acknowledge(node, database, instance) {
+        return Err(saves::withheld(context.id, instance));
+    }
+    Ok(executed)
+}
+
 /// Returns whether a command may be sent again after its response was lost.
 fn is_repeatable(context: &StatementContext<'_>) -> bool {
     context.access == Access::Read || context.starts_transaction
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -17,6 +17,7 @@
 use super::placement::Availability;
 use super::position::Position;
 use super::replica_lag::ReplicaLag;
+use super::saves::SavesInFlight;
 use super::slots::Slots;
 use super::statement::{FailureKind, Protocol};
 use super::warmup::Pace;
@@ -85,6 +86,7 @@
     lag: Cell<ReplicaLag>,
     outlier: RefCell<OutlierRecord>,
     in_flight: Cell<u32>,
+    saves: Rc<SavesInFlight>,
     health: RefCell<Health>,
     became_unreachable: Notify,
     /// Statements a second that this VM may send; `None` unless the instance is cold.
@@ -141,6 +143,7 @@
             lag: Cell::default(),
             outlier: RefCell::default(),
             in_flight: Cell::new(0),
+            saves: Rc::default(),
             health: RefCell::default(),
             became_unreachable: Notify::new(),
             cold_share_per_s: Cell::new(None),
@@ -307,6 +310,11 @@
         self.in_flight.get().saturating_add(waiting)
     }
 
+    /// Returns the saves that were sent to the instance and not answered yet.
+    pub const fn saves(&self) -> &Rc<SavesInFlight> {
+        &self.saves
+    }
+
     /// Returns the slots of the instance at this VM.
     pub const fn slots(&self) -> &Rc<Slots> {
         &self.slots
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -108,6 +108,9 @@
     /// Number of instances that may hold acknowledged saves. Includes instances that are missing
     /// now.
     pub group_size: usize,
+    /// Whether this VM has confirmed a replacement of the primary, and acknowledges no save until it
+    /// has ended.
+    pub withholds_saves: bool,
 }
 
 impl DatabaseState {
--- a/src/entry/synchronization.rs
+++ b/src/entry/synchronization.rs
@@ -307,5 +307,8 @@
         known.record = Some(received);
         true
     };
+    if is_new && record.phase == Phase::Steady {
+        known.withholds_saves = false;
+    }
     is_new && is_reliable
 }
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -27,9 +27,6 @@
 use crate::name::{DatabaseName, InstanceName};
 use crate::telemetry::metrics::metrics;
 
-/// Time that running statements get to end before a planned replacement pauses the replicas.
-const STATEMENT_GRACE_PERIOD: Duration = Duration::from_millis(60);
-
 /// Time limit for a replica to receive the log entries that the primary or another replica has.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -161,10 +158,10 @@
             return false;
         }
         if reason.is_planned() {
-            sleep(STATEMENT_GRACE_PERIOD).await;
             self.depose_serving_primary().await;
         }
-        let Some((instance, term)) = self.promote(reason.knowledge()).await else {
+        let promoting = self.promote(reason.knowledge(), &mut confirming);
+        let Some((instance, term)) = promoting.await else {
             return false;
         };
         let former = self.record.record.primary.clone();
@@ -249,7 +246,14 @@
     }
 
     /// Promotes an instance that holds every acknowledged save. Returns its name and the new term.
-    async fn promote(&self, knowledge: Knowledge) -> Option<(InstanceName, u64)> {
+    ///
+    /// If the former primary doesn't report, it may have saves confirmed by instances that this VM doesn't
+    /// know. The instances are then asked once more when no VM acknowledges its saves any longer.
+    async fn promote(
+        &self,
+        knowledge: Knowledge,
+        confirming: &mut Confirming,
+    ) -> Option<(InstanceName, u64)> {
         let end = Instant::now() + PROMOTION_TIMEOUT;
         let mut attempt = 0;
         while Instant::now() < end {
@@ -264,6 +268,9 @@
             if let Some(term) = pause_term
                 && matches!(decision, Decision::Promote(_) | Decision::CatchUp(..))
             {
+                if !confirming.wait().await {
+                    return None;
+                }
                 reports = self.pause_all_replicas(reports, term).await;
                 decision = decide(&self.replaced(knowledge), &reports);
             }
--- a/src/entry/transaction.rs
+++ b/src/entry/transaction.rs
@@ -12,6 +12,7 @@
 use super::node::Node;
 use super::pool::PooledLink;
 use super::position::Position;
+use super::saves;
 use super::statement::{
     Access, Failure, FailureKind, InstanceCommand, Outcome, SessionState, StatementResponse,
 };
@@ -123,37 +124,24 @@
         values: &SessionValues,
         deadline: Instant,
     ) -> (StatementResponse, Option<Position>) {
-        let setup = Setup {
-            values,
-            prepared: None,
-            in_transaction: true,
-        };
         loop {
-            let mut allowed = self.wait_for_rate(deadline).await;
-            if is_closed(node, &self.instance()) {
-                allowed = Err(evacuated());
-            }
-            if let Err(failure) = allowed {
+            if let Err(failure) = self.wait_for_commit(node, deadline).await {
                 self.rollback().await;
                 return (idle_failure(failure), None);
             }
-            let link = self.pooled.link();
-            let response = match link.run(&setup, command, None, deadline).await {
+            let response = match self.send_commit(command, values, deadline).await {
                 Ok(response) => response,
-                Err(error) => {
-                    log::warn!(
-                        "event=commit_unanswered id={} error=\"{error}\"",
-                        command.id()
-                    );
+                Err(failure) => {
                     self.pooled.close();
-                    let text = "the instance did not answer; the transaction may have been kept";
-                    return (
-                        idle_failure(Failure::local(FailureKind::Unknown, text)),
-                        None,
-                    );
+                    return (idle_failure(failure), None);
                 }
             };
             match &response.outcome {
+                Outcome::Done(_) if !self.may_acknowledge(node) => {
+                    let failure = saves::withheld(command.id(), &self.instance().name);
+                    self.finish(&response);
+                    return (idle_failure(failure), None);
+                }
                 Outcome::Done(_) => {
                     let mark = response.position.filter(|_| self.wrote);
                     self.finish(&response);
@@ -183,6 +171,48 @@
         }
     }
 
+    /// Waits until the commit may be sent.
+    async fn wait_for_commit(&self, node: &Node, deadline: Instant) -> Result<(), Failure> {
+        self.wait_for_rate(deadline).await?;
+        if is_closed(node, &self.instance()) {
+            return Err(evacuated());
+        }
+        if !self.may_acknowledge(node) {
+            return Err(replaced());
+        }
+        Ok(())
+    }
+
+    async fn send_commit(
+        &mut self,
+        command: &InstanceCommand,
+        values: &SessionValues,
+        deadline: Instant,
+    ) -> Result<StatementResponse, Failure> {
+        let setup = Setup {
+            values,
+            prepared: None,
+            in_transaction: true,
+        };
+        let _save = self.wrote.then(|| self.pooled.pool().saves().begin());
+        let link = self.pooled.link();
+        let response = link.run(&setup, command, None, deadline).await;
+        response.map_err(|error| {
+            log::warn!(
+                "event=commit_unanswered id={} error=\"{error}\"",
+                command.id()
+            );
+            let text = "the instance did not answer; the transaction may have been kept";
+            Failure::local(FailureKind::Unknown, text)
+        })
+    }
+
+    /// Returns whether a successful commit may be acknowledged.
+    fn may_acknowledge(&self, node: &Node) -> bool {
+        let instance = self.instance();
+        !self.wrote || saves::may_acknowledge(node, &instance.database, &instance.name)
+    }
+
     fn finish(self, response: &StatementResponse) {
         if response.state != SessionState::Idle {
             self.pooled.close();
@@ -236,6 +266,13 @@
     )
 }
 
+fn replaced() -> Failure {
+    Failure::local(
+        FailureKind::Aborted,
+        "not kept: the primary is being replaced",
+    )
+}
+
 fn aborted(id: &str, error: &super::link::LinkError) -> Failure {
     log::warn!("event=transaction_aborted id={id} error=\"{error}\"");
     Failure::local(
