Record of a primary: the number of instances follows those that have left

A primary is replaced as planned and leaves; later the next primary is lost and all processes restart.

Cause: the record says how many instances may hold acknowledged saves. A planned replacement wrote four, the new instance included. That the former primary had left was noted in each VM's memory only, 6.5 s later. A VM that started took the four from the record, heard two replicas, and waited for a third one without end.

Change (`entry::group_size`, which takes the place of the sizes in `entry::directory`): the record is written again when the number changes. - It shrinks at once when an instance that announced that it leaves is announced no longer, doesn't respond, and all others have received what the primary holds then. An instance that vanished without a word is counted 4 s longer, as before, and now under the same condition. No memory shrinks without the record. - It grows when an instance joins, so that a VM that starts counts on one that it has never seen. The VM that is first in the order for the database writes it, by compare-and-swap, so that a replacement that begins meanwhile wins or is begun again.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -33,6 +33,7 @@
 pub mod freshness;
 pub mod gateway;
 pub mod gateways;
+pub mod group_size;
 pub mod health;
 pub mod idle_transactions;
 pub mod input_budget;
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -9,23 +9,17 @@
 
 use super::clock;
 use super::follow::{self, Follower};
-use super::health::Verdict;
 use super::instance::{Change, Instance};
 use super::keys;
 use super::node::Node;
 use crate::configuration::Revision;
 use crate::control::event::KeyValue;
-use crate::name::{DatabaseName, InstanceName};
-use crate::time::Timestamp;
+use crate::name::InstanceName;
 
 /// Time for which an instance whose announcement is missing is still used. Announcements that
 /// lapsed during a store outage are restored within about two seconds.
 const MISSING_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Time for which the primary must have been healthy while an instance is missing before the group
-/// size shrinks. By then, every save that the instance acknowledged has reached the others.
-const SHRINK_DELAY: Duration = Duration::from_secs(4);
-
 /// Reads and watches the announcements while this VM is a gateway, until the process ends.
 pub async fn run(node: Rc<Node>) {
     loop {
@@ -126,9 +120,6 @@
     }
 }
 
-/// Time since when each database has had fewer instances than its group size.
-pub type UndersizedSince = HashMap<DatabaseName, Timestamp>;
-
 /// Revisions of the announcements that couldn't be decoded, each of which is logged once.
 type Unreadable = RefCell<HashMap<String, Revision>>;
 
@@ -192,9 +183,8 @@
     node.changed.notify_waiters();
 }
 
-/// Removes instances whose announcements have been missing for `MISSING_TIMEOUT`, and updates the
-/// group sizes.
-pub fn remove_missing(node: &Rc<Node>, undersized_since: &mut UndersizedSince) {
+/// Removes instances whose announcements have been missing for `MISSING_TIMEOUT`.
+pub fn remove_missing(node: &Rc<Node>) {
     let now = clock::now();
     let gone: Vec<Change> = {
         let mut state = node.state.borrow_mut();
@@ -212,30 +202,4 @@
     for change in gone {
         publish_change(node, &change);
     }
-    update_group_sizes(node, undersized_since, now);
-}
-
-/// Updates the number of instances of each database that may hold acknowledged saves. It grows at
-/// once, and shrinks after [`SHRINK_DELAY`].
-fn update_group_sizes(node: &Rc<Node>, undersized_since: &mut UndersizedSince, now: Timestamp) {
-    let mut state = node.state.borrow_mut();
-    let databases: Vec<DatabaseName> = state.databases.keys().cloned().collect();
-    for database in databases {
-        let count = state.directory.count_logs(&database);
-        let healthy = state
-            .primary(&database)
-            .is_some_and(|primary| node.health_verdict(&primary.name) == Verdict::Healthy);
-        let known = state.database(&database);
-        if count >= known.group_size {
-            known.group_size = count;
-            undersized_since.remove(&database);
-        } else if !healthy {
-            undersized_since.remove(&database);
-        } else {
-            let since = *undersized_since.entry(database).or_insert(now);
-            if now.since(since) >= SHRINK_DELAY {
-                known.group_size = count;
-            }
-        }
-    }
 }
--- a/src/entry/failover.rs
+++ b/src/entry/failover.rs
@@ -24,7 +24,7 @@
 use crate::time::Timestamp;
 
 /// Delay between the VMs that act on the same failure, so that they don't act at the same time.
-const DELAY_PER_RANK: Duration = Duration::from_millis(80);
+pub const DELAY_PER_RANK: Duration = Duration::from_millis(80);
 
 /// Time for which the announcement of a primary must be missing before it counts as gone.
 /// Announcements that lapsed during a store outage are restored within about two seconds, and a VM
@@ -172,7 +172,7 @@
         primary: primary.name.clone(),
         term: report.term,
         phase: Phase::Steady,
-        instances: node.state.borrow().directory.count_logs(&primary.database),
+        instances: node.state.borrow().count_logs(&primary.database),
         timeline: node.adapter.store.timeline(),
     };
     records::write(node, &primary.database, Revision(0), record).await;
@@ -236,7 +236,7 @@
 }
 
 /// Returns this VM's position in the order in which the gateways act for a database.
-fn rank(node: &Node, state: &State, database: &DatabaseName) -> u32 {
+pub fn rank(node: &Node, state: &State, database: &DatabaseName) -> u32 {
     let weight = |vm: &VmName| xxhash_rust::xxh3::xxh3_64(format!("{vm}/{database}").as_bytes());
     let own = weight(&node.settings.vm);
     let before = state.gateways.keys().filter(|vm| weight(vm) < own).count();
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -1,6 +1,6 @@
 //! Announcements of instances, and the directory of them.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -88,14 +88,6 @@
             .filter(move |instance| instance.database == *database)
     }
 
-    /// Returns how many instances of a database may hold its log. One that has started again under
-    /// another name at the same address has taken over the log of the former one, whose announcement may
-    /// still be present.
-    pub fn count_logs(&self, database: &DatabaseName) -> usize {
-        let addresses = self.in_database(database).map(|instance| instance.address);
-        addresses.collect::<HashSet<_>>().len()
-    }
-
     /// Returns the instances of all databases, in no particular order.
     pub fn all(&self) -> impl Iterator<Item = &Rc<Instance>> {
         self.by_name.values()
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -12,6 +12,7 @@
 
 use super::clock;
 use super::failover::FailoverMonitor;
+use super::group_size::GroupSizes;
 use super::node::Node;
 use super::overload::Load;
 use super::peers::Peers;
@@ -104,12 +105,13 @@
 /// Checks instances, failovers and readiness periodically, until the process ends.
 async fn tick(node: Rc<Node>) {
     let monitor = Rc::new(FailoverMonitor::default());
-    let mut undersized_since = directory::UndersizedSince::new();
+    let mut group_sizes = GroupSizes::default();
     loop {
         let due_at = Instant::now() + node.settings.tick;
         sleep_until(due_at).await;
         observe_load(&node, due_at.elapsed());
-        directory::remove_missing(&node, &mut undersized_since);
+        directory::remove_missing(&node);
+        group_sizes.tick(&node);
         monitor.tick(&node);
         transaction::end_evacuated(&node);
         node.maintain_pools(node.settings.tick);
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -1,6 +1,6 @@
 //! Local view that a VM has of the fleet.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -155,6 +155,21 @@
         self.directory.get(&record.primary).filter(|_| is_available)
     }
 
+    /// Returns whether an instance announced that it leaves, and is announced no longer.
+    pub fn has_left(&self, instance: &Instance) -> bool {
+        instance.state == InstanceState::Draining && self.missing.contains_key(&instance.name)
+    }
+
+    /// Returns how many instances of a database may hold its log. One that has started again under
+    /// another name at the same address has taken over the log of the former one, whose announcement may
+    /// still be present.
+    pub fn count_logs(&self, database: &DatabaseName) -> usize {
+        let members = self.directory.in_database(database);
+        let present = members.filter(|instance| !self.has_left(instance));
+        let addresses = present.map(|instance| instance.address);
+        addresses.collect::<HashSet<_>>().len()
+    }
+
     /// Returns when the zone of an instance ceased to be evacuated; `None` if it is evacuated or
     /// never was, or if the instance is the primary, which needn't have been left.
     pub fn returned_at(&self, instance: &Instance) -> Option<Timestamp> {
--- a/src/entry/synchronization.rs
+++ b/src/entry/synchronization.rs
@@ -296,6 +296,7 @@
     record: &PrimaryRecord,
     revision: Revision,
 ) -> bool {
+    let announced = state.count_logs(database);
     let known = state.database(database);
     // A VM that has just started may know fewer instances than hold acknowledged saves.
     known.group_size = known.group_size.max(record.instances);
@@ -309,6 +310,7 @@
     };
     if is_new && record.phase == Phase::Steady {
         known.withholds_saves = false;
+        known.group_size = record.instances.max(announced);
     }
     is_new && is_reliable
 }
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -643,7 +643,7 @@
     /// missing now.
     fn group_size(&self) -> usize {
         let mut state = self.node.state.borrow_mut();
-        let announced = state.directory.count_logs(&self.database);
+        let announced = state.count_logs(&self.database);
         announced.max(state.database(&self.database).group_size)
     }
 }
