Target: nothing is sent to an instance whose time to leave is over

Cause: a primary that leaves takes statements until it has been replaced. Where no other instance can take over, because it lags or is cut off, or where only the leaving one has every save and is promoted again, that took longer than the instance's time to leave, and nothing ended it.

Change: each VM remembers since when it has known that an instance leaves, and sends nothing to it 2 s before the limit (`drain_limit_ms`, from the platform's settings; 7 s by default): statements are refused with the time of a replacement. The margin covers the delay of the watch and statements on their way.

Ruled out: that a leaving instance must not be promoted. It may be the only one with every save.

--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -59,6 +59,8 @@
     by_name: HashMap<InstanceName, Rc<Instance>>,
     /// End of the cold time of instances that didn't start warm.
     cold: HashMap<InstanceName, ColdTime>,
+    /// Time since when an instance has been known to leave.
+    draining_since: HashMap<InstanceName, Timestamp>,
     /// Sequence of the last announcement that was older than the known one, for each instance that
     /// has received one since.
     outdated: HashMap<InstanceName, u64>,
@@ -103,6 +105,12 @@
         self.cold_until(name).is_some_and(|until| now < until)
     }
 
+    /// Returns for how long an instance has been known to leave; zero if it isn't.
+    pub fn draining_for(&self, name: &InstanceName, now: Timestamp) -> Duration {
+        let since = self.draining_since.get(name);
+        since.map_or(Duration::ZERO, |since| now.since(*since))
+    }
+
     /// Records the cold time that an announcement received at `now` tells of. One process's time is
     /// never prolonged: an announcement may be read long after it was written.
     fn record_cold_time(&mut self, instance: &Instance, now: Timestamp) {
@@ -151,6 +159,12 @@
         }
         self.outdated.remove(&instance.name);
         self.record_cold_time(&instance, now);
+        if instance.state == InstanceState::Draining {
+            let since = self.draining_since.entry(instance.name.clone());
+            since.or_insert(now);
+        } else {
+            self.draining_since.remove(&instance.name);
+        }
         let current = Rc::new(instance);
         self.by_name
             .insert(current.name.clone(), Rc::clone(&current));
@@ -163,6 +177,7 @@
     /// Removes an instance. Returns the change, or `None` when the instance isn't known.
     pub fn remove(&mut self, name: &str) -> Option<Change> {
         self.outdated.remove(name);
+        self.draining_since.remove(name);
         let previous = self.by_name.remove(name)?;
         Some(Change {
             previous: Some(previous),
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -25,6 +25,8 @@
     pub peer_address: SocketAddr,
     /// Time limit of a planned stop.
     pub stop_within: Duration,
+    /// Time after an instance announced that it leaves by which nothing may arrive there any longer.
+    pub drain_limit: Duration,
     /// Time within which the balancer detects that a VM isn't ready.
     pub balancer_detection_time: Duration,
     /// Time-to-live of a gateway's lease at the store, which bounds its validity lease. Longer than
@@ -67,6 +69,7 @@
             caller_address: unset,
             peer_address: unset,
             stop_within: Duration::from_secs(6),
+            drain_limit: Duration::from_secs(7),
             balancer_detection_time: Duration::from_millis(2_200),
             gateway_ttl: Duration::from_secs(5),
             gateway_renewal: Duration::from_secs(1),
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -17,6 +17,10 @@
 use crate::name::InstanceName;
 use crate::time::Timestamp;
 
+/// Time before the drain limit of an instance from which on nothing is sent to it. Covers the delay of
+/// the watch, and statements on their way.
+const DRAIN_MARGIN: Duration = Duration::from_secs(2);
+
 /// Result of selecting an instance.
 pub type Result<T, E = NoTarget> = std::result::Result<T, E>;
 
@@ -97,6 +101,9 @@
     if zones.is_closed(&instance.availability_zone, now) {
         return Err(NoTarget::Evacuated);
     }
+    if has_drained(state, node, instance, now) {
+        return Err(NoTarget::PrimaryUnavailable);
+    }
     let min_position = if has_validity_lease || is_safe_without_lease(state, context) {
         None
     } else {
@@ -121,6 +128,13 @@
     }
 }
 
+/// Returns whether an instance announced so long ago that it leaves that nothing may be sent to it any
+/// longer.
+fn has_drained(state: &State, node: &Node, instance: &Instance, now: Timestamp) -> bool {
+    let limit = node.settings.drain_limit.saturating_sub(DRAIN_MARGIN);
+    state.directory.draining_for(&instance.name, now) >= limit
+}
+
 fn is_primary_evacuated(state: &State, context: &StatementContext<'_>) -> bool {
     let zones = &state.evacuated_zones;
     primary(state, context).is_some_and(|primary| zones.contains(&primary.availability_zone))
@@ -154,7 +168,8 @@
         let reachable = node.health_verdict(&instance.name) != Verdict::Unreachable;
         let zones = &state.evacuated_zones;
         let evacuated = zones.contains(&instance.availability_zone);
-        let eligible = consistent && serving && reachable && !evacuated;
+        let drained = has_drained(state, node, instance, clock::now());
+        let eligible = consistent && serving && reachable && !evacuated && !drained;
         eligible && !tried.contains(&instance.name) && is_rate_free(node, context, instance)
     };
     let instances: Vec<_> = state
@@ -315,6 +330,9 @@
 ) -> Option<Authorization> {
     let state = node.state.borrow();
     let now = clock::now();
+    if has_drained(&state, node, &target.instance, now) {
+        return None;
+    }
     let (zones, zone) = (&state.evacuated_zones, &target.instance.availability_zone);
     if !target.is_primary {
         let authorization = Authorization {
