Registration: watches that fell silent in an outage end when the lease has lapsed, too

Cause: the store fell silent for 5.7 s, and with it the connections of the watches. The first renewal that it answers ends them, but only if it extends the lease. Where the lease had lapsed, the VM registered again and kept its watches: that of the announcements delivered nothing from 12.9 s to 38.9 s, until its connection timed out. That of the shared keys is read again once another VM reports a later change.

Change: a registration ends the watches as well.

The test a_leaving_primary_is_noticed_after_an_outage_of_the_store_in_which_the_lease_lapsed fails before ("the condition wasn't met within the time limit", 20 s) and passes now.

--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -50,7 +50,8 @@
     /// Signals that the local view has changed: a record, an instance, the list of gateways, the
     /// validity lease, the role or the configuration.
     pub changed: Notify,
-    /// Signals that the store responds again after a renewal without a response.
+    /// Signals that the store responds again after a renewal without a response, or that this VM has
+    /// registered again. Connections of watches may have fallen silent before.
     pub store_regained: Notify,
     /// Latest change of the shared keys seen here, and by other VMs.
     pub shared_progress: Progress,
--- a/src/entry/registration.rs
+++ b/src/entry/registration.rs
@@ -141,6 +141,7 @@
     drop(state);
     synchronization::confirm_replacements(node);
     node.changed.notify_waiters();
+    node.store_regained.notify_waiters();
     log::info!(
         "event=registered vm={} lease={lease} ttl_ms={}",
         node.settings.vm,
