Reads: a primary that has lost its log runs none

What callers could see: a read misses acknowledged saves (STALE), for as long as only reads are sent.

Cause: a read of the recorded primary required no position, because the record and the validity lease say that it is the primary.

Change: a read or the start of a transaction at the primary requires the latest position that this VM has seen that instance report as the primary (`Authorization::min_position`). The instance checks it. One that refuses for this reason counts as not being the primary, and its report isn't taken as that of a primary that holds every acknowledged save.

Why only what the instance itself has reported: positions of an earlier primary may have been rolled back.

What remains: a VM that has seen no response of the primary yet requires nothing.

--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -145,7 +145,8 @@
         let route = &context.route.name;
         metrics().record_step(route, Step::Connect, sent_at.since(started_at));
         let pool = Rc::clone(pooled.pool());
-        let result = send(context, command, &target, slot, &mut pooled).await;
+        let min_position = authorization.min_position;
+        let result = send(context, command, min_position, slot, &mut pooled).await;
         let response = match result {
             Ok(response) => response,
             Err(error) => {
@@ -186,19 +187,16 @@
 async fn send(
     context: &StatementContext<'_>,
     command: &InstanceCommand,
-    target: &Target,
+    min_position: Option<Position>,
     mut slot: Slot,
     pooled: &mut PooledLink,
 ) -> Result<StatementResponse, LinkError> {
     let pool = Rc::clone(pooled.pool());
     let _save = (context.kind() == StatementKind::Save).then(|| pool.saves().begin());
     pool.statement_started();
-    let running = pooled.link().run(
-        &context.setup,
-        command,
-        target.min_position,
-        context.deadline,
-    );
+    let running = pooled
+        .link()
+        .run(&context.setup, command, min_position, context.deadline);
     slot.statement_sent();
     let result = tokio::select! {
         result = running => result,
@@ -316,7 +314,7 @@
     let retries = u32::from(progress.attempts - context.attempts).saturating_sub(2);
     match kind {
         FailureKind::NoSuchStatement => pooled.link().forget_prepared(),
-        FailureKind::ReadOnly => {
+        FailureKind::ReadOnly | FailureKind::Lagging if is_primary_doubtful(target, kind) => {
             pooled.pool().record_health(|health, _| health.on_deposed());
             await_other_primary(
                 node,
@@ -333,6 +331,12 @@
     }
 }
 
+/// Returns whether a failure says that the target isn't the primary, or that it lacks what it has reported
+/// itself as the primary: then it has lost its log.
+fn is_primary_doubtful(target: &Target, kind: FailureKind) -> bool {
+    kind == FailureKind::ReadOnly || (target.is_primary && target.min_position.is_none())
+}
+
 /// Waits until another instance, or none, is recorded as the primary, at most for `limit`.
 async fn await_other_primary(
     node: &Node,
@@ -421,6 +425,7 @@
         known
             .freshness
             .record(position, authorization.sent_at, clock::now());
+        known.record_primary_position(&target.instance.name, position);
     }
 }
 
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -9,6 +9,7 @@
 use super::evacuation::EvacuatedZones;
 use super::freshness::Freshness;
 use super::instance::{Directory, Instance, InstanceState};
+use super::position::Position;
 use super::quota::Quota;
 use super::record::{
     GatewayList, Phase, PrimaryRecord, SettledTimelineRecord, VersionedRecord, VmRecord,
@@ -108,12 +109,31 @@
     /// Number of instances that may hold acknowledged saves. Includes instances that are missing
     /// now.
     pub group_size: usize,
+    /// Instance that was the primary at the last response which showed its position, and the latest
+    /// position that it has reported.
+    reported: Option<(InstanceName, Position)>,
     /// Whether this VM has confirmed a replacement of the primary, and acknowledges no save until it
     /// has ended.
     pub withholds_saves: bool,
 }
 
 impl DatabaseState {
+    /// Records a position that the primary has reported.
+    pub fn record_primary_position(&mut self, primary: &InstanceName, position: Position) {
+        let known = self.primary_position(primary);
+        self.reported = Some((
+            primary.clone(),
+            known.map_or(position, |at| at.max(position)),
+        ));
+    }
+
+    /// Returns the latest position that an instance has reported as the primary; `None` if it has reported
+    /// none since another one did.
+    pub fn primary_position(&self, primary: &InstanceName) -> Option<Position> {
+        let (_, position) = self.reported.as_ref().filter(|(name, _)| name == primary)?;
+        Some(*position)
+    }
+
     /// Records that the store holds no record of the database, which a restoration has caused if
     /// `timeline` is later than that of the record.
     pub fn record_lost(&mut self, timeline: Timeline) {
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -233,8 +233,11 @@
             .await;
         // An instance that refuses for lack of capacity is alive.
         let busy = report.is_none() && link.has_responded() && reason == Reason::Unreachable;
-        let leads = report
-            .is_some_and(|report| report.is_primary && report.term <= self.record.record.term);
+        let known = self.reported_position(name);
+        let leads = report.is_some_and(|report| {
+            let has_log = known.is_none_or(|position| report.received >= position);
+            report.is_primary && report.term <= self.record.record.term && has_log
+        });
         if leads || busy {
             log::info!(
                 "event=suspicion_cleared database={} primary={name}",
@@ -263,6 +266,7 @@
             let (members, primary) = (self.members(), replaced.primary);
             let pausing = reports::pause_replicas(&self.node, &self.lease, members, primary, term);
             let mut reports = pausing.await;
+            reports.retain(|member| !self.has_lost_log(member));
             let mut decision = decide(&replaced, &reports);
             let pause_term = needs_all_replicas(&replaced, &reports).then_some(term);
             if let Some(term) = pause_term
@@ -374,6 +378,22 @@
         self.promote_chosen(&furthest, &reports, pause_term).await
     }
 
+    /// Returns whether the former primary lacks what it has reported itself. It was started again without
+    /// its log then, and its report says nothing about acknowledged saves.
+    fn has_lost_log(&self, member: &MemberReport) -> bool {
+        let known = self.reported_position(&member.instance);
+        known.is_some_and(|position| member.report.received < position)
+    }
+
+    /// Returns the latest position that this VM knows an instance to have reported as the primary.
+    fn reported_position(&self, instance: &InstanceName) -> Option<Position> {
+        let state = self.node.state.borrow();
+        state
+            .databases
+            .get(&self.database)?
+            .primary_position(instance)
+    }
+
     fn is_synchronous(&self) -> bool {
         let catalog = self.node.catalog();
         catalog.is_some_and(|catalog| catalog.is_synchronous(&self.database))
