Entry: the choice and promotion of a new primary in a module of its own

Cause: takeover.rs ran a replacement and also chose and promoted the instance that follows.

No behaviour changes.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -73,6 +73,7 @@
 pub mod slots;
 pub mod state;
 pub mod statement;
+pub mod succession;
 pub mod supervision;
 pub mod synchronization;
 pub mod takeover;
