--- a/src/entry/confirmation.rs
+++ b/src/entry/confirmation.rs
@@ -245,9 +245,9 @@
         } else if let Some(revoked) = revocation::list(node).await {
             let registered = registered.into_iter().flatten();
             let registered = registered.map(|vm| Pending { vm, revoked: None });
-            let revoked = revoked.into_iter().map(|(vm, lease)| Pending {
-                vm,
-                revoked: Some(lease),
+            let revoked = revoked.into_iter().map(|revoked| Pending {
+                vm: revoked.vm,
+                revoked: Some(revoked.lease),
             });
             return registered.chain(revoked).collect();
         } else {
@@ -286,8 +286,8 @@
         let is_same = |vm: &RegisteredVm| {
             vm.vm == pending.vm.vm && vm.registration.lease == pending.vm.registration.lease
         };
-        if let Some((_, lease)) = revoked.iter().find(|(vm, _)| is_same(vm)) {
-            pending.revoked = Some(Rc::clone(lease));
+        if let Some(revoked) = revoked.iter().find(|revoked| is_same(&revoked.vm)) {
+            pending.revoked = Some(Rc::clone(&revoked.lease));
         }
     }
 }
--- a/src/entry/revocation.rs
+++ b/src/entry/revocation.rs
@@ -45,8 +45,14 @@
     }
 }
 
-/// VM whose registration is revoked, with its validity lease.
-pub type Revoked = (RegisteredVm, Rc<RevokedLease>);
+/// VM whose registration is revoked.
+#[derive(Debug, Clone)]
+pub struct Revoked {
+    /// The VM, with the registration that is revoked.
+    pub vm: RegisteredVm,
+    /// Its validity lease.
+    pub lease: Rc<RevokedLease>,
+}
 
 /// Recorded revocation that this VM carries out.
 #[derive(Debug)]
@@ -128,7 +134,8 @@
     record: RevocationRecord,
 ) -> Vec<Revoked> {
     let leases: Vec<_> = record.vms.iter().map(|_| Rc::default()).collect();
-    let revoked = record.vms.iter().cloned().zip(leases.clone()).collect();
+    let vms = record.vms.iter().cloned().zip(leases.iter().cloned());
+    let revoked = vms.map(|(vm, lease)| Revoked { vm, lease }).collect();
     let revocation = Revocation {
         key,
         revision,
