--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -21,7 +21,6 @@
 use super::target::{self, Authorization, Target};
 use crate::name::WorkspaceName;
 use crate::telemetry::metrics::{Step, metrics};
-use crate::time::Timestamp;
 
 /// Delay before the first retry on a primary that had no capacity; doubles with each further one.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(15);
@@ -141,7 +140,7 @@
             authorization,
         } = acquired.map_err(|refused| progress.may_have_run.take().unwrap_or(refused))?;
         let sent_at = authorization.sent_at;
-        log_sent(node, context, &target, sent_at);
+        log_sent(node, context, &target, &authorization);
         let route = &context.route.name;
         metrics().record_step(route, Step::Connect, sent_at.since(started_at));
         let pool = Rc::clone(pooled.pool());
@@ -361,21 +360,31 @@
 
 /// Logs by which right a statement is sent: a position that the instance must have reached, or the
 /// lease by which this VM relies on the record of the primary.
-fn log_sent(node: &Node, context: &StatementContext<'_>, target: &Target, sent_at: Timestamp) {
+fn log_sent(
+    node: &Node,
+    context: &StatementContext<'_>,
+    target: &Target,
+    authorization: &Authorization,
+) {
     if !log::log_enabled!(log::Level::Debug) {
         return;
     }
+    let Authorization {
+        sent_at,
+        min_position,
+        ..
+    } = *authorization;
     let state = node.state.borrow();
     let record = state.databases.get(&context.route.database);
     let revision = record.and_then(|known| Some(known.record.as_ref()?.revision.0));
     log::debug!(
-        "event=statement_sent id={} instance={} started_at_ms={} is_primary={} min_position={:?} \
-         guard_left_ms={} sublease_left_ms={} record_revision={revision:?}",
+        "event=statement_sent id={} instance={} started_at_ms={} is_primary={} \
+         min_position={min_position:?} guard_left_ms={} sublease_left_ms={} \
+         record_revision={revision:?}",
         context.id,
         target.instance.name,
         target.instance.started_at_ms,
         target.is_primary,
-        target.min_position,
         state.validity_lease.time_left(sent_at).as_millis(),
         state.sublease.time_left(sent_at).as_millis()
     );
