Reads: whether a primary has lost its log is checked when a connection is opened

Change: an instance that starts again has closed its connections, so it is enough to compare, once for each connection, the position of its first message with what the instance had reported as the primary before the connection was opened (`acquisition::verify_log`). Reads are sent as before.

--- a/src/entry/acquisition.rs
+++ b/src/entry/acquisition.rs
@@ -11,6 +11,7 @@
 use super::link::{LinkError, is_misrouted};
 use super::node::Node;
 use super::pool::{LinkRequest, PooledLink};
+use super::position::Position;
 use super::refusal::{Cause, refuse};
 use super::slots::{Slot, SlotRequest};
 use super::statement::{Access, Failure};
@@ -121,8 +122,9 @@
             connect_timeout: node.settings.connect_timeout,
             deadline: search.deadline,
         };
+        let reported = reported_position(node, &target);
         let taken = pool.take(&link_request).await;
-        match taken {
+        match taken.and_then(|pooled| verify_log(pooled, reported)) {
             Ok(pooled) => {
                 if let Some(authorization) = target::authorize(node, context, &target) {
                     record_available_primary(node, context, &target);
@@ -145,6 +147,29 @@
     }
 }
 
+/// Returns the latest position that the target has reported as the primary; `None` if it isn't known as
+/// such.
+fn reported_position(node: &Node, target: &Target) -> Option<Position> {
+    let state = node.state.borrow();
+    let known = state.databases.get(&target.instance.database)?;
+    let reported = known.primary_position(&target.instance.name);
+    reported.filter(|_| target.is_primary)
+}
+
+/// Fails if the instance had less than it has `reported` before the connection was opened. It was started again
+/// without its log then, which has closed its former connections.
+fn verify_log(mut pooled: PooledLink, reported: Option<Position>) -> Result<PooledLink, LinkError> {
+    let opening = pooled.link().take_opening_position();
+    let is_lost = opening
+        .zip(reported)
+        .is_some_and(|(opening, reported)| opening < reported);
+    if is_lost {
+        pooled.close();
+        return Err(LinkError::LogLost);
+    }
+    Ok(pooled)
+}
+
 fn record_available_primary(node: &Node, context: &StatementContext<'_>, target: &Target) {
     let database = &context.route.database;
     if target.is_primary && node.state.borrow().primary(database).is_some() {
@@ -197,6 +222,11 @@
         context.id,
         target.instance.name
     );
+    if matches!(error, LinkError::LogLost) {
+        let pool = node.pool(&target.instance);
+        pool.record_health(|health, _| health.on_deposed());
+        return;
+    }
     let is_alive = matches!(error, LinkError::Rejected { .. } | LinkError::Exhausted);
     if !is_alive || is_misrouted(error) {
         node.pool(&target.instance).record_health(Health::on_failed);
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -21,6 +21,7 @@
 use super::target::{self, Authorization, Target};
 use crate::name::WorkspaceName;
 use crate::telemetry::metrics::{Step, metrics};
+use crate::time::Timestamp;
 
 /// Delay before the first retry on a primary that had no capacity; doubles with each further one.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(15);
@@ -140,12 +141,11 @@
             authorization,
         } = acquired.map_err(|refused| progress.may_have_run.take().unwrap_or(refused))?;
         let sent_at = authorization.sent_at;
-        log_sent(node, context, &target, &authorization);
+        log_sent(node, context, &target, sent_at);
         let route = &context.route.name;
         metrics().record_step(route, Step::Connect, sent_at.since(started_at));
         let pool = Rc::clone(pooled.pool());
-        let min_position = authorization.min_position;
-        let result = send(context, command, min_position, slot, &mut pooled).await;
+        let result = send(context, command, &target, slot, &mut pooled).await;
         let response = match result {
             Ok(response) => response,
             Err(error) => {
@@ -186,16 +186,19 @@
 async fn send(
     context: &StatementContext<'_>,
     command: &InstanceCommand,
-    min_position: Option<Position>,
+    target: &Target,
     mut slot: Slot,
     pooled: &mut PooledLink,
 ) -> Result<StatementResponse, LinkError> {
     let pool = Rc::clone(pooled.pool());
     let _save = (context.kind() == StatementKind::Save).then(|| pool.saves().begin());
     pool.statement_started();
-    let running = pooled
-        .link()
-        .run(&context.setup, command, min_position, context.deadline);
+    let running = pooled.link().run(
+        &context.setup,
+        command,
+        target.min_position,
+        context.deadline,
+    );
     slot.statement_sent();
     let result = tokio::select! {
         result = running => result,
@@ -313,7 +316,7 @@
     let retries = u32::from(progress.attempts - context.attempts).saturating_sub(2);
     match kind {
         FailureKind::NoSuchStatement => pooled.link().forget_prepared(),
-        FailureKind::ReadOnly | FailureKind::Lagging if is_primary_doubtful(target, kind) => {
+        FailureKind::ReadOnly => {
             pooled.pool().record_health(|health, _| health.on_deposed());
             await_other_primary(
                 node,
@@ -330,12 +333,6 @@
     }
 }
 
-/// Returns whether a failure says that the target isn't the primary, or that it lacks what it has reported
-/// itself as the primary: then it has lost its log.
-fn is_primary_doubtful(target: &Target, kind: FailureKind) -> bool {
-    kind == FailureKind::ReadOnly || (target.is_primary && target.min_position.is_none())
-}
-
 /// Waits until another instance, or none, is recorded as the primary, at most for `limit`.
 async fn await_other_primary(
     node: &Node,
@@ -360,31 +357,21 @@
 
 /// Logs by which right a statement is sent: a position that the instance must have reached, or the
 /// lease by which this VM relies on the record of the primary.
-fn log_sent(
-    node: &Node,
-    context: &StatementContext<'_>,
-    target: &Target,
-    authorization: &Authorization,
-) {
+fn log_sent(node: &Node, context: &StatementContext<'_>, target: &Target, sent_at: Timestamp) {
     if !log::log_enabled!(log::Level::Debug) {
         return;
     }
-    let Authorization {
-        sent_at,
-        min_position,
-        ..
-    } = *authorization;
     let state = node.state.borrow();
     let record = state.databases.get(&context.route.database);
     let revision = record.and_then(|known| Some(known.record.as_ref()?.revision.0));
     log::debug!(
-        "event=statement_sent id={} instance={} started_at_ms={} is_primary={} \
-         min_position={min_position:?} guard_left_ms={} sublease_left_ms={} \
-         record_revision={revision:?}",
+        "event=statement_sent id={} instance={} started_at_ms={} is_primary={} min_position={:?} \
+         guard_left_ms={} sublease_left_ms={} record_revision={revision:?}",
         context.id,
         target.instance.name,
         target.instance.started_at_ms,
         target.is_primary,
+        target.min_position,
         state.validity_lease.time_left(sent_at).as_millis(),
         state.sublease.time_left(sent_at).as_millis()
     );
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -52,6 +52,9 @@
     /// The pool had no free connection to the instance before the deadline.
     #[snafu(display("every connection to the instance is in use; retry later"))]
     Exhausted,
+    /// The instance lacks what it has reported as the primary.
+    #[snafu(display("the instance has lost its log"))]
+    LogLost,
     /// The instance rejected the session or one of its values or prepared statements.
     #[snafu(display("the instance rejected the session: {} {}", failure.kind, failure.text))]
     Rejected {
@@ -104,6 +107,8 @@
     pub workspace: WorkspaceName,
     /// When the connection was opened or last responded to a statement.
     pub used_at: Instant,
+    /// Position that the instance reported when the connection was opened, until it is taken.
+    opening_position: Option<Position>,
     stream: TcpStream,
     input: BytesMut,
     output: BytesMut,
@@ -140,6 +145,7 @@
             instance,
             workspace,
             used_at: Instant::now(),
+            opening_position: None,
             stream,
             input: BytesMut::with_capacity(INPUT_BYTES),
             output: BytesMut::new(),
@@ -164,12 +170,21 @@
         })?;
         self.flush(deadline).await?;
         match self.read_message(deadline).await? {
-            InstanceMessage::Ready { .. } => Ok(()),
+            InstanceMessage::Ready { position, .. } => {
+                self.opening_position = position;
+                Ok(())
+            }
             InstanceMessage::Failed(failure) => Err(LinkError::Rejected { failure }),
             InstanceMessage::Row(_) | InstanceMessage::Done(_) => Err(unexpected_message()),
         }
     }
 
+    /// Returns the position that the instance reported when the connection was opened; `None` if it
+    /// reported none, or this was called before.
+    pub const fn take_opening_position(&mut self) -> Option<Position> {
+        self.opening_position.take()
+    }
+
     /// Returns whether the connection is open and has no unread input, as it must be between uses.
     pub fn is_usable(&self) -> bool {
         let mut byte = [0];
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -435,7 +435,11 @@
         workspace: &WorkspaceName,
         deadline: Instant,
     ) -> Result<PooledLink> {
-        self.connect(workspace, OpenReason::Control, deadline).await
+        let mut pooled = self
+            .connect(workspace, OpenReason::Control, deadline)
+            .await?;
+        pooled.link().take_opening_position();
+        Ok(pooled)
     }
 
     async fn wait_for_release(&self, deadline: Instant) -> Result<()> {
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -127,6 +127,12 @@
         ));
     }
 
+    /// Forgets what an instance other than the recorded primary has reported: its log may be cut back before
+    /// it is the primary again.
+    pub fn forget_other_primary(&mut self, primary: &InstanceName) {
+        self.reported = self.reported.take().filter(|(name, _)| name == primary);
+    }
+
     /// Returns the latest position that an instance has reported as the primary; `None` if it has reported
     /// none since another one did.
     pub fn primary_position(&self, primary: &InstanceName) -> Option<Position> {
--- a/src/entry/synchronization.rs
+++ b/src/entry/synchronization.rs
@@ -308,6 +308,7 @@
         known.record = Some(received);
         true
     };
+    known.forget_other_primary(&record.primary);
     if is_new && record.phase == Phase::Steady {
         known.withholds_saves = false;
         known.group_size = record.instances.max(announced);
--- a/src/entry/target.rs
+++ b/src/entry/target.rs
@@ -48,10 +48,6 @@
     /// Whether a position that the instance reports covers every save acknowledged before: it is the
     /// primary, and the record that names it could be relied on.
     pub covers_saves: bool,
-    /// Position that a read must require of the instance; `None` if it needn't be checked. A primary is
-    /// asked for what it has reported itself: one that has lost its log, because it was started again
-    /// under its name, doesn't run the read.
-    pub min_position: Option<Position>,
 }
 
 /// Why no instance could be selected.
@@ -342,7 +338,6 @@
         let authorization = Authorization {
             sent_at: now,
             covers_saves: false,
-            min_position: target.min_position,
         };
         return Some(authorization).filter(|_| !zones.contains(zone));
     }
@@ -352,13 +347,9 @@
     let is_safe = has_validity_lease
         || target.min_position.is_some()
         || is_safe_without_lease(&state, context);
-    let known = state.databases.get(&context.route.database);
-    let reported = known.and_then(|known| known.primary_position(&target.instance.name));
-    let reads = context.access == Access::Read || context.starts_transaction;
     let authorization = Authorization {
         sent_at: now,
         covers_saves: has_validity_lease,
-        min_position: target.min_position.max(reported.filter(|_| reads)),
     };
     Some(authorization).filter(|_| is_recorded && is_safe && !zones.is_closed(zone, now))
 }
