--- a/src/entry/group_size.rs
+++ b/src/entry/group_size.rs
@@ -26,11 +26,11 @@
 use crate::name::DatabaseName;
 use crate::time::Timestamp;
 
-/// Time for which an instance is counted on that is missing although it didn't announce that it leaves:
-/// it may only be cut off from the store.
+/// Time for which an instance that vanished without announcing that it leaves is still counted: it may
+/// only be cut off from the store.
 const LOSS_DELAY: Duration = Duration::from_secs(4);
 
-/// Time for which more instances must be announced than are recorded.
+/// Time for which more instances must be announced than are recorded before the record is written.
 const GROWTH_DELAY: Duration = Duration::from_millis(500);
 
 /// Delay before another attempt to record a size.
