Saves: a VM without a lease acknowledges one only when a known replica has it

Cause: a VM whose validity lease has lapsed still passes saves on, so that an outage of the store doesn't end them, and nobody waits for such a VM. Its primary may have been replaced by a VM that doesn't reach it, and an instance that joins the former primary confirms the save. The lease wasn't looked at either when a save was answered that had been sent under it. The class is that of: the choice bounds which instances confirm, and not who acknowledges.

Change: without a lease, a single save or a commit is acknowledged once an announced replica that knows no later term reports that it has received it; otherwise its outcome is unknown. A replacement that doesn't hear the former primary pauses each such replica under a later term, and promotes none that lacks what one of them has received: either the report comes before the pause, and then the save is in the log that the choice is made by, or it names the later term. No clock is involved, so that it holds after any restart. Saves that succeed at the same time share a report. Under a lease nothing changes.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -59,6 +59,7 @@
 pub mod registration;
 pub mod relay;
 pub mod replica_lag;
+pub mod replication;
 pub mod reports;
 pub mod restoration;
 pub mod retry_budget;
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -15,6 +15,7 @@
 use super::pool::{Answer, PooledLink};
 use super::position::Position;
 use super::refusal::{Cause, refuse};
+use super::replication;
 use super::saves;
 use super::slots::Slot;
 use super::statement::{Access, Failure, FailureKind, InstanceCommand, Outcome, StatementResponse};
@@ -169,7 +170,7 @@
         target::record_lag(node, &target, &answer);
         metrics().record_step(route, Step::Run, elapsed);
         let Outcome::Failed(failure) = &response.outcome else {
-            return acknowledged(node, context, &target, Executed { response, pooled });
+            return acknowledged(node, context, &target, Executed { response, pooled }).await;
         };
         if !is_retryable(context, failure, progress.search.tried.len()) {
             return Ok(Executed { response, pooled });
@@ -211,18 +212,21 @@
 }
 
 /// Returns the response of a statement that succeeded, unless it is a save that may not be acknowledged.
-fn acknowledged(
-    node: &Node,
+async fn acknowledged(
+    node: &Rc<Node>,
     context: &StatementContext<'_>,
     target: &Target,
     executed: Executed,
 ) -> Result<Executed, Failure> {
-    let is_save = context.kind() == StatementKind::Save;
-    let (database, instance) = (&context.route.database, &target.instance.name);
-    if is_save && !saves::may_acknowledge(node, database, instance) {
-        return Err(saves::withheld(context.id, instance));
+    if context.kind() != StatementKind::Save {
+        return Ok(executed);
+    }
+    let (instance, position) = (&target.instance, executed.response.position);
+    if replication::may_acknowledge(node, instance, position, context.deadline).await {
+        Ok(executed)
+    } else {
+        Err(saves::withheld(context.id, &instance.name))
     }
-    Ok(executed)
 }
 
 /// Returns whether a command may be sent again after its response was lost.
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -26,6 +26,7 @@
 use super::overload::Overload;
 use super::pool::{Limits, Pool, Sharing};
 use super::quota::Quota;
+use super::replication::ReceivedPositions;
 use super::retry_budget::{RetryBudgetSettings, RetryBudgets};
 use super::retry_delay::{RetryDelaySettings, RetryDelays};
 use super::settings::EntrySettings;
@@ -61,6 +62,8 @@
     pub directory_refresh: Refresh,
     /// Confirmations that VMs have stopped using a former primary.
     pub confirmations: ConfirmationTracker,
+    /// Latest position of each database that a replica has reported, for saves without a lease.
+    pub received_positions: ReceivedPositions,
     /// Requests that wait for a token of their workspace.
     pub limiter: Limiter,
     /// Queue of datagrams to other VMs.
@@ -112,6 +115,7 @@
             directory_progress: Progress::default(),
             directory_refresh: Refresh::default(),
             confirmations: ConfirmationTracker::default(),
+            received_positions: ReceivedPositions::default(),
             limiter: Limiter::default(),
             outbox: Outbox::default(),
             sessions_must_move: Notify::new(),
--- a/src/entry/transaction.rs
+++ b/src/entry/transaction.rs
@@ -12,6 +12,7 @@
 use super::node::Node;
 use super::pool::PooledLink;
 use super::position::Position;
+use super::replication;
 use super::saves;
 use super::statement::{
     Access, Failure, FailureKind, InstanceCommand, Outcome, SessionState, StatementResponse,
@@ -119,7 +120,7 @@
     /// Returns the response and, if the transaction saved something, the position of the save.
     pub async fn commit(
         mut self,
-        node: &Node,
+        node: &Rc<Node>,
         command: &InstanceCommand,
         values: &SessionValues,
         deadline: Instant,
@@ -137,7 +138,7 @@
                 }
             };
             match &response.outcome {
-                Outcome::Done(_) if !self.may_acknowledge(node) => {
+                Outcome::Done(_) if !self.is_acknowledged(node, &response, deadline).await => {
                     let failure = saves::withheld(command.id(), &self.instance().name);
                     self.finish(&response);
                     return (idle_failure(failure), None);
@@ -207,12 +208,24 @@
         })
     }
 
-    /// Returns whether a successful commit may be acknowledged.
+    /// Returns whether a commit may be sent: the replacement of the primary isn't known here.
     fn may_acknowledge(&self, node: &Node) -> bool {
         let instance = self.instance();
         !self.wrote || saves::may_acknowledge(node, &instance.database, &instance.name)
     }
 
+    /// Returns whether a commit that succeeded may be acknowledged.
+    async fn is_acknowledged(
+        &self,
+        node: &Rc<Node>,
+        response: &StatementResponse,
+        deadline: Instant,
+    ) -> bool {
+        let instance = self.instance();
+        !self.wrote
+            || replication::may_acknowledge(node, &instance, response.position, deadline).await
+    }
+
     fn finish(self, response: &StatementResponse) {
         if response.state != SessionState::Idle {
             self.pooled.close();
