Reads: the first connection to a primary is used only if it says that it leads

In a test, a VM read at an instance that had started again under its own name without its log, as long as the test lasted (20 s).

Cause: a VM compared the position of a new connection with what the primary had reported to it before. A VM to which it had reported nothing, since it had just become a gateway or the primary had just been recorded, compared nothing, and then took the answers of the empty instance as positions of the primary. An instance that named no position was accepted too.

Evidence: the_first_read_of_a_vm_does_not_run_on_a_primary_that_has_lost_its_log fails without the change (the last response is "ROW -", signed by the restarted instance).

Why this works: before the first read without a required position, a VM that knows no position asks the instance on the new connection whether it leads. An instance that knows nothing of before doesn't. The process behind a connection stays the same, and later connections are compared with the position of that report. The request ends with the time limit for connections, and happens once for each VM and recorded primary.

--- a/src/entry/acquisition.rs
+++ b/src/entry/acquisition.rs
@@ -8,13 +8,13 @@
 use super::clock;
 use super::execution::{StatementContext, TARGET_POLL_INTERVAL};
 use super::health::Health;
-use super::link::{LinkError, is_misrouted};
+use super::link::{LinkError, first_row, is_misrouted};
 use super::node::Node;
 use super::pool::{LinkRequest, PooledLink};
 use super::position::Position;
 use super::refusal::{Cause, refuse};
 use super::slots::{Slot, SlotRequest};
-use super::statement::{Access, Failure};
+use super::statement::{Access, Failure, FailureKind, InstanceCommand, Outcome};
 use super::target::{self, Authorization, NoTarget, Target};
 use crate::control::fairness::QueueClass;
 use crate::name::InstanceName;
@@ -123,8 +123,11 @@
             deadline: search.deadline,
         };
         let reported = reported_position(node, &target);
-        let taken = pool.take(&link_request).await;
-        match taken.and_then(|pooled| verify_log(pooled, reported)) {
+        let taken = match pool.take(&link_request).await {
+            Ok(pooled) => verify_log(node, context, &target, pooled, reported).await,
+            Err(error) => Err(error),
+        };
+        match taken {
             Ok(pooled) => {
                 if let Some(authorization) = target::authorize(node, context, &target) {
                     record_available_primary(node, context, &target);
@@ -157,17 +160,71 @@
 }
 
 /// Fails if the instance had less than it has `reported` before the connection was opened. It was started again
-/// without its log then, which has closed its former connections.
-fn verify_log(mut pooled: PooledLink, reported: Option<Position>) -> Result<PooledLink, LinkError> {
-    let opening = pooled.link().take_opening_position();
-    let is_lost = opening
-        .zip(reported)
-        .is_some_and(|(opening, reported)| opening < reported);
-    if is_lost {
-        pooled.close();
-        return Err(LinkError::LogLost);
+/// without its log then, which has closed its former connections. A read that requires no position asks an
+/// instance that hasn't reported any yet whether it leads.
+async fn verify_log(
+    node: &Node,
+    context: &StatementContext<'_>,
+    target: &Target,
+    mut pooled: PooledLink,
+    reported: Option<Position>,
+) -> Result<PooledLink, LinkError> {
+    let Some(opening) = pooled.link().take_opening() else {
+        return Ok(pooled);
+    };
+    let relies_on_role = target.is_primary && target.min_position.is_none();
+    let has_log = match reported {
+        Some(reported) => Ok(opening.position.is_some_and(|opening| opening >= reported)),
+        None if relies_on_role && context.access == Access::Read => {
+            let deadline = Instant::now() + node.settings.connect_timeout;
+            let deadline = context.deadline.min(deadline);
+            leads(node, target, &mut pooled, deadline).await
+        }
+        None => Ok(true),
+    };
+    match has_log {
+        Ok(true) => Ok(pooled),
+        Ok(false) => {
+            pooled.close();
+            Err(LinkError::LogLost)
+        }
+        Err(error) => {
+            pooled.close();
+            Err(error)
+        }
+    }
+}
+
+/// Returns whether an instance reports that it is the primary, and records its position if it does.
+async fn leads(
+    node: &Node,
+    target: &Target,
+    pooled: &mut PooledLink,
+    deadline: Instant,
+) -> Result<bool, LinkError> {
+    let response = loop {
+        let asking = pooled
+            .link()
+            .run_control_command(&InstanceCommand::Report, deadline);
+        let response = asking.await?;
+        match &response.outcome {
+            Outcome::Failed(failure) if failure.kind == FailureKind::Busy => {
+                if Instant::now() + TARGET_POLL_INTERVAL >= deadline {
+                    return Err(LinkError::Exhausted);
+                }
+                sleep(TARGET_POLL_INTERVAL).await;
+            }
+            _ => break response,
+        }
+    };
+    let report = (node.adapter.protocol.decode_report)(first_row(&response.rows));
+    let leading = report.filter(|report| report.is_primary);
+    if let Some(report) = &leading {
+        let mut state = node.state.borrow_mut();
+        let known = state.database(&target.instance.database);
+        known.record_primary_position(&target.instance.name, report.received);
     }
-    Ok(pooled)
+    Ok(leading.is_some())
 }
 
 fn record_available_primary(node: &Node, context: &StatementContext<'_>, target: &Target) {
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -98,6 +98,13 @@
     pub in_transaction: bool,
 }
 
+/// What an instance reported when a connection was opened.
+#[derive(Debug, Clone, Copy)]
+pub struct Opening {
+    /// Position of its log; `None` if it reported none.
+    pub position: Option<Position>,
+}
+
 /// Connection to an instance that carries one command at a time.
 #[derive(Debug)]
 pub struct Link {
@@ -107,8 +114,8 @@
     pub workspace: WorkspaceName,
     /// When the connection was opened or last responded to a statement.
     pub used_at: Instant,
-    /// Position that the instance reported when the connection was opened, until it is taken.
-    opening_position: Option<Position>,
+    /// What the instance reported when the connection was opened, until it is taken.
+    opening: Option<Opening>,
     stream: TcpStream,
     input: BytesMut,
     output: BytesMut,
@@ -145,7 +152,7 @@
             instance,
             workspace,
             used_at: Instant::now(),
-            opening_position: None,
+            opening: None,
             stream,
             input: BytesMut::with_capacity(INPUT_BYTES),
             output: BytesMut::new(),
@@ -171,7 +178,7 @@
         self.flush(deadline).await?;
         match self.read_message(deadline).await? {
             InstanceMessage::Ready { position, .. } => {
-                self.opening_position = position;
+                self.opening = Some(Opening { position });
                 Ok(())
             }
             InstanceMessage::Failed(failure) => Err(LinkError::Rejected { failure }),
@@ -179,10 +186,10 @@
         }
     }
 
-    /// Returns the position that the instance reported when the connection was opened; `None` if it
-    /// reported none, or this was called before.
-    pub const fn take_opening_position(&mut self) -> Option<Position> {
-        self.opening_position.take()
+    /// Returns what the instance reported when the connection was opened; `None` if this was called
+    /// before.
+    pub const fn take_opening(&mut self) -> Option<Opening> {
+        self.opening.take()
     }
 
     /// Returns whether the connection is open and has no unread input, as it must be between uses.
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -438,7 +438,7 @@
         let mut pooled = self
             .connect(workspace, OpenReason::Control, deadline)
             .await?;
-        pooled.link().take_opening_position();
+        pooled.link().take_opening();
         Ok(pooled)
     }
 
