Directory: the time to leave counts from when an instance certainly didn't leave yet

Cause: each VM counted the time from when it learned of it. The class: a limit counted from the memory of a process, which a start, a lapsed announcement, a time in which the VM isn't a gateway, or a gap in its watch makes younger than the fact.

Change: the directory remembers until when every change has certainly been received: the time at which the last read began, or the last renewal was sent that the store answered, while the announcements are followed without a gap. An instance that begins to leave counts as leaving from that time; one that leaves when it is first known, or that returns while it leaves, counts as if its time were over: statements are refused until it has been replaced. After a failed renewal the time stays before the gap until the announcements have been read again.

--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -15,6 +15,7 @@
 use crate::configuration::Revision;
 use crate::control::event::KeyValue;
 use crate::name::InstanceName;
+use crate::time::Timestamp;
 
 /// Time for which an instance whose announcement is missing is still used. Announcements that
 /// lapsed during a store outage are restored within about two seconds.
@@ -37,6 +38,7 @@
 fn forget(node: &Rc<Node>) {
     let gone: Vec<Change> = {
         let mut state = node.state.borrow_mut();
+        node.directory_progress.record_gap();
         state.directory_known = false;
         state.missing.clear();
         let names: Vec<_> = state
@@ -54,11 +56,19 @@
 
 async fn follow_announcements(node: &Rc<Node>) {
     let unreadable = RefCell::default();
+    let read_at = Cell::new(clock::now());
     let follower = Follower {
         prefix: keys::INSTANCES,
         progress: &node.directory_progress,
-        read: &|| Box::pin(follow::list(node, keys::INSTANCES)),
-        replace: &|keys, _| replace(node, &keys, &unreadable),
+        read: &|| {
+            read_at.set(clock::now());
+            Box::pin(follow::list(node, keys::INSTANCES))
+        },
+        replace: &|keys, _| {
+            replace(node, &keys, &unreadable);
+            let mut state = node.state.borrow_mut();
+            state.directory.record_current(read_at.get());
+        },
         apply: &|key| apply(node, &key, &unreadable),
     };
     follower.run(node).await;
@@ -178,6 +188,14 @@
     state.missing.insert(name, clock::now());
 }
 
+/// Records that the store responded to a renewal sent at `sent_at`. Every change until then is known if
+/// the announcements have been followed without a gap.
+pub fn record_renewal(node: &Node, sent_at: Timestamp) {
+    if node.directory_progress.is_current() {
+        node.state.borrow_mut().directory.record_current(sent_at);
+    }
+}
+
 fn publish_change(node: &Rc<Node>, change: &Change) {
     node.apply_change(change);
     node.changed.notify_waiters();
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -28,6 +28,8 @@
     own: Cell<Revision>,
     peers: Cell<Revision>,
     lag_detected: Notify,
+    /// Whether the keys have been read and watched since without a gap.
+    followed: Cell<bool>,
 }
 
 impl Progress {
@@ -49,6 +51,16 @@
         }
     }
 
+    /// Returns whether every change is known here, but for the delay of a watch.
+    pub fn is_current(&self) -> bool {
+        self.followed.get() && !self.is_behind()
+    }
+
+    /// Records that changes may be missed from now on, until the keys have been read again.
+    pub fn record_gap(&self) {
+        self.followed.set(false);
+    }
+
     fn is_behind(&self) -> bool {
         self.own.get() < self.peers.get()
     }
@@ -92,6 +104,7 @@
             };
             (self.replace)(keys, revision);
             self.progress.record_own(known_before);
+            self.progress.followed.set(true);
             let timeline = revision.timeline();
             log::info!(
                 "event=watch_started prefix={:?} after={} timeline={}",
@@ -115,6 +128,7 @@
                     log::info!("event=watch_outdated prefix={:?}", self.prefix);
                 }
             }
+            self.progress.record_gap();
         }
     }
 
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -59,8 +59,11 @@
     by_name: HashMap<InstanceName, Rc<Instance>>,
     /// End of the cold time of instances that didn't start warm.
     cold: HashMap<InstanceName, ColdTime>,
-    /// Time since when an instance has been known to leave.
-    draining_since: HashMap<InstanceName, Timestamp>,
+    /// Time at which every change until then is certain to have been received.
+    current_at: Option<Timestamp>,
+    /// Latest time at which an instance that leaves is certain not to have begun to; `None` if there is
+    /// none.
+    draining_after: HashMap<InstanceName, Option<Timestamp>>,
     /// Sequence of the last announcement that was older than the known one, for each instance that
     /// has received one since.
     outdated: HashMap<InstanceName, u64>,
@@ -105,10 +108,33 @@
         self.cold_until(name).is_some_and(|until| now < until)
     }
 
-    /// Returns for how long an instance has been known to leave; zero if it isn't.
+    /// Returns for how long an instance may have been leaving at most: zero if it isn't, and
+    /// [`Duration::MAX`] if it was when it was first known here.
     pub fn draining_for(&self, name: &InstanceName, now: Timestamp) -> Duration {
-        let since = self.draining_since.get(name);
-        since.map_or(Duration::ZERO, |since| now.since(*since))
+        match self.draining_after.get(name) {
+            None => Duration::ZERO,
+            Some(None) => Duration::MAX,
+            Some(Some(after)) => now.since(*after),
+        }
+    }
+
+    /// Records that every change until `at` has been received.
+    pub fn record_current(&mut self, at: Timestamp) {
+        self.current_at = self.current_at.max(Some(at));
+    }
+
+    /// Records whether an instance leaves, as an announcement received at `now` tells. It may have begun
+    /// to since the last time at which its former announcement was certainly current.
+    fn record_draining(&mut self, instance: &Instance, now: Timestamp) {
+        let name = &instance.name;
+        if instance.state == InstanceState::Serving {
+            self.draining_after.remove(name);
+            return;
+        }
+        let known = self.by_name.get(name).and(self.current_at);
+        let after = known.map(|current_at| current_at.min(now));
+        let draining_after = self.draining_after.entry(name.clone());
+        draining_after.or_insert(after);
     }
 
     /// Records the cold time that an announcement received at `now` tells of. One process's time is
@@ -159,12 +185,7 @@
         }
         self.outdated.remove(&instance.name);
         self.record_cold_time(&instance, now);
-        if instance.state == InstanceState::Draining {
-            let since = self.draining_since.entry(instance.name.clone());
-            since.or_insert(now);
-        } else {
-            self.draining_since.remove(&instance.name);
-        }
+        self.record_draining(&instance, now);
         let current = Rc::new(instance);
         self.by_name
             .insert(current.name.clone(), Rc::clone(&current));
@@ -177,7 +198,7 @@
     /// Removes an instance. Returns the change, or `None` when the instance isn't known.
     pub fn remove(&mut self, name: &str) -> Option<Change> {
         self.outdated.remove(name);
-        self.draining_since.remove(name);
+        self.draining_after.remove(name);
         let previous = self.by_name.remove(name)?;
         Some(Change {
             previous: Some(previous),
--- a/src/entry/instance/tests.rs
+++ b/src/entry/instance/tests.rs
@@ -139,3 +139,99 @@
         assert_eq!(known.sequence, case.expected, "{}", case.name);
     }
 }
+
+/// What a VM receives before it asks for how long an instance has been leaving.
+#[derive(Clone, Copy)]
+enum Step {
+    CurrentAt(u64),
+    Serving,
+    Draining,
+    Removed,
+}
+
+struct LeavingCase {
+    name: &'static str,
+    steps: Vec<Step>,
+    expected: Duration,
+}
+
+fn leaving_cases() -> [LeavingCase; 8] {
+    use Step::{CurrentAt, Draining, Removed, Serving};
+    let case = |name, steps, expected| LeavingCase {
+        name,
+        steps,
+        expected,
+    };
+    let second = Duration::from_secs(1);
+    [
+        case("serving", vec![Serving, CurrentAt(1_000)], Duration::ZERO),
+        case(
+            "seen to serve 1 s before",
+            vec![Serving, CurrentAt(9_000), Draining],
+            second,
+        ),
+        case(
+            "not followed for a time",
+            vec![Serving, CurrentAt(3_000), Draining, CurrentAt(9_000)],
+            second * 7,
+        ),
+        case(
+            "announced again",
+            vec![
+                Serving,
+                CurrentAt(3_000),
+                Draining,
+                CurrentAt(9_000),
+                Draining,
+            ],
+            second * 7,
+        ),
+        case(
+            "leaving when first known",
+            vec![CurrentAt(9_000), Draining],
+            Duration::MAX,
+        ),
+        case(
+            "never certain to be current",
+            vec![Serving, Draining],
+            Duration::MAX,
+        ),
+        case(
+            "returned while it leaves",
+            vec![Serving, CurrentAt(9_000), Removed, Draining],
+            Duration::MAX,
+        ),
+        case(
+            "serves again",
+            vec![CurrentAt(9_000), Draining, Serving],
+            Duration::ZERO,
+        ),
+    ]
+}
+
+#[test]
+fn the_time_to_leave_counts_from_the_last_time_at_which_the_former_announcement_was_current() {
+    for case in leaving_cases() {
+        let now = Timestamp::from_millis(10_000);
+        let mut directory = Directory::default();
+        for (sequence, step) in (1..).zip(case.steps) {
+            let mut announced = instance(received(0, 1, sequence, 0));
+            match step {
+                Step::CurrentAt(at_ms) => directory.record_current(Timestamp::from_millis(at_ms)),
+                Step::Removed => drop(directory.remove("i-1")),
+                Step::Serving => drop(directory.update(announced, now)),
+                Step::Draining => {
+                    announced.state = InstanceState::Draining;
+                    directory.update(announced, now);
+                }
+            }
+        }
+        let name = InstanceName::from("i-1");
+        assert_eq!(
+            directory.draining_for(&name, now),
+            case.expected,
+            "{}",
+            case.name
+        );
+    }
+}
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -226,6 +226,12 @@
         false
     }
 
+    /// Signals that the store responds again after a gap, in which watches may have missed changes.
+    pub fn signal_store_regained(&self) {
+        self.directory_progress.record_gap();
+        self.store_regained.notify_waiters();
+    }
+
     /// Returns the configuration in force; `None` until it has been read.
     pub fn catalog(&self) -> Option<Rc<Catalog>> {
         self.state.borrow().catalog.clone()
--- a/src/entry/registration.rs
+++ b/src/entry/registration.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use super::clock;
+use super::directory;
 use super::keys;
 use super::limiter;
 use super::node::Node;
@@ -141,7 +142,7 @@
     drop(state);
     synchronization::confirm_replacements(node);
     node.changed.notify_waiters();
-    node.store_regained.notify_waiters();
+    node.signal_store_regained();
     log::info!(
         "event=registered vm={} lease={lease} ttl_ms={}",
         node.settings.vm,
@@ -230,8 +231,9 @@
             Ok(PlatformResponse::Lease { ttl, .. }) => {
                 record_renewal(node, sent_at, usable_ttl(node, ttl));
                 if std::mem::take(&mut is_store_silent) {
-                    node.store_regained.notify_waiters();
+                    node.signal_store_regained();
                 }
+                directory::record_renewal(node, sent_at);
                 next = Instant::now() + renewal;
             }
             Ok(PlatformResponse::LeaseLapsed) => {
