Failover: a primary that nobody can follow goes on serving reads

Without a replica no save is acknowledged, so that the primary counted as stalled after two saves. A replacement began although nobody could follow, and found that the primary led; but for any reason other than "unfinished" the former primary was never kept, and each attempt until the time limit ended as "unheard". The next replacement, "unfinished", kept it, and two saves later it was stalled again.

- A stalled primary is replaced only if another instance may lead, as a primary that is to be left.
- A replacement ends at once if the former primary reports that it leads in the recorded term, and no other instance that responds may lead.
It holds every acknowledged save, and nobody else was promoted.
- Instances that don't report during a replacement count as failed, so that the next one waits until one of them responds.
- Saves that timed out before an instance joined say nothing about the primary.

nothing_is_promoted_while_the_zones_of_all_instances_are_evacuated expected "unheard" for a primary that leads. Now it expects that this primary is kept, that nothing is promoted once it is demoted, and that a primary of a former term isn't kept; in each case nothing is promoted.

--- a/src/entry/failover.rs
+++ b/src/entry/failover.rs
@@ -209,13 +209,14 @@
     let Some(primary) = state.directory.get(&record.primary) else {
         return state.directory_known.then_some(Reason::Gone);
     };
-    match node.health_verdict(&primary.name) {
+    let reason = match node.health_verdict(&primary.name) {
         Verdict::Unreachable => return Some(Reason::Unreachable),
-        Verdict::Stalled => return Some(Reason::Stalled),
         Verdict::Deposed => return Some(Reason::Deposed),
-        Verdict::Healthy | Verdict::Doubtful => {}
-    }
-    planned_reason(state, primary).filter(|_| has_successor(node, state, primary))
+        // It still serves reads.
+        Verdict::Stalled => Some(Reason::Stalled),
+        Verdict::Healthy | Verdict::Doubtful => planned_reason(state, primary),
+    };
+    reason.filter(|_| has_successor(node, state, primary))
 }
 
 /// Returns why a primary that serves must be replaced, if it must.
--- a/src/entry/health.rs
+++ b/src/entry/health.rs
@@ -85,6 +85,11 @@
         self.stalled_saves = if in_time { 0 } else { self.stalled_saves + 1 };
     }
 
+    /// Forgets the saves that timed out, because another instance can acknowledge the next ones.
+    pub const fn forget_saves(&mut self) {
+        self.stalled_saves = 0;
+    }
+
     /// Records that the instance reported that it isn't the primary.
     pub fn on_deposed(&mut self) {
         self.deposed = true;
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -297,6 +297,9 @@
                     pool.update(current);
                     self.update_warmth(pool);
                 }
+                if change.previous.is_none() {
+                    self.forget_stalled_saves(&current.database);
+                }
                 log_instance(current);
             }
             (Some(previous), None) => {
@@ -313,6 +316,18 @@
         }
     }
 
+    /// Forgets the saves of a database that timed out before an instance joined. They may have timed
+    /// out for want of a replica.
+    fn forget_stalled_saves(&self, database: &DatabaseName) {
+        let pools = self.pools();
+        for pool in pools
+            .iter()
+            .filter(|pool| pool.instance().database == *database)
+        {
+            pool.record_health(|health, _| health.forget_saves());
+        }
+    }
+
     /// Applies the current limits to every pool, closes connections that were idle for long and
     /// decays measurements. `elapsed` is the time since the last call.
     pub fn maintain_pools(&self, elapsed: Duration) {
--- a/src/entry/promotion.rs
+++ b/src/entry/promotion.rs
@@ -37,7 +37,8 @@
 /// What is known about the primary that is being replaced.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Knowledge {
-    /// The recorded primary was the primary until now, and has failed or must leave.
+    /// The recorded primary was the primary until now, and has failed or must leave. It remains the
+    /// primary only if it still leads and no other instance that responded may lead.
     Former,
     /// As `Former`, but nothing may be wrong with it: it remains the primary if it still leads.
     Unfinished,
@@ -83,7 +84,8 @@
         let kept = member.report.term >= term
             && member.instance == *former_primary
             && match knowledge {
-                Knowledge::Former => false,
+                // Without another instance that may lead, it stays the primary.
+                Knowledge::Former => !may_others_lead,
                 // One that is about to leave must still be replaced.
                 Knowledge::Unfinished => member.may_lead || !may_others_lead,
                 Knowledge::Restored => Some(member.report.term) == newest_term,
--- a/src/entry/promotion/tests.rs
+++ b/src/entry/promotion/tests.rs
@@ -122,6 +122,36 @@
     }
 }
 
+/// The replacement used to go on until its time limit although the primary led all the while.
+#[test]
+fn a_primary_that_leads_is_kept_if_no_other_instance_may_lead() {
+    let primary = InstanceName::from("p");
+    let cases = [
+        Case {
+            name: "only the former primary responded, and it still leads",
+            reports: vec![member_report("p", 30)],
+            expected: Decision::AlreadyLeads(InstanceName::from("p")),
+        },
+        Case {
+            name: "the former primary still leads, and the only other instance leaves",
+            reports: vec![member_report("p", 30), draining("a", 30)],
+            expected: Decision::AlreadyLeads(InstanceName::from("p")),
+        },
+        Case {
+            name: "only the former primary responded, which was demoted and leaves",
+            reports: vec![MemberReport {
+                may_lead: false,
+                ..deposed("p", 30)
+            }],
+            expected: Decision::Unheard,
+        },
+    ];
+    for case in cases {
+        let decision = decide(&replaced(&primary, 3, Knowledge::Former), &case.reports);
+        assert_eq!(decision, case.expected, "{}", case.name);
+    }
+}
+
 /// A leaving instance that alone holds the last save used to be waited for until it was gone, and
 /// the save with it.
 #[test]
@@ -180,7 +210,13 @@
     let primary = InstanceName::from("p");
     let reports = ["p", "a", "b"].map(|name| draining(name, 30));
     let decision = decide(&replaced(&primary, 3, Knowledge::Former), &reports);
+    assert_eq!(decision, Decision::AlreadyLeads(primary.clone()));
+    let mut demoted = reports.clone();
+    demoted[0].report.is_primary = false;
+    let decision = decide(&replaced(&primary, 3, Knowledge::Former), &demoted);
     assert_eq!(decision, Decision::Unheard);
+    let of_former_term = decide(&replaced(&primary, 4, Knowledge::Former), &reports);
+    assert_eq!(of_former_term, Decision::Unheard);
 }
 
 #[test]
--- a/src/entry/reports.rs
+++ b/src/entry/reports.rs
@@ -8,6 +8,7 @@
 use super::clock;
 use super::control::ControlLink;
 use super::failover_lease::FailoverLease;
+use super::health::Health;
 use super::instance::Instance;
 use super::node::Node;
 use super::promotion::MemberReport;
@@ -23,8 +24,9 @@
         let mut link = ControlLink::new(Rc::clone(node), instance);
         async move {
             let report = link.request(&InstanceCommand::Report, REPORT_TIMEOUT);
-            let report = report.await?;
-            Some(member_report(node, link.instance(), report))
+            let report = report.await;
+            record_silence(node, &link, report.is_none());
+            report.map(|report| member_report(node, link.instance(), report))
         }
     });
     join_all(requests).await.into_iter().flatten().collect()
@@ -55,12 +57,21 @@
                     .await;
                 report = report.filter(|report| report.is_primary);
             }
+            // Without the lease, the command may not have been sent.
+            record_silence(node, &link, report.is_none() && lease.is_valid());
             report.map(|report| member_report(node, link.instance(), report))
         }
     });
     join_all(requests).await.into_iter().flatten().collect()
 }
 
+/// Records that an instance didn't respond. One that doesn't for long can't follow a primary.
+fn record_silence(node: &Node, link: &ControlLink, is_missing: bool) {
+    if is_missing && !link.has_responded() {
+        node.pool(link.instance()).record_health(Health::on_failed);
+    }
+}
+
 fn member_report(node: &Node, instance: &Instance, report: InstanceReport) -> MemberReport {
     let state = node.state.borrow();
     MemberReport {
