Replacement: the holder's decisions are a state machine of their own

What takeover and succession decided between their calls now stands in entry::replacement: events in, one action at a time out, no clock, socket or task in it. takeover and succession carry the actions out. Whether a save may be acknowledged is decided beside it.

Records, messages and the order of calls stay as they were. One thing differs: while an instance receives alone, the others are kept paused by a task of its own instead of the same one.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -58,6 +58,7 @@
 pub mod refusal;
 pub mod registration;
 pub mod relay;
+pub mod replacement;
 pub mod replica_lag;
 pub mod reports;
 pub mod restoration;
--- a/src/entry/adapter.rs
+++ b/src/entry/adapter.rs
@@ -41,7 +41,7 @@
 }
 
 /// Outcome of a [`PromotionCall`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum PromotionOutcome {
     /// The call was accepted; the instance becomes the primary shortly.
     Accepted,
--- a/src/entry/promotion.rs
+++ b/src/entry/promotion.rs
@@ -7,7 +7,7 @@
 use crate::name::InstanceName;
 
 /// Report of one instance, collected while the primary is being replaced.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct MemberReport {
     /// Name of the instance.
     pub instance: InstanceName,
@@ -20,7 +20,7 @@
 }
 
 /// Next step of a replacement.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Decision {
     /// Promote the instance: it has received every acknowledged save.
     Promote(InstanceName),
@@ -35,7 +35,7 @@
 }
 
 /// What is known about the primary that is being replaced.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Knowledge {
     /// The recorded primary was the primary until now, and has failed or must leave.
     Former,
--- a/src/entry/record.rs
+++ b/src/entry/record.rs
@@ -9,7 +9,7 @@
 use crate::name::{InstanceName, VmName, ZoneName};
 
 /// Progress of the replacement of a database's primary.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Display)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize, Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum Phase {
     /// No replacement is under way; the primary takes reads and saves.
--- a/src/entry/saves.rs
+++ b/src/entry/saves.rs
@@ -11,7 +11,7 @@
 use tokio::sync::Notify;
 
 use super::node::Node;
-use super::record::Phase;
+use super::replacement::acknowledgement;
 use super::statement::{Failure, FailureKind};
 use crate::name::{DatabaseName, InstanceName};
 
@@ -72,8 +72,8 @@
 pub fn withhold(node: &Node, database: &DatabaseName) {
     let mut state = node.state.borrow_mut();
     let known = state.database(database);
-    let record = known.record.as_ref();
-    known.withholds_saves = record.is_some_and(|record| record.record.phase != Phase::Steady);
+    let record = known.record.as_ref().map(|known| &known.record);
+    known.withholds_saves = acknowledgement::withholds_after_confirmation(record);
 }
 
 /// Returns whether a save that an instance has kept may be acknowledged: it is the primary, and this VM
@@ -83,11 +83,8 @@
     let Some(known) = state.databases.get(database) else {
         return false;
     };
-    let is_current = known.record.as_ref().is_some_and(|known| {
-        let is_settling = matches!(known.record.phase, Phase::Settling { .. });
-        known.record.primary == *instance && !is_settling
-    });
-    is_current && !known.withholds_saves
+    let record = known.record.as_ref().map(|known| &known.record);
+    acknowledgement::may_acknowledge(record, known.withholds_saves, instance)
 }
 
 /// Builds the failure for a save that was kept but may not be acknowledged.
--- a/src/entry/statement.rs
+++ b/src/entry/statement.rs
@@ -314,7 +314,7 @@
 }
 
 /// Status that an instance reports about itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct InstanceReport {
     /// Whether it considers itself the primary.
     pub is_primary: bool,
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -1,76 +1,48 @@
-//! Replaces the primary of a database. Run by the VM that holds the failover lease.
+//! Carries out the replacement of a database's primary. Run by the VM that holds the failover lease.
+//!
+//! What is done next is decided by [`Replacement`].
 
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
-use strum::Display;
 use tokio::task::JoinSet;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
+use super::clock;
 use super::confirmation::Confirming;
 use super::control::ControlLink;
 use super::datagram::{Datagram, RecordUpdate};
 use super::failover_lease::FailoverLease;
+use super::instance::Instance;
 use super::node::Node;
-use super::promotion::{Knowledge, RecordCheck, check_record};
+use super::position::Position;
 use super::record::{Phase, PrimaryRecord, VersionedRecord};
 use super::records;
+use super::replacement::{Action, Event, Note, Reason, Receiving, Replacement, Situation};
 use super::reports::{self, REPORT_TIMEOUT};
 use super::statement::InstanceCommand;
-use super::succession::Succession;
+use super::succession::{POLL_INTERVAL, Succession};
 use crate::name::{DatabaseName, InstanceName};
 use crate::telemetry::metrics::metrics;
+use crate::time::Timestamp;
 
 /// Time limit for notifying the former primary of its replacement.
 const NOTIFY_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Why a primary is replaced.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-#[strum(serialize_all = "snake_case")]
-pub enum Reason {
-    /// The primary announced that it is about to leave.
-    Leaving,
-    /// The availability zone of the primary is evacuated.
-    Evacuated,
-    /// The announcement of the primary is missing.
-    Gone,
-    /// The primary doesn't respond.
-    Unreachable,
-    /// The primary responds, but its saves are not acknowledged in time.
-    Stalled,
-    /// The recorded primary reports that it isn't the primary.
-    Deposed,
-    /// A former holder of the failover lease began a replacement and didn't finish it.
-    Unfinished,
-    /// The store was restored from a copy that lacks the record or holds an older one.
-    Restored,
-}
-
-impl Reason {
-    /// Returns whether the primary still serves, so that running statements can end first.
-    pub const fn is_planned(self) -> bool {
-        matches!(self, Self::Leaving | Self::Evacuated)
-    }
-
-    const fn knowledge(self) -> Knowledge {
-        match self {
-            Self::Unfinished => Knowledge::Unfinished,
-            Self::Restored => Knowledge::Restored,
-            _ => Knowledge::Former,
-        }
-    }
-}
-
 /// Replacement of one database's primary.
 #[derive(Debug)]
 pub struct Takeover {
-    node: Rc<Node>,
-    database: DatabaseName,
-    generation: u64,
-    lease: Rc<FailoverLease>,
+    succession: Rc<Succession>,
+    /// Record that was written last.
     record: VersionedRecord,
-    /// Newest term that an instance has reported before the replicas are paused.
-    reported_term: u64,
+    confirming: Option<Confirming>,
+    /// Recorded primary when the instances reported last, if it was announced then.
+    former: Option<Rc<Instance>>,
+    /// Number of attempts to promote an instance.
+    attempts: usize,
+    /// Instance that receives alone, and the task that keeps the others paused.
+    receiving: Option<(Receiving, JoinSet<Infallible>)>,
     /// Tasks that let the replicas resume.
     resuming: JoinSet<()>,
 }
@@ -88,12 +60,18 @@
         let known = node.state.borrow_mut().database(&database).record.clone();
         let Some(record) = known else { return false };
         let mut takeover = Self {
-            node,
-            database,
-            generation,
-            lease,
-            reported_term: record.record.term,
+            succession: Rc::new(Succession {
+                node,
+                lease,
+                database,
+                generation,
+                former: record.record.primary.clone(),
+            }),
             record,
+            confirming: None,
+            former: None,
+            attempts: 0,
+            receiving: None,
             resuming: JoinSet::new(),
         };
         let started = Instant::now();
@@ -102,7 +80,7 @@
         log::info!(
             "event=takeover_ended database={} generation={generation} done={done} taken_ms={} \
              primary={} term={}",
-            takeover.database,
+            takeover.succession.database,
             started.elapsed().as_millis(),
             takeover.record.record.primary,
             takeover.record.record.term
@@ -114,85 +92,147 @@
     async fn replace(&mut self, reason: Reason) -> bool {
         log::info!(
             "event=takeover_started database={} generation={} reason={reason} primary={} term={}",
-            self.database,
-            self.generation,
+            self.succession.database,
+            self.succession.generation,
             self.record.record.primary,
             self.record.record.term
         );
-        if !self.is_suspicion_confirmed(reason).await {
-            return true;
-        }
-        if reason == Reason::Restored
-            && let Some(done) = self.restore_record().await
-        {
-            return done;
-        }
-        if !self.begin().await {
-            return false;
-        }
-        let mut confirming = Confirming::start(&self.node, self.record_update(), self.generation);
-        // Without synchronous replicas, the former primary acknowledges saves until nobody sends it any.
-        let must_confirm = reason.is_planned() || !self.is_synchronous();
-        if must_confirm && !confirming.wait().await {
-            return false;
+        let (mut replacement, mut action) = Replacement::start(
+            self.succession.node.settings.vm.clone(),
+            self.succession.generation,
+            reason,
+            &self.record,
+            &self.situation(false),
+        );
+        loop {
+            if let Action::End { done } = action {
+                return done;
+            }
+            self.receive_alone(replacement.receiving());
+            // The lease was checked when the action was chosen: nothing may be waited for in between.
+            let event = self.carry_out(action).await;
+            let is_confirmed = self.confirming.as_mut().is_some_and(Confirming::has_ended);
+            action = replacement.on(event, &self.situation(is_confirmed));
         }
-        if reason.is_planned() {
-            self.succession().depose_serving_primary().await;
+    }
+
+    fn situation(&self, is_confirmed: bool) -> HolderSituation<'_> {
+        HolderSituation {
+            succession: &self.succession,
+            attempt: self.attempts,
+            is_confirmed,
         }
-        let succession = self.succession();
-        let promoting = succession.promote(reason.knowledge(), &mut confirming);
-        let Some((instance, term)) = promoting.await else {
-            return false;
-        };
-        let former = self.record.record.primary.clone();
-        if !confirming.has_ended() {
-            let settling = Phase::Settling {
-                holder: self.node.settings.vm.clone(),
-                generation: self.generation,
-            };
-            if !self.write(instance.clone(), term, settling).await {
-                return false;
+    }
+
+    async fn carry_out(&mut self, action: Action) -> Event {
+        let succession = Rc::clone(&self.succession);
+        match action {
+            Action::AskPrimary => Event::Answered(succession.ask_primary().await),
+            Action::ClearSuspicion => {
+                succession.clear_suspicion();
+                Event::Done
             }
-            self.send_record_to_all();
-            if !confirming.wait().await {
-                return false;
+            Action::Collect => {
+                self.former = succession.instance(&succession.former);
+                let members = succession.members();
+                Event::Reported(reports::collect(&succession.node, members).await)
             }
+            Action::Write {
+                primary,
+                term,
+                phase,
+                instances,
+            } => Event::Written(self.write(primary, term, phase, instances).await),
+            Action::StartConfirming => {
+                let update = self.record_update();
+                let confirming = Confirming::start(&succession.node, update, succession.generation);
+                self.confirming = Some(confirming);
+                Event::Done
+            }
+            Action::AwaitConfirmations => Event::Confirmed(match &mut self.confirming {
+                Some(confirming) => confirming.wait().await,
+                None => false,
+            }),
+            Action::SendRecord => {
+                self.send_record_to_all();
+                Event::Done
+            }
+            Action::Finish {
+                former,
+                primary,
+                term,
+            } => {
+                self.send_record_to_all();
+                self.notify_instances(&former, &primary, term);
+                Event::Done
+            }
+            Action::Pause { term } => {
+                self.attempts += 1;
+                Event::Reported(succession.pause(term).await)
+            }
+            Action::Sleep => {
+                sleep(POLL_INTERVAL).await;
+                Event::Done
+            }
+            Action::End { .. } => unreachable!("nothing follows the end"),
+            action => self.call_instances(action).await,
         }
-        let recorded = self.write(instance.clone(), term, Phase::Steady).await;
-        if recorded {
-            self.send_record_to_all();
-            self.notify_instances(&former, &instance, term);
-        }
-        recorded
     }
 
-    fn succession(&self) -> Succession<'_> {
-        Succession {
-            node: &self.node,
-            lease: &self.lease,
-            database: &self.database,
-            generation: self.generation,
-            record: &self.record.record,
-            reported_term: self.reported_term,
+    /// Carries out an action of the promotion.
+    async fn call_instances(&self, action: Action) -> Event {
+        let succession = &self.succession;
+        match action {
+            Action::PauseAll { term } => {
+                Event::AllPaused(succession.replicas(term).pause_all().await)
+            }
+            Action::Demote { instance, term } => {
+                let announced = succession.instance(&instance);
+                let demoted = match announced.or_else(|| self.former.clone()) {
+                    Some(instance) => succession.demote(instance, term).await,
+                    None => None,
+                };
+                Event::Demoted(demoted)
+            }
+            Action::CatchUp { instance, position } => {
+                Event::Reached(succession.catch_up(&instance, position).await)
+            }
+            Action::AwaitDelivery { instance, position } => {
+                Event::Reached(succession.await_delivery(&instance, position).await)
+            }
+            Action::CallPromotion { instance } => {
+                Event::Called(succession.call_promotion(&instance).await)
+            }
+            Action::AwaitLeadership { instance } => {
+                Event::Led(succession.await_leadership(&instance).await)
+            }
+            action => unreachable!("{action:?} calls no instance"),
         }
     }
 
-    /// Records that the primary is being replaced; returns whether it is recorded.
-    async fn begin(&mut self) -> bool {
-        let moving = Phase::Moving {
-            holder: self.node.settings.vm.clone(),
-            generation: self.generation,
-        };
-        let replacement = (self.database.clone(), self.generation);
-        self.node.confirmations.begin(replacement);
-        let (primary, term) = (self.record.record.primary.clone(), self.record.record.term);
-        self.write(primary, term, moving).await
+    /// Starts or ends that one instance receives alone.
+    fn receive_alone(&mut self, receiving: Option<&Receiving>) {
+        if self.receiving.as_ref().map(|(known, _)| known) == receiving {
+            return;
+        }
+        self.receiving = receiving.map(|receiving| {
+            let (succession, receiving) = (Rc::clone(&self.succession), receiving.clone());
+            let mut task = JoinSet::new();
+            let known = receiving.clone();
+            task.spawn_local(async move {
+                let replicas = succession.replicas(receiving.term);
+                replicas
+                    .receive_alone(&receiving.instance, &receiving.reports)
+                    .await
+            });
+            (known, task)
+        });
     }
 
     /// Returns the record in the form that is sent to other VMs.
     fn record_update(&self) -> RecordUpdate {
         RecordUpdate {
-            database: self.database.clone(),
+            database: self.succession.database.clone(),
             record: self.record.record.clone(),
             revision: self.record.revision.0,
         }
@@ -200,100 +240,39 @@
 
     /// Sends the record to every gateway, so that those cut off from the store receive it too.
     fn send_record_to_all(&self) {
-        let state = self.node.state.borrow();
+        let node = &self.succession.node;
+        let state = node.state.borrow();
         for vm in state.gateways.values() {
-            self.node
-                .outbox
+            node.outbox
                 .send(vm.peer_address, Datagram::Record(self.record_update()));
         }
     }
 
-    /// Requests a report from a suspected primary once more, so that a transient failure doesn't
-    /// lead to its replacement. Returns whether the replacement should go on.
-    async fn is_suspicion_confirmed(&self, reason: Reason) -> bool {
-        if !matches!(reason, Reason::Unreachable | Reason::Deposed) {
-            return true;
-        }
-        let name = &self.record.record.primary;
-        let Some(primary) = self.succession().instance(name) else {
-            return true;
-        };
-        let mut link = ControlLink::new(Rc::clone(&self.node), primary);
-        let report = link
-            .request(&InstanceCommand::Report, REPORT_TIMEOUT / 2)
-            .await;
-        // An instance that refuses for lack of capacity is alive.
-        let busy = report.is_none() && link.has_responded() && reason == Reason::Unreachable;
-        let known = self.succession().reported_position(name);
-        let leads = report.is_some_and(|report| {
-            let has_log = known.is_none_or(|position| report.received >= position);
-            report.is_primary && report.term <= self.record.record.term && has_log
-        });
-        if leads || busy {
-            log::info!(
-                "event=suspicion_cleared database={} primary={name}",
-                self.database
-            );
-            self.node.pool(link.instance()).clear_health();
-        }
-        !leads && !busy
-    }
-
-    fn is_synchronous(&self) -> bool {
-        let catalog = self.node.catalog();
-        catalog.is_some_and(|catalog| catalog.is_synchronous(&self.database))
-    }
-
-    /// Writes the record again if the reports of all instances confirm it. No VM has to confirm
-    /// this, because none can know another primary.
-    ///
-    /// Returns whether the record is written, or `None` if the primary must be replaced. While only
-    /// some instances confirm a record that this VM relies on, it waits for the others.
-    async fn restore_record(&mut self) -> Option<bool> {
-        let reports = reports::collect(&self.node, self.succession().members()).await;
-        let newest_term = reports.iter().map(|member| member.report.term).max();
-        self.reported_term = self.reported_term.max(newest_term.unwrap_or_default());
-        let check = check_record(&self.succession().replaced(Knowledge::Restored), &reports);
-        log::info!(
-            "event=record_checked database={} heard={} check={check} newest_term={newest_term:?}",
-            self.database,
-            reports.len()
-        );
-        // Some VMs may still use the primary before the recorded one.
-        let is_settling = matches!(self.record.record.phase, Phase::Settling { .. });
-        let may_wait = self.node.timeline_age() < self.node.settings.gateway_ttl;
-        match check {
-            RecordCheck::Confirmed if !is_settling => Some(self.rewrite_record().await),
-            RecordCheck::Incomplete if self.record.is_reliable() && may_wait => Some(false),
-            _ => None,
-        }
-    }
-
-    async fn rewrite_record(&mut self) -> bool {
-        let (primary, term) = (self.record.record.primary.clone(), self.record.record.term);
-        let is_written = self.write(primary.clone(), term, Phase::Steady).await;
-        if is_written {
-            self.send_record_to_all();
-            // A replacement that the restoration ended may have paused the replicas.
-            self.notify_instances(&primary, &primary, term);
+    async fn write(
+        &mut self,
+        primary: InstanceName,
+        term: u64,
+        phase: Phase,
+        instances: usize,
+    ) -> bool {
+        let Succession {
+            node,
+            database,
+            generation,
+            ..
+        } = &*self.succession;
+        if matches!(phase, Phase::Moving { .. }) {
+            node.confirmations.begin((database.clone(), *generation));
         }
-        is_written
-    }
-
-    async fn write(&mut self, primary: InstanceName, term: u64, phase: Phase) -> bool {
         let record = PrimaryRecord {
             primary,
             term,
             phase,
-            instances: self.succession().group_size(),
-            timeline: self.node.adapter.store.timeline(),
+            instances,
+            timeline: node.adapter.store.timeline(),
         };
-        if !self.lease.is_valid() {
-            return false;
-        }
         let expected = self.record.stored;
-        let written = records::write(&self.node, &self.database, expected, record).await;
-        match written {
+        match records::write(node, database, expected, record).await {
             Some(record) => {
                 self.record = record;
                 true
@@ -310,18 +289,19 @@
     /// is therefore kept until the replicas have resumed, or a time limit has passed. A late demotion
     /// has no effect, because the next primary has a higher term.
     fn notify_instances(&mut self, former: &InstanceName, current: &InstanceName, term: u64) {
-        for instance in self.succession().members() {
+        for instance in self.succession.members() {
             if instance.name == *current {
                 continue;
             }
-            let (node, database) = (Rc::clone(&self.node), self.database.clone());
+            let node = Rc::clone(&self.succession.node);
+            let database = self.succession.database.clone();
             let revision = self.record.revision;
             let is_former = instance.name == *former;
             let (mut link, command, limit) = if is_former {
                 let link = ControlLink::new(Rc::clone(&node), instance);
                 (link, InstanceCommand::Demote { term }, NOTIFY_TIMEOUT)
             } else {
-                let link = self.succession().control_link(instance);
+                let link = self.succession.control_link(instance);
                 (link, InstanceCommand::Resume, REPORT_TIMEOUT)
             };
             let notifying = async move {
@@ -338,3 +318,70 @@
         }
     }
 }
+
+/// What the holder of the failover lease knows at the time of an event.
+struct HolderSituation<'a> {
+    succession: &'a Succession,
+    attempt: usize,
+    is_confirmed: bool,
+}
+
+impl Situation for HolderSituation<'_> {
+    fn now(&self) -> Timestamp {
+        clock::now()
+    }
+
+    fn may_wait_for_reports(&self) -> bool {
+        let node = &self.succession.node;
+        node.timeline_age() < node.settings.gateway_ttl
+    }
+
+    fn instances(&self) -> usize {
+        self.succession.group_size()
+    }
+
+    fn holds_lease(&self) -> bool {
+        self.succession.lease.is_valid()
+    }
+
+    fn is_confirmed(&self) -> bool {
+        self.is_confirmed
+    }
+
+    fn is_synchronous(&self) -> bool {
+        let catalog = self.succession.node.catalog();
+        catalog.is_some_and(|catalog| catalog.is_synchronous(&self.succession.database))
+    }
+
+    fn is_announced(&self, instance: &InstanceName) -> bool {
+        self.succession.instance(instance).is_some()
+    }
+
+    fn reported_position(&self, instance: &InstanceName) -> Option<Position> {
+        self.succession.reported_position(instance)
+    }
+
+    fn note(&self, note: Note<'_>) {
+        let database = &self.succession.database;
+        match note {
+            Note::RecordChecked {
+                heard,
+                check,
+                newest_term,
+            } => log::info!(
+                "event=record_checked database={database} heard={heard} check={check} \
+                 newest_term={newest_term:?}"
+            ),
+            Note::Decided { heard, decision } => log::info!(
+                "event=takeover_decided database={database} attempt={} heard={heard} of={} \
+                 decision=\"{decision:?}\"",
+                self.attempt,
+                self.instances()
+            ),
+            Note::Outdated { instance } => log::warn!(
+                "event=promotion_outdated database={database} instance={instance} generation={}",
+                self.succession.generation
+            ),
+        }
+    }
+}
