--- a/tests/replacement/steps.rs
+++ b/tests/replacement/steps.rs
@@ -163,7 +163,9 @@
         });
     }
     let is_elsewhere = joining.saves() & !world.members[REPLICA].saves() == 0;
-    let may_forget = is_elsewhere || defect == Defect::OnlyCopyLost;
+    // A VM that hasn't seen a primary report a position doesn't notice that it has lost its log.
+    let is_noticed = world.record.primary != JOINING || world.reported.0 == JOINING;
+    let may_forget = (is_elsewhere && is_noticed) || defect == Defect::OnlyCopyLost;
     if world.joins > 0 && joining.is_alive && may_forget {
         // Under another name, the holders don't know it, but count it once.
         for is_renamed in [false, true] {
