Saves: a VM that gets a lease during a replacement acknowledges none of the former primary

Cause: a VM whose lease has lapsed isn't waited for by a replacement that begins meanwhile. When it registers again, or gets a sublease, it knows the replacement, but it withheld saves only once it confirmed: 60 ms later, or when its own subleases had ended. A save under way since before was acknowledged in between.

Change: such a VM withholds the saves of every primary that is being replaced before it takes the lease. There is no time in which it has the right of a VM that is waited for without being one.

--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -16,6 +16,7 @@
 use super::gateways;
 use super::limiter;
 use super::node::Node;
+use super::saves;
 use super::state::State;
 use super::synchronization;
 use super::validity::{MAX_SUBLEASE, outlived_within};
@@ -360,6 +361,10 @@
         for update in records {
             self.apply(update);
         }
+        let has_lease = self.node.state.borrow().has_validity_lease(clock::now());
+        if !has_lease {
+            saves::withhold_replaced(&self.node);
+        }
         let mut state = self.node.state.borrow_mut();
         state.sublease.accept_sublease(requested_at, valid_for);
         drop(state);
--- a/src/entry/registration.rs
+++ b/src/entry/registration.rs
@@ -13,6 +13,7 @@
 use super::node::Node;
 use super::record::VmRecord;
 use super::role;
+use super::saves;
 use super::state::StopPhase;
 use super::synchronization;
 use crate::configuration::{Revision, Timeline};
@@ -134,6 +135,7 @@
     if !synchronization::refresh(node).await || node.adapter.store.timeline() != timeline {
         return None;
     }
+    saves::withhold_replaced(node);
     let mut state = node.state.borrow_mut();
     state.lease = Some(lease);
     state.gateway = true;
--- a/src/entry/saves.rs
+++ b/src/entry/saves.rs
@@ -76,6 +76,15 @@
     known.withholds_saves = acknowledgement::withholds_after_confirmation(record);
 }
 
+/// Ceases to acknowledge saves of every primary that is being replaced. Called when a VM without a
+/// validity lease gets one: the replacements under way needn't have waited for it.
+pub fn withhold_replaced(node: &Node) {
+    let databases: Vec<_> = node.state.borrow().databases.keys().cloned().collect();
+    for database in &databases {
+        withhold(node, database);
+    }
+}
+
 /// Returns whether a save that an instance has kept may be acknowledged: it is the primary, and this VM
 /// hasn't confirmed its replacement.
 pub fn may_acknowledge(node: &Node, database: &DatabaseName, instance: &InstanceName) -> bool {
