Saves: without a lease, every replica that the VM knows must have the save

A replica's pause ends with its restart, so that one which restarted or joined after the last pause reports an earlier term although another instance is promoted; and a replica that the replacing VM no longer counts isn't asked. One replica's report doesn't bound the choice then. Now every known replica must report that it has received the save and knows no later term: the next primary has it, unless it is an instance that this VM doesn't know. Callers get "unknown" more often while a replica is down and the VM has no lease.

Each replica is polled on a connection of its own, so that one that doesn't respond delays no other, and whether the primary is replaced is asked again after the wait.

--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -361,8 +361,11 @@
         for update in records {
             self.apply(update);
         }
-        let has_lease = self.node.state.borrow().has_validity_lease(clock::now());
-        if !has_lease {
+        // A replacement waits for subleases only until their grantor has confirmed it.
+        let state = self.node.state.borrow();
+        let is_waited_for = state.validity_lease.is_valid(clock::now());
+        drop(state);
+        if !is_waited_for {
             saves::withhold_replaced(&self.node);
         }
         let mut state = self.node.state.borrow_mut();
--- a/src/entry/replication.rs
+++ b/src/entry/replication.rs
@@ -1,20 +1,18 @@
-//! Checks whether a replica that this VM knows has received a save.
+//! Checks whether the replicas that this VM knows have received a save.
 //!
 //! A replacement waits for the validity lease of a VM, and no longer. The primary of a VM without a
 //! lease may have been replaced, and may have a save confirmed by an instance that the replacing VM doesn't
-//! know. Such a VM therefore acknowledges a save only once an announced replica, which knows no later term, reports it:
-//! a replacement that doesn't hear the former primary pauses every such replica, under a later term, and
-//! promotes none that lacks what one of them has received.
+//! know. Such a VM therefore acknowledges a save only once every replica that it knows has reported that it has received
+//! it and knows no later term. The next primary has the save then, unless it is an instance that this VM doesn't know.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures::StreamExt;
-use futures::stream::FuturesUnordered;
+use futures::future::join_all;
 use tokio::sync::Mutex;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::clock;
 use super::control::ControlLink;
@@ -25,14 +23,14 @@
 use super::statement::{InstanceCommand, InstanceReport};
 use crate::name::DatabaseName;
 
-/// Time limit for a replica to report that it has received a save.
+/// Time limit for the replicas to report that they have received a save.
 const RECEIPT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Interval at which the replicas are polled.
+/// Interval at which a replica is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Latest position of each database that a replica has reported to this VM. Checks of one database take turns, so that
-/// saves that succeed at the same time share a report.
+/// Latest position of each database that every replica has reported to this VM. Checks of one database take turns, so
+/// that saves that succeed at the same time share the reports.
 #[derive(Debug, Default)]
 pub struct ReceivedPositions(RefCell<HashMap<DatabaseName, Rc<Mutex<Position>>>>);
 
@@ -43,15 +41,16 @@
     }
 }
 
-/// Returns whether a save that an instance has kept at `position` may be acknowledged, which every later
-/// primary then has. Waits for a replica if this VM has no validity lease.
+/// Returns whether a save that an instance has kept at `position` may be acknowledged: later primaries have it.
+/// Waits for the replicas if this VM has no validity lease.
 pub async fn may_acknowledge(
     node: &Rc<Node>,
     instance: &Instance,
     position: Option<Position>,
     deadline: Instant,
 ) -> bool {
-    if !saves::may_acknowledge(node, &instance.database, &instance.name) {
+    let is_current = || saves::may_acknowledge(node, &instance.database, &instance.name);
+    if !is_current() {
         return false;
     }
     if node.state.borrow().has_validity_lease(clock::now()) {
@@ -62,28 +61,45 @@
     };
     let deadline = deadline.min(Instant::now() + RECEIPT_TIMEOUT);
     let checking = is_received(node, instance, position);
-    tokio::time::timeout_at(deadline, checking).await.is_ok()
+    let received = timeout_at(deadline, checking).await;
+    received.unwrap_or(false) && is_current()
 }
 
-/// Waits until an announced replica has received the log of `primary` up to `position`.
-async fn is_received(node: &Rc<Node>, primary: &Instance, position: Position) {
+/// Waits until every known replica has received the log of `primary` up to `position`. Returns false when one
+/// knows a later term.
+async fn is_received(node: &Rc<Node>, primary: &Instance, position: Position) -> bool {
     let received = node.received_positions.of(&primary.database);
     let mut received = received.lock().await;
-    while !covers(*received, position) {
-        let replicas = replicas(node, primary);
-        let mut reports: FuturesUnordered<_> = replicas
-            .into_iter()
-            .map(|replica| report(node, replica))
-            .collect();
-        while let Some(report) = reports.next().await {
-            if let Some(report) = report.filter(|report| follows(report, position.term)) {
-                *received = report.received.max(*received);
+    if covers(*received, position) {
+        return true;
+    }
+    let replicas = replicas(node, primary).into_iter();
+    let reports = join_all(replicas.map(|replica| await_receipt(node, replica, position))).await;
+    let least = reports.into_iter().min().flatten();
+    if let Some(least) = least {
+        *received = least;
+    }
+    least.is_some()
+}
+
+/// Waits until a replica has received the log up to `position`. Returns what it has received; `None` when it no longer
+/// follows the primary of that term.
+async fn await_receipt(
+    node: &Rc<Node>,
+    replica: Rc<Instance>,
+    position: Position,
+) -> Option<Position> {
+    let mut link = ControlLink::new(Rc::clone(node), replica);
+    loop {
+        let report = link.request(&InstanceCommand::Report, RECEIPT_TIMEOUT);
+        if let Some(report) = report.await {
+            if !follows(&report, position.term) {
+                return None;
             }
-            if covers(*received, position) {
-                return;
+            if covers(report.received, position) {
+                return Some(report.received);
             }
         }
-        drop(reports);
         sleep(POLL_INTERVAL).await;
     }
 }
@@ -99,18 +115,11 @@
     !report.is_primary && report.term <= term
 }
 
-async fn report(node: &Rc<Node>, replica: Rc<Instance>) -> Option<InstanceReport> {
-    let mut link = ControlLink::new(Rc::clone(node), replica);
-    link.request(&InstanceCommand::Report, RECEIPT_TIMEOUT)
-        .await
-}
-
-/// Returns the replicas whose announcements this VM knows.
+/// Returns the replicas that this VM knows.
 fn replicas(node: &Node, primary: &Instance) -> Vec<Rc<Instance>> {
     let state = node.state.borrow();
     let members = state.directory.in_database(&primary.database);
-    let replicas = members
-        .filter(|known| known.name != primary.name && !state.missing.contains_key(&known.name));
+    let replicas = members.filter(|known| known.name != primary.name);
     replicas.cloned().collect()
 }
 
