Reads: a connection is verified by what relies on it, and only once the check was made

A save that got "read only" from a primary without its log left a connection on which the next read ran unchecked. So did connections that were opened for reports, and those first used for a replica that was promoted later.

The position of the opening now stays until the log has been verified: the opening names what the instance has reported, or it reports that it leads and has that, or a write has succeeded on the connection. An instance that names no position when a connection is opened ("-") is asked for a report.

The read after a refused save has no test of its own.

--- a/src/entry/acquisition.rs
+++ b/src/entry/acquisition.rs
@@ -159,9 +159,9 @@
     reported.filter(|_| target.is_primary)
 }
 
-/// Fails if the instance had less than it has `reported` before the connection was opened. It was started again
+/// Fails if the instance has less than it has `reported` before the connection was opened. It was started again
 /// without its log then, which has closed its former connections. A read that requires no position asks an
-/// instance that hasn't reported any yet whether it leads.
+/// instance that hasn't reported any yet whether it leads; other statements leave that to the next read.
 async fn verify_log(
     node: &Node,
     context: &StatementContext<'_>,
@@ -169,21 +169,27 @@
     mut pooled: PooledLink,
     reported: Option<Position>,
 ) -> Result<PooledLink, LinkError> {
-    let Some(opening) = pooled.link().take_opening() else {
+    let Some(opening) = pooled.link().opening() else {
         return Ok(pooled);
     };
-    let relies_on_role = target.is_primary && target.min_position.is_none();
-    let has_log = match reported {
-        Some(reported) => Ok(opening.position.is_some_and(|opening| opening >= reported)),
-        None if relies_on_role && context.access == Access::Read => {
-            let deadline = Instant::now() + node.settings.connect_timeout;
-            let deadline = context.deadline.min(deadline);
-            leads(node, target, &mut pooled, deadline).await
-        }
-        None => Ok(true),
+    let relies_on_log =
+        target.is_primary && target.min_position.is_none() && context.access == Access::Read;
+    if reported.is_none() && !relies_on_log {
+        return Ok(pooled);
+    }
+    let named = opening.position.zip(reported);
+    let has_log = if named.is_some_and(|(opening, reported)| opening >= reported) {
+        Ok(true)
+    } else {
+        let deadline = Instant::now() + node.settings.connect_timeout;
+        let deadline = context.deadline.min(deadline);
+        leads(node, target, &mut pooled, reported, deadline).await
     };
     match has_log {
-        Ok(true) => Ok(pooled),
+        Ok(true) => {
+            pooled.link().record_verified();
+            Ok(pooled)
+        }
         Ok(false) => {
             pooled.close();
             Err(LinkError::LogLost)
@@ -195,11 +201,13 @@
     }
 }
 
-/// Returns whether an instance reports that it is the primary, and records its position if it does.
+/// Returns whether an instance reports that it is the primary and has what it has `reported` before, and records its
+/// position if it does.
 async fn leads(
     node: &Node,
     target: &Target,
     pooled: &mut PooledLink,
+    reported: Option<Position>,
     deadline: Instant,
 ) -> Result<bool, LinkError> {
     let response = loop {
@@ -218,7 +226,8 @@
         }
     };
     let report = (node.adapter.protocol.decode_report)(first_row(&response.rows));
-    let leading = report.filter(|report| report.is_primary);
+    let has_log = |received: Position| reported.is_none_or(|reported| received >= reported);
+    let leading = report.filter(|report| report.is_primary && has_log(report.received));
     if let Some(report) = &leading {
         let mut state = node.state.borrow_mut();
         let known = state.database(&target.instance.database);
--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -164,6 +164,9 @@
             }
         };
         record_response(node, context, &target, &response, authorization);
+        if shows_log(node, context, &target, &response) {
+            pooled.link().record_verified();
+        }
         let elapsed = clock::now().since(sent_at);
         let answer = answer(node, context, &target, &response, elapsed);
         pool.statement_answered(&answer);
@@ -429,6 +432,21 @@
     }
 }
 
+/// Returns whether a response shows that the instance leads and has all that it has reported: what writes succeeds
+/// only at a primary.
+fn shows_log(
+    node: &Node,
+    context: &StatementContext<'_>,
+    target: &Target,
+    response: &StatementResponse,
+) -> bool {
+    let is_done = matches!(response.outcome, Outcome::Done(_));
+    let state = node.state.borrow();
+    let known = state.databases.get(&target.instance.database);
+    let reported = known.and_then(|known| known.primary_position(&target.instance.name));
+    is_done && context.access == Access::Write && response.position >= reported
+}
+
 /// Returns whether a response of the recorded primary shows that the instance leads. One without
 /// capacity does: its position is as good as that of a served statement, and while it is
 /// overloaded, reads can only leave it by such positions.
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -114,7 +114,7 @@
     pub workspace: WorkspaceName,
     /// When the connection was opened or last responded to a statement.
     pub used_at: Instant,
-    /// What the instance reported when the connection was opened, until it is taken.
+    /// What the instance reported when the connection was opened, until its log has been verified.
     opening: Option<Opening>,
     stream: TcpStream,
     input: BytesMut,
@@ -186,10 +186,15 @@
         }
     }
 
-    /// Returns what the instance reported when the connection was opened; `None` if this was called
-    /// before.
-    pub const fn take_opening(&mut self) -> Option<Opening> {
-        self.opening.take()
+    /// Returns what the instance reported when the connection was opened; `None` once its log has been
+    /// verified.
+    pub const fn opening(&self) -> Option<Opening> {
+        self.opening
+    }
+
+    /// Records that the instance has its log. It keeps it as long as the connection is open.
+    pub const fn record_verified(&mut self) {
+        self.opening = None;
     }
 
     /// Returns whether the connection is open and has no unread input, as it must be between uses.
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -435,11 +435,7 @@
         workspace: &WorkspaceName,
         deadline: Instant,
     ) -> Result<PooledLink> {
-        let mut pooled = self
-            .connect(workspace, OpenReason::Control, deadline)
-            .await?;
-        pooled.link().take_opening();
-        Ok(pooled)
+        self.connect(workspace, OpenReason::Control, deadline).await
     }
 
     async fn wait_for_release(&self, deadline: Instant) -> Result<()> {
