Limits: a gateway that registers anew isn't known before it is in a list

Callers of a workspace got more than its limit: 173 to 186 operations of 118 in 1 s in the simulation of gateways.

Cause: a gateway counted the others as having seen its registration as soon as their digest was that of its own list. After its registration had been revoked and it had got a new lease, its list still lacked it, as theirs did; with the next list it was established, and granted tokens beside the owner that the others, cut off from the store, had meanwhile.

Change: each change of the list has a number; a gateway has seen a registration if its digest matched at that change or a later one.

--- a/src/entry/quota/ownership.rs
+++ b/src/entry/quota/ownership.rs
@@ -53,8 +53,12 @@
     /// lease. Until then they rank as before.
     departed: HashMap<VmName, (VmRecord, Timestamp)>,
     digest: u32,
-    /// Gateways known to have seen this VM's registration.
-    seen_by: HashSet<VmName>,
+    /// Number of changes of the list.
+    changes: u32,
+    /// Change with which each gateway appeared in the list.
+    joined_by: HashMap<VmName, u32>,
+    /// Latest change that each gateway is known to have seen.
+    seen_by: HashMap<VmName, u32>,
     /// Digest that each gateway announced last. It may be that of a list which this VM takes over
     /// later.
     digests: HashMap<VmName, u32>,
@@ -74,7 +78,9 @@
             goodbyes: HashMap::new(),
             departed: HashMap::new(),
             digest: digest(&BTreeMap::new()),
-            seen_by: HashSet::new(),
+            changes: 0,
+            joined_by: HashMap::new(),
+            seen_by: HashMap::new(),
             digests: HashMap::new(),
             is_established: false,
             changed_at: Timestamp::ZERO,
@@ -115,10 +121,13 @@
         };
         let joined = gateways.iter().filter(|(vm, record)| is_new(vm, record));
         change.joined = joined.map(|(vm, _)| vm.clone()).collect();
+        self.changes += 1;
+        let joined = change.joined.iter();
+        self.joined_by
+            .extend(joined.map(|vm| (vm.clone(), self.changes)));
         if self.own_lease != own_lease {
             self.own_lease = own_lease;
             self.registrations += u32::from(own_lease.is_some());
-            self.seen_by.clear();
             self.is_established = false;
         }
         self.gateways.clone_from(gateways);
@@ -229,11 +238,21 @@
         }
         let others = self.remaining().filter(|(vm, _)| **vm != self.own);
         others
-            .filter(|(vm, _)| !self.seen_by.contains(*vm))
+            .filter(|(vm, _)| !self.has_seen_own(vm))
             .map(|(_, record)| (record.peer_address, record.lease))
             .collect()
     }
 
+    fn has_seen_own(&self, vm: &VmName) -> bool {
+        let seen = self.seen_by.get(vm);
+        seen.is_some_and(|seen| *seen >= self.own_joined_by())
+    }
+
+    fn own_joined_by(&self) -> u32 {
+        let joined = self.joined_by.get(&self.own);
+        joined.copied().unwrap_or_default()
+    }
+
     /// Returns the registered gateways that haven't said goodbye.
     fn remaining(&self) -> impl Iterator<Item = (&VmName, &VmRecord)> {
         let goodbyes = &self.goodbyes;
@@ -252,12 +271,17 @@
             .digests
             .iter()
             .filter(|(vm, digest)| **digest == self.digest && self.gateways.contains_key(*vm));
-        self.seen_by.extend(seen.map(|(vm, _)| vm.clone()));
+        let changes = self.changes;
+        self.seen_by
+            .extend(seen.map(|(vm, _)| (vm.clone(), changes)));
     }
 
     fn record_change(&mut self, now: Timestamp) {
         if self.digests.len() > MAX_DIGESTS.max(2 * self.gateways.len()) {
             self.digests.retain(|vm, _| self.gateways.contains_key(vm));
+            self.seen_by.retain(|vm, _| self.gateways.contains_key(vm));
+            self.joined_by
+                .retain(|vm, _| self.gateways.contains_key(vm));
         }
         self.compare_digests();
         self.ranks.clear();
@@ -266,7 +290,7 @@
     }
 
     fn check_established(&mut self) -> bool {
-        let seen_by_all = self.others().all(|vm| self.seen_by.contains(vm));
+        let seen_by_all = self.others().all(|vm| self.has_seen_own(vm));
         self.is_established |= self.is_own_registered() && seen_by_all;
         self.is_established
     }
--- a/src/entry/quota/tests/failures.rs
+++ b/src/entry/quota/tests/failures.rs
@@ -209,3 +209,17 @@
         );
     }
 }
+
+/// Guards against two owners of a limit: a gateway that had lost its registration and registered anew
+/// counted the others as having seen it, because their lists lacked it as its own did.
+#[test]
+fn a_gateway_that_registers_anew_owns_no_limit_until_the_others_know() {
+    let setup = Setup {
+        burst: 10.0,
+        demand_per_s: vec![120.0, 0.0, 0.0, 10.0, 35.0, 20.0],
+        changes: vec![(7_250, Revoke(0)), (7_345, CutStore(1))],
+        max_delay_ms: 0,
+        ..Setup::default()
+    };
+    assert_bounded(&setup, &run(&setup), TOLERANCE);
+}
