Limits: an owner that others don't know reckons with their larger shares

A limit of 100/s was exceeded by 17% while all gateways but one that had just started were cut off from the store: 589 operations of 551 in 5 s.

Cause: gateways that lose their owner divide the limit among those in their own list. The owner that took it over divided by its own, longer list: it counted itself, and others that had started with it, although the gateways that were cut off had never seen them.

Change: the owner counts, for each gateway that may use its fallback share, the gateways that this one is certain to have in its list, as its digests show.

--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -331,10 +331,9 @@
         let mut factors = HashMap::new();
         for (name, ledger) in &mut self.ledgers {
             let owners = self.fallback.owners_of(&self.own, ledger.started_at());
-            let factor = factors.entry(owners).or_insert_with(|| {
-                let others = self.ownership.others();
-                self.fallback.owner_factor(owners, others, now)
-            });
+            let factor = factors
+                .entry(owners)
+                .or_insert_with(|| self.fallback.owner_factor(owners, &self.ownership, now));
             if let Some(workspace) = workspaces.get(name) {
                 ledger.keep_part(limit_of(workspace), *factor, now);
             }
--- a/src/entry/quota/fallback.rs
+++ b/src/entry/quota/fallback.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::ledger::Limit;
+use super::ownership::Ownership;
 use crate::entry::datagram::LimitStatus;
 use crate::name::VmName;
 use crate::time::Timestamp;
@@ -182,23 +183,22 @@
 
     /// Returns the part of the limits of `owners` that their present owner keeps, so that it and all
     /// gateways that may be using their fallback shares of them exceed a limit by at most the tolerance.
-    /// `others` are the gateways in the list beside this one.
-    pub fn owner_factor<'a>(
-        &'a self,
-        owners: u64,
-        others: impl Iterator<Item = &'a VmName>,
-        now: Timestamp,
-    ) -> f64 {
+    /// Each of them divides a limit among the gateways in its own list.
+    pub fn owner_factor(&self, owners: u64, ownership: &Ownership, now: Timestamp) -> f64 {
         // Gateways that aren't in the list: those that left it, and those that announce a fallback
         // to a VM that has restarted since.
         let announcing = self.peers.iter().filter(|(_, peer)| {
             peer.uses_fallback_of(owners) && now.since(peer.heard_at) < LEFT_RETENTION
         });
         let unlisted = self.left.keys().chain(announcing.map(|(vm, _)| vm));
-        let known: HashSet<_> = others.chain(unlisted).collect();
+        let known: HashSet<_> = ownership.others().chain(unlisted).collect();
         let suspected = known.iter().filter(|vm| self.may_use(vm, owners, now));
-        let sum = FALLBACK_FACTOR * suspected.count() as f64 / (known.len() + 1) as f64;
-        1.0 - (sum - TOLERANCE).max(0.0)
+        let shares = suspected.map(|vm| {
+            let sharers = ownership.count_seen_by(vm, &known, self.is_silent(vm, now));
+            FALLBACK_FACTOR / sharers.max(1) as f64
+        });
+        let sum: f64 = shares.sum();
+        (1.0 - (sum - TOLERANCE).max(0.0)).max(0.0)
     }
 
     /// Returns the number of gateways that divide the limit of an unreachable owner: this one, `others` in
--- a/src/entry/quota/fallback/tests.rs
+++ b/src/entry/quota/fallback/tests.rs
@@ -1,4 +1,8 @@
+use std::net::SocketAddr;
+
 use super::*;
+use crate::entry::record::VmRecord;
+use crate::name::ZoneName;
 
 const OTHERS: usize = 7;
 
@@ -15,6 +19,15 @@
     }
 }
 
+fn record() -> VmRecord {
+    VmRecord {
+        lease: 1,
+        peer_address: SocketAddr::from(([10, 0, 0, 1], 1)),
+        availability_zone: ZoneName::from("a"),
+        cpu_share: 1.0,
+    }
+}
+
 struct Case {
     name: &'static str,
     /// Gateway that the others announce as unreachable.
@@ -76,6 +89,9 @@
         let now = Timestamp::from_millis(100_000);
         let mut fallback = FallbackUse::default();
         let others: Vec<_> = (1..=OTHERS).map(vm).collect();
+        let mut ownership = Ownership::new(vm(0));
+        let gateways = (0..=OTHERS).map(|index| (vm(index), record())).collect();
+        ownership.update(&gateways, Some(1), |_| now, now);
         let unreachable = case.unreachable.map(vm);
         for other in &others {
             let status = status(unreachable.as_ref());
@@ -88,7 +104,7 @@
         }
         let started_at = Timestamp::from_millis(100_000 - case.started_ms);
         let owners = fallback.owners_of(&vm(0), started_at);
-        let factor = fallback.owner_factor(owners, others.iter(), now);
+        let factor = fallback.owner_factor(owners, &ownership, now);
         assert_eq!(factor < 0.5, case.lowers_rate, "{}: {factor}", case.name);
     }
 }
--- a/src/entry/quota/ownership.rs
+++ b/src/entry/quota/ownership.rs
@@ -243,6 +243,22 @@
             .collect()
     }
 
+    /// Returns how many of `known`, the gateways beside this VM, and this VM are certainly in the list of a
+    /// gateway. One that hasn't seen this VM register has seen none that did so later.
+    pub fn count_seen_by(&self, vm: &VmName, known: &HashSet<&VmName>, is_silent: bool) -> usize {
+        let joined_by = |gateway: &VmName| self.joined_by.get(gateway).copied();
+        let seen = self.seen_by.get(vm).copied();
+        let own = self.own_joined_by();
+        let has_seen = |gateway: &VmName| match seen.filter(|seen| *seen >= own) {
+            Some(seen) => joined_by(gateway).is_some_and(|by| by <= seen),
+            None if is_silent => joined_by(gateway).is_some_and(|by| by <= own),
+            // It announces another list, which has none of the gateways that have seen this VM's.
+            None => !self.has_seen_own(gateway),
+        };
+        let others = known.iter().filter(|gateway| has_seen(gateway));
+        others.count() + usize::from(self.has_seen_own(vm))
+    }
+
     fn has_seen_own(&self, vm: &VmName) -> bool {
         let seen = self.seen_by.get(vm);
         seen.is_some_and(|seen| *seen >= self.own_joined_by())
--- a/src/entry/quota/reassignment.rs
+++ b/src/entry/quota/reassignment.rs
@@ -109,8 +109,7 @@
         now: Timestamp,
     ) -> Option<Ledger> {
         let owners = self.fallback.owners_of(&self.own, now);
-        let others = self.ownership.others();
-        let factor = self.fallback.owner_factor(owners, others, now);
+        let factor = self.fallback.owner_factor(owners, &self.ownership, now);
         let ledger = self.start_bucket(name, limit.scaled(factor), now)?;
         Some(ledger.with_factor(factor))
     }
--- a/src/entry/quota/tests/failures.rs
+++ b/src/entry/quota/tests/failures.rs
@@ -210,6 +210,27 @@
     }
 }
 
+/// Guards against a way over the limits: a gateway that the others didn't know took itself for one of those
+/// that share a limit, and kept more beside the shares of the others than the limit leaves.
+#[test]
+fn an_owner_that_the_others_do_not_know_keeps_what_their_shares_leave() {
+    let cases: [&[(u64, Change)]; 4] = [
+        &[(0, CutStore(1)), (0, Start(0))],
+        &[(0, CutStore(1)), (0, CutPeers(1)), (0, Start(0))],
+        &[(0, CutStore(2)), (0, Start(0)), (0, Start(1))],
+        &[(0, CutStore(2)), (0, Start(0)), (2_000, Start(1))],
+    ];
+    for changes in cases {
+        let setup = Setup {
+            burst: 10.0,
+            demand_per_s: vec![120.0, 0.0, 0.0, 0.0, 80.0, 90.0],
+            changes: changes.to_vec(),
+            ..Setup::default()
+        };
+        assert_bounded(&setup, &run(&setup), TOLERANCE);
+    }
+}
+
 /// Guards against two owners of a limit: a gateway that had lost its registration and registered anew
 /// counted the others as having seen it, because their lists lacked it as its own did.
 #[test]
