Forwarding: reads leave a gateway that becomes unreachable as time passes

Cause: a gateway is unreachable after two failures that lie 250 ms apart. Whether they do was checked only when a failure was recorded. Pings are 250 ms apart at least; when the first one's failure was recorded some milliseconds late, and the second one's in time, the verdict changed just after the check. The read then waited for a third failed ping, some 300 ms later and past its own limit of 1,150 ms.

Change: the periodic maintenance of a gateway also checks, once for each piece of evidence. The test records two failures at once and failed before; the read in it was still waiting.

--- a/src/entry/gateway.rs
+++ b/src/entry/gateway.rs
@@ -41,6 +41,8 @@
     pinged_at: Cell<Option<Instant>>,
     declined_at: Cell<Option<Instant>>,
     became_unreachable: Notify,
+    /// Whether [`Gateway::abandon_if_unreachable`] has acted on the latest evidence.
+    is_abandoned: Cell<bool>,
 }
 
 /// Connection to a gateway. When dropped, it returns to the idle ones if it is reusable, and is
@@ -64,6 +66,7 @@
             pinged_at: Cell::new(None),
             declined_at: Cell::new(None),
             became_unreachable: Notify::new(),
+            is_abandoned: Cell::new(false),
         }
     }
 
@@ -98,7 +101,14 @@
     /// connections are closed and [`Gateway::wait_until_unreachable`] returns.
     pub fn record_health(&self, update: impl FnOnce(&mut Health, Timestamp)) {
         update(&mut self.health.borrow_mut(), clock::now());
-        if self.verdict() == Verdict::Unreachable {
+        self.is_abandoned.set(false);
+        self.abandon_if_unreachable();
+    }
+
+    /// Closes the idle connections and wakes the tasks that wait for a reply, once for each piece of
+    /// evidence by which the gateway is unreachable.
+    fn abandon_if_unreachable(&self) {
+        if self.verdict() == Verdict::Unreachable && !self.is_abandoned.replace(true) {
             self.idle.borrow_mut().clear();
             self.became_unreachable.notify_waiters();
         }
@@ -128,6 +138,8 @@
     /// Closes connections that exceeded the idle time limit, and pings the gateway in the
     /// background if it isn't healthy.
     pub fn maintain(self: &Rc<Self>) {
+        // Two failures in quick succession count only once some time has passed.
+        self.abandon_if_unreachable();
         let mut idle = self.idle.borrow_mut();
         idle.retain(|channel| channel.is_usable(IDLE_TIMEOUT));
         drop(idle);
@@ -197,3 +209,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
