Discovery: a suspension of a VM isn't a silence of the gateways

Cause: it reads the store when it hasn't heard from a gateway for 1.5 s. It asks them every 500 ms, and the time that it was suspended counted as well: after about a second without the processor, the check came before the answer of any gateway. VMs that are suspended together would all read the store.

By reading, a VM that forwards calls the store again only when it is without a message for that long, without a configuration 0.9 s after its start, or when no gateway is registered. In the test, where the VM and its gateway share a thread, each takes a second or more in which the thread doesn't run. One of 2 s, in which the gateway's lease lapses, still leads to a call.

Change: what counts is three checks in a row, 500 ms apart, without a message between them. A suspension is part of one. Without suspension, a silence is noticed as before, 1.5 to 2 s after the last message.

Tests: one suspends the thread for 1.3 s and failed before, with two calls. Another, which passes before and after, bounds the time to a new configuration by 3 s for a VM that hears from no gateway.

--- a/src/entry/discovery.rs
+++ b/src/entry/discovery.rs
@@ -7,11 +7,11 @@
 
 use tokio::time::{Instant, sleep, timeout};
 
-use super::clock;
 use super::fetch;
 use super::gateways::nearest_addresses;
 use super::node::Node;
 use super::synchronization;
+use crate::time::Timestamp;
 
 /// Interval at which a VM checks whether it still hears from a gateway.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -26,12 +26,36 @@
 /// the start of gateways that have just restarted.
 const FETCH_LIMIT: Duration = Duration::from_millis(900);
 
-/// Time without a message from a gateway after which the store is read.
-const GATEWAY_SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+/// Number of consecutive checks without a message from a gateway after which the store is read.
+/// Counting checks leaves out a suspension of this VM, after which the gateways are asked first.
+const MAX_SILENT_CHECKS: u32 = 3;
 
 /// Delay between two reads of the store while no gateway sends messages.
 const REFRESH_DELAY: Duration = Duration::from_secs(2);
 
+/// Whether messages of gateways arrive.
+#[derive(Debug)]
+struct Silence {
+    /// Time of the last message before the latest check.
+    contact_at: Timestamp,
+    /// Number of consecutive checks before which no message had arrived.
+    checks: u32,
+}
+
+impl Silence {
+    /// Checks whether a message has arrived since the last check; returns whether the gateways are
+    /// silent.
+    fn check(&mut self, contact_at: Timestamp) -> bool {
+        if contact_at == self.contact_at {
+            self.checks = self.checks.saturating_add(1);
+        } else {
+            self.contact_at = contact_at;
+            self.checks = 0;
+        }
+        self.checks >= MAX_SILENT_CHECKS
+    }
+}
+
 /// Keeps this VM informed, while it isn't a gateway, until the process ends.
 pub async fn run(node: Rc<Node>) {
     loop {
@@ -48,10 +72,15 @@
     // are about to return.
     synchronization::read_gateways(node, true).await;
     let started = Instant::now();
+    // A gateway doesn't ask the others, so that the last message may be old.
+    let mut silence = Silence {
+        contact_at: node.state.borrow().gateway_contact_at,
+        checks: MAX_SILENT_CHECKS,
+    };
     loop {
         let (searching, uninformed, silent) = {
             let state = node.state.borrow();
-            let silent = clock::now().since(state.gateway_contact_at) > GATEWAY_SILENCE_LIMIT;
+            let silent = silence.check(state.gateway_contact_at);
             (state.gateways.is_empty(), state.catalog.is_none(), silent)
         };
         if searching {
@@ -68,6 +97,8 @@
             if !fetch_configuration(node).await {
                 synchronization::read_configuration(node).await;
             }
+            // What was fetched here doesn't end the silence.
+            silence.contact_at = node.state.borrow().gateway_contact_at;
             sleep(REFRESH_DELAY).await;
         } else {
             sleep(CHECK_INTERVAL).await;
