Reads: a position of an instance whose log isn't verified isn't the primary's

Found while testing. A primary that had started again without its log, as a replica, refuses a save for lack of capacity and names its position. The VM recorded it as one that the primary had reported: the connection then counted as verified against it, so that the next read ran there and missed every save ("ROW -" in place of "ROW oak"), and the position bounded stale reads on other instances as well. Nor was the instance replaced, because nobody asked whether it leads.

Positions are now recorded as the primary's only once the log has been verified on the connection.

--- a/src/entry/execution.rs
+++ b/src/entry/execution.rs
@@ -163,10 +163,15 @@
                 return Err(failure);
             }
         };
-        record_response(node, context, &target, &response, authorization);
         if shows_log(node, context, &target, &response) {
             pooled.link().record_verified();
         }
+        // Until its log has been verified, an instance may not be the primary that the record names.
+        let authorization = Authorization {
+            covers_saves: authorization.covers_saves && pooled.link().opening().is_none(),
+            ..authorization
+        };
+        record_response(node, context, &target, &response, authorization);
         let elapsed = clock::now().since(sent_at);
         let answer = answer(node, context, &target, &response, elapsed);
         pool.statement_answered(&answer);
