Limits: a gateway that registers anew stays known to those that are cut off

Other gateways count by name, and one whose registration has ended is counted for 15 s more. An owner took each new registration for a gateway that the silent ones can't know, and kept less of its limits than their shares leave. The number of the change with which a gateway was first known is kept until nobody counts it any more.

The tests of limits pass as before (17). By reading: after an outage of the store in which all registrations lapse, an owner kept a quarter of its limits for 15 s beside one lost gateway.

--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -261,7 +261,9 @@
         for vm in change.iter().flat_map(|change| &change.joined) {
             self.fallback.record_joined(vm, now);
         }
-        self.fallback.forget_left(now);
+        for vm in self.fallback.forget_left(now) {
+            self.ownership.forget(&vm);
+        }
         self.keep_parts(view.workspaces, now);
         let hand_overs = if std::mem::take(&mut self.must_reassign) {
             self.reassign(view.workspaces, now)
--- a/src/entry/quota/fallback.rs
+++ b/src/entry/quota/fallback.rs
@@ -174,10 +174,10 @@
         self.certain_until = valid_until;
     }
 
-    /// Forgets the gateways that left too long ago to use their fallback shares.
-    pub fn forget_left(&mut self, now: Timestamp) {
-        self.left
-            .retain(|_, left_at| now.since(*left_at) < LEFT_RETENTION);
+    /// Forgets the gateways that left too long ago to use their fallback shares, and returns them.
+    pub fn forget_left(&mut self, now: Timestamp) -> Vec<VmName> {
+        let is_over = |_: &VmName, left_at: &mut Timestamp| now.since(*left_at) >= LEFT_RETENTION;
+        self.left.extract_if(is_over).map(|(vm, _)| vm).collect()
     }
 
     /// Returns the owners whose fallback shares are used by those who don't know that `own` became the
--- a/src/entry/quota/ownership.rs
+++ b/src/entry/quota/ownership.rs
@@ -55,8 +55,10 @@
     digest: u32,
     /// Number of changes of the list.
     changes: u32,
-    /// Change with which each gateway appeared in the list.
-    joined_by: HashMap<VmName, u32>,
+    /// Change with which this VM's present registration appeared in the list.
+    registered_by: u32,
+    /// Change with which each gateway appeared first, under any registration.
+    known_since: HashMap<VmName, u32>,
     /// Latest change that each gateway is known to have seen.
     seen_by: HashMap<VmName, u32>,
     /// Digest that each gateway announced last. It may be that of a list which this VM takes over
@@ -79,7 +81,8 @@
             departed: HashMap::new(),
             digest: digest(&BTreeMap::new()),
             changes: 0,
-            joined_by: HashMap::new(),
+            registered_by: 0,
+            known_since: HashMap::new(),
             seen_by: HashMap::new(),
             digests: HashMap::new(),
             is_established: false,
@@ -122,9 +125,16 @@
         let joined = gateways.iter().filter(|(vm, record)| is_new(vm, record));
         change.joined = joined.map(|(vm, _)| vm.clone()).collect();
         self.changes += 1;
-        let joined = change.joined.iter();
-        self.joined_by
-            .extend(joined.map(|vm| (vm.clone(), self.changes)));
+        if change.joined.contains(&self.own) {
+            self.registered_by = self.changes;
+        }
+        for (vm, _) in change.left.iter().filter(|(_, said_goodbye)| *said_goodbye) {
+            self.known_since.remove(vm);
+        }
+        for vm in &change.joined {
+            let since = self.known_since.entry(vm.clone());
+            since.or_insert(self.changes);
+        }
         if self.own_lease != own_lease {
             self.own_lease = own_lease;
             self.registrations += u32::from(own_lease.is_some());
@@ -246,27 +256,34 @@
     /// Returns how many of `known`, the gateways beside this VM, and this VM are certainly in the list of a
     /// gateway. One that hasn't seen this VM register has seen none that did so later.
     pub fn count_seen_by(&self, vm: &VmName, known: &HashSet<&VmName>, is_silent: bool) -> usize {
-        let joined_by = |gateway: &VmName| self.joined_by.get(gateway).copied();
-        let seen = self.seen_by.get(vm).copied();
-        let own = self.own_joined_by();
-        let has_seen = |gateway: &VmName| match seen.filter(|seen| *seen >= own) {
-            Some(seen) => joined_by(gateway).is_some_and(|by| by <= seen),
-            None if is_silent => joined_by(gateway).is_some_and(|by| by <= own),
-            // It announces another list, which has none of the gateways that have seen this VM's.
-            None => !self.has_seen_own(gateway),
+        let since = |gateway: &VmName| self.known_since.get(gateway).copied();
+        let own = since(&self.own).unwrap_or_default();
+        let knows_own = |vm: &VmName| self.has_seen(vm, own);
+        let seen = self.seen_by.get(vm).copied().filter(|_| knows_own(vm));
+        let has_seen = |gateway: &VmName| match seen {
+            Some(seen) => since(gateway).is_some_and(|since| since <= seen),
+            None if is_silent => since(gateway).is_some_and(|since| since <= own),
+            // It announces another list, which has none of the gateways that know this VM.
+            None => !knows_own(gateway),
         };
         let others = known.iter().filter(|gateway| has_seen(gateway));
-        others.count() + usize::from(self.has_seen_own(vm))
+        others.count() + usize::from(knows_own(vm))
     }
 
-    fn has_seen_own(&self, vm: &VmName) -> bool {
+    /// Forgets a gateway that left without a goodbye, and no longer shares limits.
+    pub fn forget(&mut self, vm: &VmName) {
+        if !self.gateways.contains_key(vm) {
+            self.known_since.remove(vm);
+        }
+    }
+
+    fn has_seen(&self, vm: &VmName, change: u32) -> bool {
         let seen = self.seen_by.get(vm);
-        seen.is_some_and(|seen| *seen >= self.own_joined_by())
+        seen.is_some_and(|seen| *seen >= change)
     }
 
-    fn own_joined_by(&self) -> u32 {
-        let joined = self.joined_by.get(&self.own);
-        joined.copied().unwrap_or_default()
+    fn has_seen_own(&self, vm: &VmName) -> bool {
+        self.has_seen(vm, self.registered_by)
     }
 
     /// Returns the registered gateways that haven't said goodbye.
@@ -296,8 +313,6 @@
         if self.digests.len() > MAX_DIGESTS.max(2 * self.gateways.len()) {
             self.digests.retain(|vm, _| self.gateways.contains_key(vm));
             self.seen_by.retain(|vm, _| self.gateways.contains_key(vm));
-            self.joined_by
-                .retain(|vm, _| self.gateways.contains_key(vm));
         }
         self.compare_digests();
         self.ranks.clear();
