Saves: at a primary without a replica they are refused before they are sent

That nobody can confirm a save is known by two things together: the last two saves at the primary timed out, and the announcements, heard of from the store within 2.5 s, name no other instance. A VM then refuses saves and the first write of a transaction, with the time to return, and nothing is sent. One save a second and VM is sent all the same, since a replica that is cut off from the store confirms without being announced. A success or an instance that joins ends the refusals. Databases without synchronous replicas are left alone.

--- a/src/entry/acquisition.rs
+++ b/src/entry/acquisition.rs
@@ -8,11 +8,13 @@
 use super::clock;
 use super::execution::{StatementContext, TARGET_POLL_INTERVAL};
 use super::health::Health;
+use super::latency::StatementKind;
 use super::link::{LinkError, first_row, is_misrouted};
 use super::node::Node;
 use super::pool::{LinkRequest, PooledLink};
 use super::position::Position;
 use super::refusal::{Cause, refuse};
+use super::saves;
 use super::slots::{Slot, SlotRequest};
 use super::statement::{Access, Failure, FailureKind, InstanceCommand, Outcome};
 use super::target::{self, Authorization, NoTarget, Target};
@@ -100,6 +102,7 @@
                 continue;
             }
         };
+        check_confirmable(node, context, &target)?;
         if !target.delay.is_zero() {
             metrics().record_lag_wait(&context.route.name, target.delay);
             sleep(target.delay).await;
@@ -150,6 +153,14 @@
     }
 }
 
+/// Refuses a save that no replica could confirm.
+fn check_confirmable(node: &Node, context: &StatementContext<'_>, target: &Target) -> Result<()> {
+    if context.kind() == StatementKind::Save && !saves::may_send(node, &target.instance) {
+        return Err(refuse(node, context, Cause::NoReplica));
+    }
+    Ok(())
+}
+
 /// Returns the latest position that the target has reported as the primary; `None` if it isn't known as
 /// such.
 fn reported_position(node: &Node, target: &Target) -> Option<Position> {
--- a/src/entry/health.rs
+++ b/src/entry/health.rs
@@ -21,6 +21,9 @@
 /// stalled: it can't reach its replicas.
 const MIN_STALLED_SAVES: u32 = 2;
 
+/// Interval at which a primary whose saves nobody seems to confirm is sent one all the same.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Health of an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[strum(serialize_all = "snake_case")]
@@ -45,6 +48,8 @@
     failing_since: Option<Timestamp>,
     failures: u32,
     stalled_saves: u32,
+    /// Time at which the next trial save may be sent; `None` unless saves are refused.
+    next_trial_at: Option<Timestamp>,
     deposed: bool,
 }
 
@@ -82,12 +87,31 @@
 
     /// Records whether a save was acknowledged in time.
     pub fn on_save(&mut self, in_time: bool) {
-        self.stalled_saves = if in_time { 0 } else { self.stalled_saves + 1 };
+        if in_time {
+            self.forget_saves();
+        } else {
+            self.stalled_saves += 1;
+        }
+    }
+
+    /// Returns whether a save may be sent to an instance that has no known replica: its last saves were
+    /// acknowledged, or a trial is due, because a replica that isn't known may confirm it.
+    pub fn admits_save(&mut self, now: Timestamp) -> bool {
+        if self.stalled_saves < MIN_STALLED_SAVES {
+            return true;
+        }
+        let next_trial_at = *self.next_trial_at.get_or_insert(now + TRIAL_INTERVAL);
+        let is_trial = now >= next_trial_at;
+        if is_trial {
+            self.next_trial_at = Some(now + TRIAL_INTERVAL);
+        }
+        is_trial
     }
 
     /// Forgets the saves that timed out, because another instance can acknowledge the next ones.
     pub const fn forget_saves(&mut self) {
         self.stalled_saves = 0;
+        self.next_trial_at = None;
     }
 
     /// Records that the instance reported that it isn't the primary.
--- a/src/entry/health/tests.rs
+++ b/src/entry/health/tests.rs
@@ -53,3 +53,16 @@
     health.on_save(true);
     assert_eq!(health.verdict(at(2_000)), Verdict::Healthy);
 }
+
+#[test]
+fn a_stalled_primary_without_a_replica_admits_one_save_an_interval() {
+    let mut health = Health::default();
+    health.on_save(false);
+    assert!(health.admits_save(at(1_000)));
+    health.on_save(false);
+    let admitted = (1_000..3_500).step_by(100);
+    let admitted: Vec<_> = admitted.filter(|ms| health.admits_save(at(*ms))).collect();
+    assert_eq!(admitted, [2_000, 3_000]);
+    health.on_save(true);
+    assert!(health.admits_save(at(3_500)));
+}
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -118,6 +118,11 @@
         }
     }
 
+    /// Returns the time at which every change until then is certain to have been received.
+    pub const fn current_at(&self) -> Option<Timestamp> {
+        self.current_at
+    }
+
     /// Records that every change until `at` has been received.
     pub fn record_current(&mut self, at: Timestamp) {
         self.current_at = self.current_at.max(Some(at));
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -341,6 +341,11 @@
         }
     }
 
+    /// Returns whether a save may be sent to the instance although it has no known replica.
+    pub fn admits_save(&self) -> bool {
+        self.health.borrow_mut().admits_save(clock::now())
+    }
+
     /// Discards the evidence about the instance's health.
     pub fn clear_health(&self) {
         self.health.replace(Health::default());
--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -41,6 +41,9 @@
         /// Time after which it takes another one.
         after: Duration,
     },
+    /// The primary needs a replica to acknowledge a save, and has none.
+    #[strum(serialize = "the primary has no replica that could confirm the save")]
+    NoReplica,
     /// The records that this VM has read may be outdated.
     #[strum(serialize = "this VM can't tell which instance is the primary")]
     NoValidityLease,
@@ -82,6 +85,7 @@
         }
         Cause::Replacement | Cause::Evacuated => delays.replacement(database, now),
         Cause::Lagging { after } | Cause::ColdInstance { after } => after,
+        Cause::NoReplica => delays.no_replica(now),
         Cause::NoValidityLease => delays.no_lease(node.settings.gateway_renewal, now),
     }
 }
--- a/src/entry/retry_delay.rs
+++ b/src/entry/retry_delay.rs
@@ -87,6 +87,7 @@
     usual_gateway_outage: UsualDuration,
     drains: HashMap<DatabaseName, Spread>,
     starts: Spread,
+    replicas: Spread,
 }
 
 impl RetryDelays {
@@ -101,6 +102,7 @@
             usual_gateway_outage: UsualDuration::new(settings.first_gateway_outage),
             drains: HashMap::new(),
             starts: Spread::default(),
+            replicas: Spread::default(),
         }
     }
 
@@ -160,6 +162,14 @@
         self.bounded(renewal / 2 + place)
     }
 
+    /// Returns the delay while a primary has no replica: the longest one, because nothing shows when it has one
+    /// again.
+    pub fn no_replica(&mut self, now: Timestamp) -> Duration {
+        let horizon = self.settings.max_spread;
+        let place = self.replicas.place(self.settings.interval, horizon, now);
+        self.bounded(self.settings.max.saturating_sub(horizon) + place)
+    }
+
     fn bounded(&self, delay: Duration) -> Duration {
         delay.clamp(self.settings.min, self.settings.max)
     }
--- a/src/entry/retry_delay/tests.rs
+++ b/src/entry/retry_delay/tests.rs
@@ -139,3 +139,13 @@
         assert!(former <= case.former, "{report}");
     }
 }
+
+#[test]
+fn callers_of_a_primary_without_a_replica_return_late_and_one_after_another() {
+    let mut delays = delays();
+    assert_eq!(delays.no_replica(at(0)), ms(1_500));
+    assert_eq!(delays.no_replica(at(10)), ms(1_505));
+    let settings = RetryDelaySettings::default();
+    let longest = (0..1_000).map(|_| delays.no_replica(at(20))).max();
+    assert!(longest <= Some(settings.max), "{longest:?}");
+}
--- a/src/entry/saves.rs
+++ b/src/entry/saves.rs
@@ -4,12 +4,17 @@
 //! an instance which that VM doesn't know. Such a save is lost. A VM that has confirmed the replacement
 //! therefore acknowledges no further save of the former primary, and the instance that follows it is
 //! chosen when all VMs have confirmed.
+//!
+//! A primary that has lost its replicas keeps a save and doesn't acknowledge it, so that its outcome is unknown.
+//! Such saves are refused before they are sent, but for one now and then: an instance that isn't announced may confirm it.
 
 use std::cell::Cell;
 use std::rc::Rc;
 
 use tokio::sync::Notify;
 
+use super::clock;
+use super::instance::Instance;
 use super::node::Node;
 use super::replacement::acknowledgement;
 use super::statement::{Failure, FailureKind};
@@ -52,6 +57,22 @@
     }
 }
 
+/// Returns whether a save may be sent to the primary: not if its last saves timed out and it is known to have
+/// no replica, unless a trial is due.
+pub fn may_send(node: &Node, primary: &Rc<Instance>) -> bool {
+    let has_replica = {
+        let state = node.state.borrow();
+        let catalog = state.catalog.as_ref();
+        let is_synchronous =
+            catalog.is_some_and(|catalog| catalog.is_synchronous(&primary.database));
+        let mut members = state.directory.in_database(&primary.database);
+        !is_synchronous
+            || !state.is_directory_current(clock::now())
+            || members.any(|known| known.name != primary.name)
+    };
+    has_replica || node.pool(primary).admits_save()
+}
+
 /// Waits until every save at the recorded primary of a database has been answered or given up.
 pub async fn wait_until_none(node: &Node, database: &DatabaseName) {
     let primary = {
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -20,7 +20,7 @@
 use crate::time::Timestamp;
 
 /// Time without a response of the store after which a VM without a sublease stops taking callers,
-/// because its validity lease will soon end.
+/// because its validity lease will soon end, and from which the known announcements may be outdated.
 const STORE_SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
 
 /// Local view that a VM has of the fleet.
@@ -167,6 +167,13 @@
         (self.validity_lease.is_valid(now) && responsive) || self.sublease.is_valid(now)
     }
 
+    /// Returns whether every instance that was announced until a short time ago is known.
+    pub fn is_directory_current(&self, now: Timestamp) -> bool {
+        let current_at = self.directory.current_at();
+        let is_current = current_at.is_some_and(|at| now.since(at) < STORE_SILENCE_LIMIT);
+        self.directory_known && is_current
+    }
+
     /// Returns the primary of a database that takes saves; `None` while it is being replaced.
     pub fn primary(&self, database: &DatabaseName) -> Option<&Rc<Instance>> {
         let record = self.record(database)?;
--- a/src/entry/transaction.rs
+++ b/src/entry/transaction.rs
@@ -84,6 +84,10 @@
             if is_closed(node, &self.instance()) {
                 return Err(evacuated());
             }
+            let is_first_write = step.access == Access::Write && !self.wrote;
+            if is_first_write && !saves::may_send(node, &self.instance()) {
+                return Ok(unconfirmable(node, step.command.id()));
+            }
             let link = self.pooled.link();
             let response = link.run(&step.setup, step.command, None, deadline).await;
             let response = response.map_err(|error| aborted(step.command.id(), &error))?;
@@ -144,6 +148,7 @@
                     return (idle_failure(failure), None);
                 }
                 Outcome::Done(_) => {
+                    self.record_commit();
                     let mark = response.position.filter(|_| self.wrote);
                     self.finish(&response);
                     return (response, mark);
@@ -226,6 +231,13 @@
             || replication::may_acknowledge(node, &instance, response.position, deadline).await
     }
 
+    fn record_commit(&self) {
+        if self.wrote {
+            let pool = self.pooled.pool();
+            pool.record_health(|health, _| health.on_save(true));
+        }
+    }
+
     fn finish(self, response: &StatementResponse) {
         if response.state != SessionState::Idle {
             self.pooled.close();
@@ -286,6 +298,19 @@
     )
 }
 
+/// Builds the response to the first write of a transaction that no replica could confirm.
+fn unconfirmable(node: &Node, id: &str) -> StatementResponse {
+    let delay = node.retry_delays.borrow_mut().no_replica(clock::now());
+    let retry_ms = delay.as_millis();
+    log::info!("event=transaction_unconfirmable id={id} retry_ms={retry_ms}");
+    let text = "not kept: the primary has no replica that could confirm the transaction";
+    let failure = Failure::local(
+        FailureKind::Aborted,
+        format!("{text}; retry in {retry_ms} ms"),
+    );
+    StatementResponse::local(Outcome::Failed(failure), SessionState::Failed)
+}
+
 fn aborted(id: &str, error: &super::link::LinkError) -> Failure {
     log::warn!("event=transaction_aborted id={id} error=\"{error}\"");
     Failure::local(
