Limits: an owner that registers again, and announcements for one that shares a bit

It counts itself only for those that have seen its present registration. - A gateway that starts left out announcements for all gateways in its list, and with them those for a former owner whose name has the same bit of 64. It leaves out only those for gateways that are silent.

--- a/src/entry/quota/fallback.rs
+++ b/src/entry/quota/fallback.rs
@@ -182,7 +182,8 @@
 
     /// Returns the owners whose fallback shares are used by those who don't know that `own` became the
     /// owner of a limit at `started_at`: it may have taken the limit over from any gateway that had left,
-    /// or, if `own` has just started, from one that is none of `others` and had left before.
+    /// or, if `own` has just started, from one that had left before. An announcement for a gateway that is
+    /// silent and one of `others` is taken to be for this one.
     pub fn owners_of<'a>(
         &self,
         own: &VmName,
@@ -196,8 +197,9 @@
         if now.since(self.listed_since) >= LEFT_RETENTION {
             return known;
         }
-        let listed = others.fold(0, |owners, vm| owners | owner_bit(vm));
-        known | !listed
+        let silent = others.filter(|vm| self.is_silent(vm, now));
+        let silent = silent.fold(0, |owners, vm| owners | owner_bit(vm));
+        known | !silent
     }
 
     /// Returns the part of the limits of `owners` that their present owner keeps, so that it and all
--- a/src/entry/quota/fallback/tests.rs
+++ b/src/entry/quota/fallback/tests.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use super::*;
@@ -90,8 +91,7 @@
         let mut fallback = FallbackUse::default();
         let others: Vec<_> = (1..=OTHERS).map(vm).collect();
         let mut ownership = Ownership::new(vm(0));
-        let gateways = (0..=OTHERS).map(|index| (vm(index), record())).collect();
-        ownership.update(&gateways, Some(1), |_| now, now);
+        ownership.update(&listed(OTHERS + 1, 1), Some(1), |_| now, now);
         let unreachable = case.unreachable.map(vm);
         for other in &others {
             let status = status(unreachable.as_ref());
@@ -108,3 +108,48 @@
         assert_eq!(factor < 0.5, case.lowers_rate, "{}: {factor}", case.name);
     }
 }
+
+fn listed(count: usize, lease: u64) -> BTreeMap<VmName, VmRecord> {
+    let record = VmRecord { lease, ..record() };
+    (0..count)
+        .map(|index| (vm(index), record.clone()))
+        .collect()
+}
+
+/// Guards against an owner that counts itself among those that share its limits although the others have
+/// dropped it from their lists since.
+#[test]
+fn an_owner_that_registers_again_is_unknown_to_those_that_knew_its_former_registration() {
+    let now = Timestamp::from_millis(100_000);
+    let mut fallback = FallbackUse::default();
+    let mut ownership = Ownership::new(vm(0));
+    ownership.update(&listed(OTHERS + 1, 1), Some(1), |_| now, now);
+    for index in 1..=OTHERS {
+        ownership.record_digest(&vm(index), ownership.digest());
+    }
+    ownership.update(&listed(0, 1), None, |_| now, now);
+    ownership.update(&listed(1, 2), Some(2), |_| now, now);
+    for index in 1..=OTHERS {
+        fallback.record_status(&vm(index), &status(Some(&vm(1))), now);
+        fallback.record_left(&vm(index), false, now);
+    }
+    let owners = fallback.owners_of(&vm(0), now, ownership.others(), now);
+    let factor = fallback.owner_factor(owners, &ownership, now);
+    assert!(factor <= 1.0 - FALLBACK_FACTOR + TOLERANCE, "{factor}");
+}
+
+/// Guards against a former owner whose bit is that of a gateway in the list.
+#[test]
+fn an_owner_that_has_just_started_counts_announcements_for_gateways_that_it_hears() {
+    let now = Timestamp::from_millis(100_000);
+    let mut fallback = FallbackUse::default();
+    fallback.record_first_list(now);
+    let mut ownership = Ownership::new(vm(0));
+    ownership.update(&listed(OTHERS + 1, 1), Some(1), |_| now, now);
+    for index in 1..=OTHERS {
+        fallback.record_status(&vm(index), &status(Some(&vm(1))), now);
+    }
+    let owners = fallback.owners_of(&vm(0), now, ownership.others(), now);
+    let factor = fallback.owner_factor(owners, &ownership, now);
+    assert!(factor < 0.5, "{factor}");
+}
--- a/src/entry/quota/ownership.rs
+++ b/src/entry/quota/ownership.rs
@@ -257,17 +257,15 @@
     /// gateway. One that hasn't seen this VM register has seen none that did so later.
     pub fn count_seen_by(&self, vm: &VmName, known: &HashSet<&VmName>, is_silent: bool) -> usize {
         let since = |gateway: &VmName| self.known_since.get(gateway).copied();
-        let own = since(&self.own).unwrap_or_default();
-        let knows_own = |vm: &VmName| self.has_seen(vm, own);
-        let seen = self.seen_by.get(vm).copied().filter(|_| knows_own(vm));
+        let seen = self.seen_by.get(vm).copied();
         let has_seen = |gateway: &VmName| match seen {
             Some(seen) => since(gateway).is_some_and(|since| since <= seen),
-            None if is_silent => since(gateway).is_some_and(|since| since <= own),
+            None if is_silent => since(gateway).is_some_and(|since| since <= self.registered_by),
             // It announces another list, which has none of the gateways that know this VM.
-            None => !knows_own(gateway),
+            None => !self.has_seen_own(gateway),
         };
         let others = known.iter().filter(|gateway| has_seen(gateway));
-        others.count() + usize::from(knows_own(vm))
+        others.count() + usize::from(self.has_seen_own(vm))
     }
 
     /// Forgets a gateway that left without a goodbye, and no longer shares limits.
@@ -277,13 +275,9 @@
         }
     }
 
-    fn has_seen(&self, vm: &VmName, change: u32) -> bool {
-        let seen = self.seen_by.get(vm);
-        seen.is_some_and(|seen| *seen >= change)
-    }
-
     fn has_seen_own(&self, vm: &VmName) -> bool {
-        self.has_seen(vm, self.registered_by)
+        let seen = self.seen_by.get(vm);
+        seen.is_some_and(|seen| *seen >= self.registered_by)
     }
 
     /// Returns the registered gateways that haven't said goodbye.
