Transactions: only a write that succeeded makes a commit count as confirmed

Found by a review. A transaction whose first write was refused for lack of capacity, and which was then committed without one, counted as a confirmed save: it ended the refusals at a primary without a replica, and the evidence that a primary is stalled. By reading; no test of its own.

--- a/src/entry/transaction.rs
+++ b/src/entry/transaction.rs
@@ -29,6 +29,8 @@
 pub struct OpenTransaction {
     pooled: PooledLink,
     wrote: bool,
+    /// Whether a write succeeded, so that a replica confirms the commit.
+    has_unconfirmed: bool,
 }
 
 /// Statement inside a transaction.
@@ -57,6 +59,7 @@
             Outcome::Done(_) => Ok(Self {
                 pooled: executed.pooled,
                 wrote: false,
+                has_unconfirmed: false,
             }),
             Outcome::Failed(failure) => Err(start_failure(failure)),
         }
@@ -93,6 +96,7 @@
             let response = response.map_err(|error| aborted(step.command.id(), &error))?;
             self.wrote |= step.access == Access::Write;
             let Outcome::Failed(failure) = &response.outcome else {
+                self.has_unconfirmed |= step.access == Access::Write;
                 return Ok(response);
             };
             let may_retry = response.state == SessionState::Open && Instant::now() < deadline;
@@ -232,7 +236,7 @@
     }
 
     fn record_commit(&self) {
-        if self.wrote {
+        if self.has_unconfirmed {
             let pool = self.pooled.pool();
             pool.record_health(|health, _| health.on_save(true));
         }
