--- a/src/entry/acquisition.rs
+++ b/src/entry/acquisition.rs
@@ -155,7 +155,8 @@
 
 /// Refuses a save that no replica could confirm.
 fn check_confirmable(node: &Node, context: &StatementContext<'_>, target: &Target) -> Result<()> {
-    if context.kind() == StatementKind::Save && !saves::may_send(node, &target.instance) {
+    if context.kind() == StatementKind::Save && !saves::may_send(node, &node.pool(&target.instance))
+    {
         return Err(refuse(node, context, Cause::NoReplica));
     }
     Ok(())
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -62,7 +62,7 @@
     pub directory_refresh: Refresh,
     /// Confirmations that VMs have stopped using a former primary.
     pub confirmations: ConfirmationTracker,
-    /// Latest position of each database that a replica has reported, for saves without a lease.
+    /// What every replica is known to have received, for saves without a lease.
     pub received_positions: ReceivedPositions,
     /// Requests that wait for a token of their workspace.
     pub limiter: Limiter,
--- a/src/entry/saves.rs
+++ b/src/entry/saves.rs
@@ -14,8 +14,8 @@
 use tokio::sync::Notify;
 
 use super::clock;
-use super::instance::Instance;
 use super::node::Node;
+use super::pool::Pool;
 use super::replacement::acknowledgement;
 use super::statement::{Failure, FailureKind};
 use crate::name::{DatabaseName, InstanceName};
@@ -59,18 +59,19 @@
 
 /// Returns whether a save may be sent to the primary: not if its last saves timed out and it is known to have
 /// no replica, unless a trial is due.
-pub fn may_send(node: &Node, primary: &Rc<Instance>) -> bool {
+pub fn may_send(node: &Node, primary: &Pool) -> bool {
     let has_replica = {
+        let instance = primary.instance();
         let state = node.state.borrow();
         let catalog = state.catalog.as_ref();
         let is_synchronous =
-            catalog.is_some_and(|catalog| catalog.is_synchronous(&primary.database));
-        let mut members = state.directory.in_database(&primary.database);
+            catalog.is_some_and(|catalog| catalog.is_synchronous(&instance.database));
+        let mut members = state.directory.in_database(&instance.database);
         !is_synchronous
             || !state.is_directory_current(clock::now())
-            || members.any(|known| known.name != primary.name)
+            || members.any(|known| known.name != instance.name)
     };
-    has_replica || node.pool(primary).admits_save()
+    has_replica || primary.admits_save()
 }
 
 /// Waits until every save at the recorded primary of a database has been answered or given up.
--- a/src/entry/transaction.rs
+++ b/src/entry/transaction.rs
@@ -29,8 +29,6 @@
 pub struct OpenTransaction {
     pooled: PooledLink,
     wrote: bool,
-    /// Whether a write succeeded, so that a replica confirms the commit.
-    has_unconfirmed: bool,
 }
 
 /// Statement inside a transaction.
@@ -59,7 +57,6 @@
             Outcome::Done(_) => Ok(Self {
                 pooled: executed.pooled,
                 wrote: false,
-                has_unconfirmed: false,
             }),
             Outcome::Failed(failure) => Err(start_failure(failure)),
         }
@@ -88,7 +85,7 @@
                 return Err(evacuated());
             }
             let is_first_write = step.access == Access::Write && !self.wrote;
-            if is_first_write && !saves::may_send(node, &self.instance()) {
+            if is_first_write && !saves::may_send(node, self.pooled.pool()) {
                 return Ok(unconfirmable(node, step.command.id()));
             }
             let link = self.pooled.link();
@@ -96,7 +93,6 @@
             let response = response.map_err(|error| aborted(step.command.id(), &error))?;
             self.wrote |= step.access == Access::Write;
             let Outcome::Failed(failure) = &response.outcome else {
-                self.has_unconfirmed |= step.access == Access::Write;
                 return Ok(response);
             };
             let may_retry = response.state == SessionState::Open && Instant::now() < deadline;
@@ -152,7 +148,6 @@
                     return (idle_failure(failure), None);
                 }
                 Outcome::Done(_) => {
-                    self.record_commit();
                     let mark = response.position.filter(|_| self.wrote);
                     self.finish(&response);
                     return (response, mark);
@@ -235,13 +230,6 @@
             || replication::may_acknowledge(node, &instance, response.position, deadline).await
     }
 
-    fn record_commit(&self) {
-        if self.has_unconfirmed {
-            let pool = self.pooled.pool();
-            pool.record_health(|health, _| health.on_save(true));
-        }
-    }
-
     fn finish(self, response: &StatementResponse) {
         if response.state != SessionState::Idle {
             self.pooled.close();
