Model: violations of a replacement are a type

The model named a violation by a string that began with a word of the users' pages, and a test chose one by its prefix, so that a misspelled name would have matched nothing, and an empty one everything.

Change: `Violation` is an enum; an exploration looks for one of them, or for any. The same states, defects and bounds are explored.

--- a/tests/model_replacement.rs
+++ b/tests/model_replacement.rs
@@ -21,7 +21,7 @@
 mod world;
 
 use steps::next;
-use world::{Bounds, Defect, World};
+use world::{Bounds, Defect, Violation, World};
 
 /// Number of states after which an exploration ends.
 const MAX_STATES: usize = 300_000;
@@ -34,8 +34,13 @@
     is_complete: bool,
 }
 
-/// Explores until a guarantee whose name begins with `violates` is violated.
-fn explore(bounds: Bounds, defect: Defect, violates: &str, max_states: usize) -> Exploration {
+/// Explores until a guarantee is violated: `violates`, or any if it is `None`.
+fn explore(
+    bounds: Bounds,
+    defect: Defect,
+    violates: Option<Violation>,
+    max_states: usize,
+) -> Exploration {
     let states = Cell::new(0);
     let path = bfs(
         &World::start(bounds),
@@ -51,7 +56,7 @@
             states.set(states.get() + 1);
             world
                 .violation
-                .is_some_and(|name| name.starts_with(violates))
+                .is_some_and(|found| violates.is_none_or(|violates| found == violates))
         },
     );
     Exploration {
@@ -132,7 +137,7 @@
 fn no_reachable_state_violates_a_guarantee() {
     for bounds in CASES {
         let started = Instant::now();
-        let exploration = explore(bounds, Defect::None, "", MAX_STATES);
+        let exploration = explore(bounds, Defect::None, None, MAX_STATES);
         println!(
             "{bounds:?}: {} states, all: {}, {:?}",
             exploration.states,
@@ -152,10 +157,10 @@
     defect: Defect,
     bounds: Bounds,
     /// Guarantee that it breaks.
-    violates: &'static str,
+    violates: Violation,
 }
 
-const fn seeded(defect: Defect, violates: &'static str, bounds: Bounds) -> Seeded {
+const fn seeded(defect: Defect, violates: Violation, bounds: Bounds) -> Seeded {
     Seeded {
         defect,
         bounds,
@@ -168,20 +173,32 @@
     let cases = [
         seeded(
             Defect::PromotionBeforeConfirmations,
-            "LOST",
+            Violation::LostSave,
+            Bounds { joins: 1, ..CUT },
+        ),
+        seeded(
+            Defect::PromotionBeforeConfirmations,
+            Violation::TwoPrimaries,
+            CUT,
+        ),
+        seeded(
+            Defect::JoinedNotCounted,
+            Violation::LostSave,
             Bounds { joins: 1, ..CUT },
         ),
-        seeded(Defect::PromotionBeforeConfirmations, "ONE", CUT),
-        seeded(Defect::JoinedNotCounted, "LOST", Bounds { joins: 1, ..CUT }),
-        seeded(Defect::AcknowledgesAfterConfirmation, "ONE", CUT),
         seeded(
             Defect::AcknowledgesAfterConfirmation,
-            "LOST",
+            Violation::TwoPrimaries,
+            CUT,
+        ),
+        seeded(
+            Defect::AcknowledgesAfterConfirmation,
+            Violation::LostSave,
             Bounds { joins: 1, ..CUT },
         ),
         seeded(
             Defect::LostLogCounts,
-            "LOST",
+            Violation::LostSave,
             Bounds {
                 faults: 1,
                 crashes: 1,
@@ -190,16 +207,20 @@
         ),
         seeded(
             Defect::CountTooLow,
-            "LOST",
+            Violation::LostSave,
             Bounds {
                 has_third: true,
                 ..CUT
             },
         ),
-        seeded(Defect::SuspendedHolderPromotes, "ONE", NOTHING),
+        seeded(
+            Defect::SuspendedHolderPromotes,
+            Violation::TwoPrimaries,
+            NOTHING,
+        ),
         seeded(
             Defect::LeavingPrimaryKept,
-            "DRAIN",
+            Violation::LeavingPrimaryKept,
             Bounds {
                 saves: 0,
                 holders: 2,
@@ -207,10 +228,10 @@
                 ..NOTHING
             },
         ),
-        seeded(Defect::RevocationEndsValidity, "ONE", CUT),
+        seeded(Defect::RevocationEndsValidity, Violation::TwoPrimaries, CUT),
         seeded(
             Defect::RevocationEndsValidity,
-            "STALE",
+            Violation::StaleRead,
             Bounds {
                 has_third: true,
                 ..CUT
@@ -226,18 +247,26 @@
 #[test]
 fn what_is_assumed_is_needed() {
     let cases = [
-        seeded(Defect::LapsedVmSaves, "ONE", CUT),
-        seeded(Defect::LapsedVmSaves, "LOST", Bounds { joins: 1, ..CUT }),
-        seeded(Defect::RegisteredVmAcknowledges, "ONE", CUT),
+        seeded(Defect::LapsedVmSaves, Violation::TwoPrimaries, CUT),
+        seeded(
+            Defect::LapsedVmSaves,
+            Violation::LostSave,
+            Bounds { joins: 1, ..CUT },
+        ),
+        seeded(
+            Defect::RegisteredVmAcknowledges,
+            Violation::TwoPrimaries,
+            CUT,
+        ),
         seeded(
             Defect::RegisteredVmAcknowledges,
-            "LOST",
+            Violation::LostSave,
             Bounds { joins: 1, ..CUT },
         ),
-        seeded(Defect::LateEffect, "ONE", CUT),
+        seeded(Defect::LateEffect, Violation::TwoPrimaries, CUT),
         seeded(
             Defect::OnlyCopyLost,
-            "LOST",
+            Violation::LostSave,
             Bounds {
                 joins: 1,
                 has_third: true,
@@ -252,9 +281,9 @@
 
 fn find(case: &Seeded) {
     let started = Instant::now();
-    let found = explore(case.bounds, case.defect, case.violates, 2_000_000);
+    let found = explore(case.bounds, case.defect, Some(case.violates), 2_000_000);
     println!(
-        "{:?}, {}: {} states, {:?}",
+        "{:?}, {:?}: {} states, {:?}",
         case.defect,
         case.violates,
         found.states,
@@ -262,7 +291,7 @@
     );
     let (defect, violates) = (case.defect, case.violates);
     let path = found.violation;
-    let path = path.unwrap_or_else(|| panic!("{defect:?} isn't found to break {violates}"));
+    let path = path.unwrap_or_else(|| panic!("{defect:?} isn't found to break {violates:?}"));
     println!("{} steps", path.len() - 1);
     print_path(&path, case.defect, case.bounds);
 }
--- a/tests/replacement/holder.rs
+++ b/tests/replacement/holder.rs
@@ -8,7 +8,8 @@
 
 use super::steps::Step;
 use super::world::{
-    Defect, FORMER, Holder, JOINING, Known, REPLICA, Record, RecordPhase, Running, World, index,
+    Defect, FORMER, Holder, JOINING, Known, REPLICA, Record, RecordPhase, Running, Violation,
+    World, index,
 };
 
 /// Step of one holder that is being built: its outcomes.
@@ -268,7 +269,7 @@
                 revision: next.record.revision + 1,
             };
             if keeps_leaving {
-                next.violation = Some("DRAIN: a leaving primary is kept");
+                next.violation = Some(Violation::LeavingPrimaryKept);
             }
             if let Holder::Running(running) = &mut next.holders[holder] {
                 running.revision = next.record.revision;
@@ -373,7 +374,7 @@
         if is_sent && self.world.members[instance].is_alive {
             let call = |next: &mut World| {
                 if !next.leases[holder] {
-                    next.violation = Some("ONE: promotion after the lease has ended");
+                    next.violation = Some(Violation::TwoPrimaries);
                 }
                 next.promoting.push(instance);
             };
--- a/tests/replacement/steps.rs
+++ b/tests/replacement/steps.rs
@@ -5,8 +5,8 @@
 use super::holder;
 use super::vms;
 use super::world::{
-    Defect, FORMER, Holder, JOINING, Known, Member, REPLICA, RecordPhase, Running, World,
-    generation, vm,
+    Defect, FORMER, Holder, JOINING, Known, Member, REPLICA, RecordPhase, Running, Violation,
+    World, generation, vm,
 };
 
 /// State with the name of the step that led to it.
@@ -49,7 +49,7 @@
     let newest = world.leader();
     let was_promoted = newest.is_some_and(|index| world.members[index].term > 1);
     if was_promoted && newest.is_some_and(lacks) {
-        world.violation = Some("LOST");
+        world.violation = Some(Violation::LostSave);
     }
     let reads = world.vm.readable();
     // A VM notices that an instance which it has seen has lost its log, when it opens a connection.
@@ -58,7 +58,7 @@
         reported != index || world.members[index].received() >= position
     };
     if reads.is_some_and(|index| world.members[index].is_alive && has_log(index) && lacks(index)) {
-        world.violation = Some("STALE");
+        world.violation = Some(Violation::StaleRead);
     }
 }
 
--- a/tests/replacement/vms.rs
+++ b/tests/replacement/vms.rs
@@ -3,7 +3,7 @@
 use currantlb::entry::replacement::acknowledgement;
 
 use super::steps::{Step, push};
-use super::world::{Defect, Entry, Holder, RecordPhase, Save, World};
+use super::world::{Defect, Entry, Holder, RecordPhase, Save, Violation, World};
 
 pub fn vm_steps(world: &World, defect: Defect, steps: &mut Vec<Step>) {
     let known = &world.vm;
@@ -142,7 +142,7 @@
         if is_acknowledged {
             next.acknowledged |= save.bit;
             if save.is_late {
-                next.violation = Some("ONE: acknowledged by a former primary");
+                next.violation = Some(Violation::TwoPrimaries);
             }
         }
     });
--- a/tests/replacement/world.rs
+++ b/tests/replacement/world.rs
@@ -17,6 +17,19 @@
 pub const REPLICA: usize = 1;
 pub const JOINING: usize = 2;
 
+/// Guarantee that a state violates.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Violation {
+    /// The new primary lacks an acknowledged save.
+    LostSave,
+    /// A read runs on an instance that lacks an acknowledged save.
+    StaleRead,
+    /// A former primary has a save acknowledged, or one is promoted after the holder's lease has ended.
+    TwoPrimaries,
+    /// A primary that leaves is kept.
+    LeavingPrimaryKept,
+}
+
 /// Behaviour that differs from the present one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Defect {
@@ -226,7 +239,7 @@
     pub joins: u8,
     /// Saves that may still be sent.
     pub saves: u8,
-    pub violation: Option<&'static str>,
+    pub violation: Option<Violation>,
 }
 
 pub fn name(index: usize) -> InstanceName {
