--- a/tests/model_replacement.rs
+++ b/tests/model_replacement.rs
@@ -152,6 +152,15 @@
     }
 }
 
+/// The former primary isn't reached, and an instance joins.
+const JOINING: Bounds = Bounds { joins: 1, ..CUT };
+
+/// The former primary isn't reached, and there are three instances.
+const THIRD: Bounds = Bounds {
+    has_third: true,
+    ..CUT
+};
+
 /// Change that the model must find.
 struct Seeded {
     defect: Defect,
@@ -174,18 +183,14 @@
         seeded(
             Defect::PromotionBeforeConfirmations,
             Violation::LostSave,
-            Bounds { joins: 1, ..CUT },
+            JOINING,
         ),
         seeded(
             Defect::PromotionBeforeConfirmations,
             Violation::TwoPrimaries,
             CUT,
         ),
-        seeded(
-            Defect::JoinedNotCounted,
-            Violation::LostSave,
-            Bounds { joins: 1, ..CUT },
-        ),
+        seeded(Defect::JoinedNotCounted, Violation::LostSave, JOINING),
         seeded(
             Defect::AcknowledgesAfterConfirmation,
             Violation::TwoPrimaries,
@@ -194,7 +199,7 @@
         seeded(
             Defect::AcknowledgesAfterConfirmation,
             Violation::LostSave,
-            Bounds { joins: 1, ..CUT },
+            JOINING,
         ),
         seeded(
             Defect::LostLogCounts,
@@ -205,14 +210,7 @@
                 ..NOTHING
             },
         ),
-        seeded(
-            Defect::CountTooLow,
-            Violation::LostSave,
-            Bounds {
-                has_third: true,
-                ..CUT
-            },
-        ),
+        seeded(Defect::CountTooLow, Violation::LostSave, THIRD),
         seeded(
             Defect::SuspendedHolderPromotes,
             Violation::TwoPrimaries,
@@ -229,14 +227,7 @@
             },
         ),
         seeded(Defect::RevocationEndsValidity, Violation::TwoPrimaries, CUT),
-        seeded(
-            Defect::RevocationEndsValidity,
-            Violation::StaleRead,
-            Bounds {
-                has_third: true,
-                ..CUT
-            },
-        ),
+        seeded(Defect::RevocationEndsValidity, Violation::StaleRead, THIRD),
     ];
     for case in cases {
         find(&case);
@@ -248,11 +239,7 @@
 fn what_is_assumed_is_needed() {
     let cases = [
         seeded(Defect::LapsedVmSaves, Violation::TwoPrimaries, CUT),
-        seeded(
-            Defect::LapsedVmSaves,
-            Violation::LostSave,
-            Bounds { joins: 1, ..CUT },
-        ),
+        seeded(Defect::LapsedVmSaves, Violation::LostSave, JOINING),
         seeded(
             Defect::RegisteredVmAcknowledges,
             Violation::TwoPrimaries,
@@ -261,7 +248,7 @@
         seeded(
             Defect::RegisteredVmAcknowledges,
             Violation::LostSave,
-            Bounds { joins: 1, ..CUT },
+            JOINING,
         ),
         seeded(Defect::LateEffect, Violation::TwoPrimaries, CUT),
         seeded(
