Review: acknowledged saves are lost when a replica that restarted without its log counts as heard

Cause: reports of all replicas are taken for enough although one has started again since it confirmed saves.

--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -344,7 +344,7 @@
         self.new_entry = asyncio.Event()
         self.work_s = lambda text: 0.004
         self.hook = None
-        self.lag_s = 0.008
+        self.behind_s = lambda: 0.001
 
     def position(self):
         term, number = (self.log[-1][0] if self.log else self.base)
@@ -389,8 +389,12 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
-    async def restart(self):
+    async def restart(self, keeps_log=True):
+        """Starts again under the id that it had."""
         self.born, self.seq = int(time.time() * 1000), 0
+        if not keeps_log:
+            self.log, self.base = [], (0, 0)
+            self.term = self.known_term = 0
         if self.group.lead is not self:
             self.role = "replica"
         self.paused_under = 0
@@ -432,22 +436,31 @@
         entry = ((self.term, last + 1), writes, ident)
         self.log.append(entry)
         self.group.record.write(f"{self.ident} commits {ident} at {self.position()}")
-        await asyncio.sleep(0.001)
-        while True:
-            received = False
-            for member in self.group.members.values():
-                if member is not self and member.receives_from(self):
-                    member.follow_log(self)
-                    received = received or entry in member.log
-            if received:
-                return True
-            if not self.is_up:
-                return False
+        received = asyncio.Event()
+        for member in list(self.group.members.values()):
+            if member is not self:
+                asyncio.create_task(self.send(member, entry, received))
+        await received.wait()
+        return self.is_up
+
+    async def send(self, member, entry, received):
+        """Sends the log up to an entry to a replica, again and again until the replica has received it."""
+        await asyncio.sleep(member.behind_s())
+        while self.is_up and entry in self.log:
+            if member.receives_from(self):
+                member.receive(self, self.log[: self.log.index(entry) + 1])
+                if entry in member.log:
+                    received.set()
+                    return
             await asyncio.sleep(0.01)
+        received.set()
 
-    def follow_log(self, lead):
-        if len(self.log) <= len(lead.log) and self.log == lead.log[: len(self.log)]:
-            self.log = list(lead.log)
+    def receive(self, lead, log):
+        """Takes over what the primary has sent."""
+        if self.log[: len(log)] == log:
+            return
+        if log[: len(self.log)] == self.log:
+            self.log = list(log)
         else:
             self.follow(lead)
 
