Limits: a request that waits when its workspace is removed is answered

Cause: `Quota::reassign` dropped the queue of the removed workspace, while the channel by which `take_token` is told the decision stayed. Nothing decided on the request any more, and the wait had no limit. Ruled out: the planned stop, which waits for such sessions as for others (without it the request hangs as long as its caller waits).

Change: the requests of a removed workspace are settled with a decision of their own and answered `NOAUTH`, "not run", when the configuration is in force, also at a gateway that runs the task of another VM. Each wait for a token ends 0.1 s after the request's longest wait.

--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -38,9 +38,20 @@
         Decision::Admitted => Ok(()),
         Decision::Refused(delay) => Err(refusal(route, workspace, id, delay)),
         Decision::Waits => Err(refusal(route, workspace, id, max_wait)),
+        Decision::WorkspaceRemoved => Err(removal(route, workspace, id)),
     }
 }
 
+fn removal(route: &Route, workspace: &Workspace, id: &Arc<str>) -> Failure {
+    metrics().count_entry_refusal(&route.name, "workspace_removed");
+    log::info!(
+        "event=request_refused id={id} route={} workspace={} reason=workspace_removed",
+        route.name,
+        workspace.name
+    );
+    Failure::unauthorized()
+}
+
 fn refusal(route: &Route, workspace: &Workspace, id: &Arc<str>, delay: Duration) -> Failure {
     let retry_ms = delay.as_millis().max(1);
     metrics().count_entry_refusal(&route.name, "over_rate");
--- a/src/entry/limiter.rs
+++ b/src/entry/limiter.rs
@@ -8,7 +8,7 @@
 
 use slotmap::SlotMap;
 use tokio::sync::{Notify, oneshot};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::catalog::Workspace;
 use super::clock;
@@ -29,6 +29,9 @@
 /// Interval at which silent gateways and the validity of the registration are checked.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time beyond a request's longest wait after which it is refused although nothing has been decided.
+const DECISION_MARGIN: Duration = Duration::from_millis(100);
+
 /// Interval at which the use of exhausted limits is logged.
 const USAGE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -81,9 +84,17 @@
         quota.enqueue(&workspace.name, arrival, ticket, now);
     });
     let started = Instant::now();
-    let decided = receiver.await;
+    let decided = timeout(arrival.max_wait + DECISION_MARGIN, receiver).await;
     metrics().limits().record_wait(started.elapsed());
-    decided.unwrap_or(Decision::Refused(arrival.max_wait))
+    if let Ok(Ok(decision)) = decided {
+        return decision;
+    }
+    log::warn!(
+        "event=token_undecided workspace={} waited_ms={}",
+        workspace.name,
+        started.elapsed().as_millis()
+    );
+    Decision::Refused(arrival.max_wait)
 }
 
 /// Requests tokens and wakes waiting requests until the process ends.
--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -86,6 +86,8 @@
     ledgers: HashMap<WorkspaceName, Ledger>,
     holdings: HashMap<WorkspaceName, Holding>,
     active: HashSet<WorkspaceName>,
+    /// Requests that waited when their workspace was removed from the configuration.
+    orphaned: Vec<Ticket>,
     in_flight: HashMap<u64, Vec<WorkspaceName>>,
     hand_overs: HashMap<WorkspaceName, ReceivedHandOver>,
     hand_over_nonces: HashMap<VmName, u64>,
@@ -125,6 +127,7 @@
             ledgers: HashMap::new(),
             holdings: HashMap::new(),
             active: HashSet::new(),
+            orphaned: Vec::new(),
             in_flight: HashMap::new(),
             hand_overs: HashMap::new(),
             hand_over_nonces: HashMap::new(),
@@ -206,7 +209,10 @@
 
     /// Decides on the waiting requests that can be decided on.
     pub fn settle(&mut self, now: Timestamp) -> Vec<(Ticket, Decision)> {
-        let mut settled = Vec::new();
+        let orphaned = self.orphaned.drain(..);
+        let mut settled: Vec<_> = orphaned
+            .map(|ticket| (ticket, Decision::WorkspaceRemoved))
+            .collect();
         for name in &self.active {
             if let Some(holding) = self.holdings.get_mut(name) {
                 holding.settle(now, &mut settled);
--- a/src/entry/quota/holding.rs
+++ b/src/entry/quota/holding.rs
@@ -95,6 +95,8 @@
     Waits,
     /// No token is expected in time; a retry finds one after this delay.
     Refused(Duration),
+    /// The workspace is no longer part of the configuration.
+    WorkspaceRemoved,
 }
 
 #[derive(Debug)]
@@ -402,6 +404,11 @@
         self.queue.len()
     }
 
+    /// Returns the waiting requests.
+    pub fn tickets(&self) -> impl Iterator<Item = Ticket> {
+        self.queue.tickets()
+    }
+
     fn demand_per_s(&self, now: Timestamp) -> f64 {
         let elapsed_s = now.since(self.demand_as_of).as_secs_f64();
         self.demand_level * (-elapsed_s / DEMAND_WINDOW_S).exp() / DEMAND_WINDOW_S
--- a/src/entry/quota/queue.rs
+++ b/src/entry/quota/queue.rs
@@ -63,6 +63,11 @@
         self.waiters.range(..=(priority, u64::MAX)).count()
     }
 
+    /// Returns the waiting requests in their order.
+    pub fn tickets(&self) -> impl Iterator<Item = Ticket> {
+        self.waiters.values().map(|waiter| waiter.ticket)
+    }
+
     /// Returns the number of waiting requests.
     pub fn len(&self) -> usize {
         self.waiters.len()
--- a/src/entry/quota/reassignment.rs
+++ b/src/entry/quota/reassignment.rs
@@ -78,8 +78,11 @@
         self.hand_overs
             .retain(|_, received| now.since(received.received_at) < HAND_OVER_RETENTION);
         self.ledgers.retain(|name, _| workspaces.contains_key(name));
-        self.holdings
-            .retain(|name, _| workspaces.contains_key(name));
+        let removed = self
+            .holdings
+            .extract_if(|name, _| !workspaces.contains_key(name));
+        self.orphaned
+            .extend(removed.flat_map(|(_, holding)| holding.tickets().collect::<Vec<_>>()));
         self.holdings.values_mut().for_each(Holding::ask_first);
         let is_certain = self.is_certain(now);
         let mut buckets = Vec::new();
--- a/src/entry/quota/tests.rs
+++ b/src/entry/quota/tests.rs
@@ -3,9 +3,11 @@
 use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
+use slotmap::SlotMap;
 
 use self::world::{Change, Outcome, Setup, run};
 use super::holding::{Arrival, Decision};
+use super::queue::Ticket;
 use super::{FleetView, Quota, Workspaces};
 use crate::entry::catalog::Workspace;
 use crate::entry::datagram::{LimitStatus, TokenAnswer, TokenAsk};
@@ -354,6 +356,37 @@
     }
 }
 
+/// Guards against requests that nobody decides on: those that wait when their workspace is removed from the
+/// configuration.
+#[test]
+fn requests_that_wait_are_settled_when_their_workspace_is_removed() {
+    let now = Timestamp::from_millis(100_000);
+    let mut workspaces: Vec<_> = (0..2).map(bench_workspace).collect();
+    let mut quota = Quota::new(world::name(0), world::address(0), Duration::from_secs(5));
+    quota.version = 1;
+    let mut tickets = SlotMap::<Ticket, usize>::with_key();
+    for (index, workspace) in workspaces.iter().enumerate() {
+        let arrival = Arrival {
+            request: index as u64,
+            priority: 1,
+            max_wait: Duration::from_secs(1),
+            patience: Duration::from_secs(10),
+        };
+        assert_eq!(quota.arrive(workspace, arrival, now), Decision::Waits);
+        quota.enqueue(&workspace.name, arrival, tickets.insert(index), now);
+    }
+    workspaces.remove(1);
+    quota.must_reassign = true;
+    update_bench_quota(&mut quota, &workspaces, 0, now);
+    let settled = quota.settle(now);
+    let settled = settled.into_iter();
+    let settled: Vec<_> = settled
+        .map(|(ticket, decision)| (tickets[ticket], decision))
+        .collect();
+    assert_eq!(settled, [(1, Decision::WorkspaceRemoved)]);
+    assert!(quota.settle(now).is_empty());
+}
+
 /// Prints the time of a decision; run by hand, in release mode:
 /// `cargo test --release --lib decision_time -- --ignored --nocapture`.
 #[test]
--- a/src/entry/quota/tests/world.rs
+++ b/src/entry/quota/tests/world.rs
@@ -495,7 +495,7 @@
                     self.repeats.push((at, index, request));
                 }
             }
-            Decision::Waits => {}
+            Decision::Waits | Decision::WorkspaceRemoved => {}
         }
     }
 }
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -102,7 +102,7 @@
     pub fn open(node: Rc<Node>, route: Arc<str>, key: Arc<str>) -> Result<Self, Failure> {
         let catalog = node.catalog().ok_or_else(|| no_configuration(&node))?;
         let known = catalog.routes.get(&route).ok_or_else(no_such_route)?;
-        let workspace = workspace(&catalog, known, &key).ok_or_else(unauthorized)?;
+        let workspace = workspace(&catalog, known, &key).ok_or_else(Failure::unauthorized)?;
         Ok(Self {
             node,
             route,
@@ -233,7 +233,7 @@
         };
         match workspace(catalog, route, &self.key) {
             Some(workspace) if workspace == self.workspace => Ok(()),
-            _ => Err(unauthorized()),
+            _ => Err(Failure::unauthorized()),
         }
     }
 
@@ -429,13 +429,6 @@
     )
 }
 
-fn unauthorized() -> Failure {
-    Failure::local(
-        FailureKind::Unauthorized,
-        "not run: the key belongs to no workspace; ask the operators for a new one",
-    )
-}
-
 fn no_such_statement() -> Failure {
     Failure::local(
         FailureKind::NoSuchStatement,
--- a/src/entry/statement.rs
+++ b/src/entry/statement.rs
@@ -181,6 +181,14 @@
         }
     }
 
+    /// Builds the failure of a statement whose key belongs to no workspace.
+    pub fn unauthorized() -> Self {
+        Self::local(
+            FailureKind::Unauthorized,
+            "not run: the key belongs to no workspace; ask the operators for a new one",
+        )
+    }
+
     /// Returns whether the statement definitely didn't run and may succeed if it is repeated.
     pub const fn not_run(&self) -> bool {
         matches!(
