Watches: one that delivers nothing for 2.25 s is made anew

Cause: a watch call that waits and one whose answer is lost look the same, and its limit was 26 s. Renewals, on another connection, succeeded, so that nothing called the watch in doubt; no VM had seen the change, so that none told the others. Ruled out: keepalive, as the other end is there and answers probes. The renewals also made each VM take its announcements for current meanwhile.

Change: a watch delivers a batch at least every 1.75 s, empty if nothing has changed, and counts as silent 0.5 s later. When announcements are read again, the time to leave is counted from the last batch that proves what was known.

--- a/lab/src/entry_store.rs
+++ b/lab/src/entry_store.rs
@@ -8,10 +8,11 @@
 use currantlb::configuration::{Revision, Timeline};
 use currantlb::control::command::PlatformRequest;
 use currantlb::control::event::{KeyValue, PlatformFailure, PlatformResponse};
+use currantlb::entry::follow::HEARTBEAT_INTERVAL;
 use currantlb::store::{Platform, Result, WatchBatch};
 use futures::FutureExt;
 use tokio::sync::{mpsc, watch};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 #[derive(Debug, Clone)]
 struct Item {
@@ -35,6 +36,8 @@
     down: bool,
     /// Whether every call fails, whereas watches stay open.
     calls_down: bool,
+    /// Number of times that the open watches have fallen silent.
+    silences: u64,
 }
 
 /// Store that every VM of a test shares.
@@ -43,6 +46,24 @@
     content: Arc<Mutex<Content>>,
     /// Wakes watches after every call.
     changed: Arc<watch::Sender<u64>>,
+    /// Number of open watches.
+    open_watches: Arc<AtomicUsize>,
+}
+
+/// Open watch, which is counted until it is dropped.
+struct OpenWatch(Arc<AtomicUsize>);
+
+impl OpenWatch {
+    fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(count))
+    }
+}
+
+impl Drop for OpenWatch {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl Store {
@@ -120,6 +141,17 @@
         self.content().calls_down = down;
     }
 
+    /// Returns the number of open watches.
+    pub fn open_watches(&self) -> usize {
+        self.open_watches.load(Ordering::Relaxed)
+    }
+
+    /// Lets every open watch fall silent: it stays open and delivers nothing more. New ones work.
+    pub fn silence_open_watches(&self) {
+        self.content().silences += 1;
+        self.notify_watches();
+    }
+
     /// Returns a copy of the content that the store can be restored from.
     pub fn copy(&self) -> Content {
         self.content().clone()
@@ -130,9 +162,11 @@
     pub fn restore(&self, copy: Content) {
         let mut content = self.content();
         let (timeline, down) = (content.timeline + 1, content.down);
+        let silences = content.silences;
         *content = Content {
             timeline,
             down,
+            silences,
             ..copy
         };
         drop(content);
@@ -163,13 +197,16 @@
         batches: mpsc::Sender<WatchBatch>,
         is_silenced: &AtomicBool,
     ) {
+        let _open = OpenWatch::new(&self.open_watches);
         let mut changed = self.changed.subscribe();
+        let mut heard_at = Instant::now();
         let mut from = from.number();
+        let silences = self.content().silences;
         if from > self.content().revision + 1 {
             return;
         }
         loop {
-            let batch = {
+            let (batch, has_fallen_silent) = {
                 let content = self.content();
                 if content.down {
                     return;
@@ -177,20 +214,26 @@
                 let history = content.history.iter();
                 let new = history
                     .filter(|key| key.revision.number() >= from && is_covered(&prefix, &key.key));
-                WatchBatch {
+                let batch = WatchBatch {
                     keys: new.map(|key| content.in_timeline(key.clone())).collect(),
                     revision: content.current_revision(),
-                }
+                };
+                (batch, content.silences != silences)
             };
-            if is_silenced.load(Ordering::Relaxed) {
+            if has_fallen_silent || is_silenced.load(Ordering::Relaxed) {
                 std::future::pending::<()>().await;
             }
             from = from.max(batch.revision.number() + 1);
-            if !batch.keys.is_empty() && batches.send(batch).await.is_err() {
-                return;
+            let is_heartbeat_due = heard_at.elapsed() >= HEARTBEAT_INTERVAL;
+            if !batch.keys.is_empty() || is_heartbeat_due {
+                heard_at = Instant::now();
+                if batches.send(batch).await.is_err() {
+                    return;
+                }
             }
-            if changed.changed().await.is_err() {
-                return;
+            match timeout_at(heard_at + HEARTBEAT_INTERVAL, changed.changed()).await {
+                Ok(Err(_closed)) => return,
+                Ok(Ok(())) | Err(_) => {}
             }
         }
     }
--- a/src/entry/adapter.rs
+++ b/src/entry/adapter.rs
@@ -58,7 +58,8 @@
 /// Functions that a deployment provides to an entry.
 #[derive(Clone)]
 pub struct Adapter {
-    /// Client of the store.
+    /// Client of the store. Each of its watches delivers a batch, empty if nothing has changed, at least every
+    /// [`HEARTBEAT_INTERVAL`](super::follow::HEARTBEAT_INTERVAL).
     pub store: Platform,
     /// Protocol spoken with callers and instances.
     pub protocol: Protocol,
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -65,6 +65,8 @@
             Box::pin(follow::list(node, keys::INSTANCES))
         },
         replace: &|keys, _| {
+            let heard_at = node.directory_progress.heard_at();
+            node.state.borrow_mut().directory.limit_current(heard_at);
             replace(node, &keys, &unreadable);
             let mut state = node.state.borrow_mut();
             state.directory.record_current(read_at.get());
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -6,12 +6,15 @@
 
 use futures::future::LocalBoxFuture;
 use tokio::sync::{Notify, mpsc};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
+use super::clock;
 use super::node::Node;
 use crate::configuration::Revision;
 use crate::control::command::PlatformRequest;
 use crate::control::event::{KeyValue, PlatformResponse};
+use crate::store::WatchBatch;
+use crate::time::Timestamp;
 
 /// Delay before a failed read is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
@@ -22,6 +25,13 @@
 /// Time for which a watch may lag behind what other VMs have seen before the keys are read again.
 const WATCH_DELAY_LIMIT: Duration = Duration::from_millis(400);
 
+/// Interval at which a watch delivers a batch at least; an empty one if nothing has changed.
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_750);
+
+/// Time without a batch after which a watch counts as silent. Its connection may return nothing any more, while others
+/// work.
+pub const SILENCE_LIMIT: Duration = Duration::from_millis(2_250);
+
 /// Latest revision under a prefix that is known to this VM, and to any other VM.
 #[derive(Debug, Default)]
 pub struct Progress {
@@ -30,6 +40,8 @@
     lag_detected: Notify,
     /// Whether the keys have been read and watched since without a gap.
     followed: Cell<bool>,
+    /// Time until which the last read, or the last batch of the watch, shows every change.
+    heard_at: Cell<Timestamp>,
 }
 
 impl Progress {
@@ -61,6 +73,15 @@
         self.followed.set(false);
     }
 
+    /// Returns the time until which every change is known, whether or not the watch still delivers any.
+    pub fn heard_at(&self) -> Timestamp {
+        self.heard_at.get()
+    }
+
+    fn record_heard(&self, at: Timestamp) {
+        self.heard_at.set(at);
+    }
+
     fn is_behind(&self) -> bool {
         self.own.get() < self.peers.get()
     }
@@ -98,11 +119,13 @@
         loop {
             // The keys read below include every change that other VMs had reported before the read.
             let known_before = self.progress.peers.get();
+            let read_at = clock::now();
             let Some((keys, revision)) = (self.read)().await else {
                 sleep(RETRY_DELAY).await;
                 continue;
             };
             (self.replace)(keys, revision);
+            self.progress.record_heard(read_at);
             self.progress.record_own(known_before);
             self.progress.followed.set(true);
             let timeline = revision.timeline();
@@ -132,21 +155,43 @@
         }
     }
 
+    /// Applies the changes that a watch delivers until it ends or is silent.
     async fn watch(&self, node: &Node, from: Revision) {
-        let (sender, mut batches) = mpsc::channel(WATCH_QUEUE_BATCHES);
-        let watching = (node.adapter.store.watch)(self.prefix.to_owned(), from, sender);
-        let applying = async {
-            while let Some(batch) = batches.recv().await {
-                log::debug!(
-                    "event=watch_batch_received prefix={:?} keys={} revision={}",
-                    self.prefix,
-                    batch.keys.len(),
-                    batch.revision.0
-                );
-                batch.keys.into_iter().for_each(self.apply);
-            }
+        let (sender, batches) = mpsc::channel(WATCH_QUEUE_BATCHES);
+        let watching = async {
+            (node.adapter.store.watch)(self.prefix.to_owned(), from, sender).await;
+            // The batches that it has delivered are still applied.
+            std::future::pending::<()>().await;
         };
-        tokio::join!(watching, applying);
+        tokio::select! {
+            () = watching => {}
+            () = self.apply_batches(batches) => {}
+        }
+    }
+
+    async fn apply_batches(&self, mut batches: mpsc::Receiver<WatchBatch>) {
+        // A batch shows the store at some time after the one before it was received.
+        let mut shown_after = clock::now();
+        loop {
+            let batch = match timeout(SILENCE_LIMIT, batches.recv()).await {
+                Ok(Some(batch)) => batch,
+                Ok(None) => return,
+                Err(_elapsed) => {
+                    log::warn!("event=watch_silent prefix={:?}", self.prefix);
+                    return;
+                }
+            };
+            log::debug!(
+                "event=watch_batch_received prefix={:?} keys={} revision={}",
+                self.prefix,
+                batch.keys.len(),
+                batch.revision.0
+            );
+            let received_at = clock::now();
+            self.progress
+                .record_heard(std::mem::replace(&mut shown_after, received_at));
+            batch.keys.into_iter().for_each(self.apply);
+        }
     }
 }
 
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -128,6 +128,11 @@
         self.current_at = self.current_at.max(Some(at));
     }
 
+    /// Records that changes after `at` may not have been received.
+    pub fn limit_current(&mut self, at: Timestamp) {
+        self.current_at = self.current_at.map(|current_at| current_at.min(at));
+    }
+
     /// Records whether an instance leaves, as an announcement received at `now` tells. It may have begun
     /// to since the last time at which its former announcement was certainly current.
     fn record_draining(&mut self, instance: &Instance, now: Timestamp) {
