--- a/lab/src/entry_store.rs
+++ b/lab/src/entry_store.rs
@@ -231,9 +231,9 @@
                     return;
                 }
             }
-            match timeout_at(heard_at + HEARTBEAT_INTERVAL, changed.changed()).await {
-                Ok(Err(_closed)) => return,
-                Ok(Ok(())) | Err(_) => {}
+            let next = timeout_at(heard_at + HEARTBEAT_INTERVAL, changed.changed()).await;
+            if matches!(next, Ok(Err(_))) {
+                return;
             }
         }
     }
