--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -164,11 +164,15 @@
     };
     node.directory_progress.record_own(key.revision);
     let Some(value) = &key.value else {
+        unreadable.borrow_mut().remove(name);
         mark_missing(node, InstanceName::from(name));
         return;
     };
     match (node.adapter.decode_instance)(name, value) {
-        Ok(instance) => update(node, instance),
+        Ok(instance) => {
+            unreadable.borrow_mut().remove(name);
+            update(node, instance);
+        }
         Err(error) => {
             let known = unreadable
                 .borrow_mut()
