Replacement: a replica that restarted without its log doesn't count as heard

Cause: while the primary is silent, the reports of all replicas are taken for enough, because one of them has confirmed each save. A replica without its log reported too, but says nothing about what it had confirmed.

Change: VMs remember under which start they first knew an instance. One that has another start and holds nothing of a database that isn't empty doesn't count among the reports that a replacement without the primary needs. The model's replica now restarts without its log before a replacement.

--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -37,7 +37,7 @@
 /// until it is one again.
 fn forget(node: &Rc<Node>) {
     let gone: Vec<Change> = {
-        let mut state = node.state.borrow_mut();
+        let (mut state, now) = (node.state.borrow_mut(), clock::now());
         node.directory_progress.record_gap();
         state.directory_known = false;
         state.missing.clear();
@@ -46,7 +46,9 @@
             .all()
             .map(|known| known.name.clone())
             .collect();
-        let removed = names.iter().filter_map(|name| state.directory.remove(name));
+        let removed = names
+            .iter()
+            .filter_map(|name| state.directory.remove(name, now));
         removed.collect()
     };
     for change in gone {
@@ -219,7 +221,7 @@
             .into_iter()
             .filter_map(|name| {
                 state.missing.remove(&name);
-                state.directory.remove(&name)
+                state.directory.remove(&name, now)
             })
             .collect()
     };
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -53,6 +53,9 @@
     }
 }
 
+/// Time for which the start of an instance is remembered after its announcement has gone.
+const START_RETENTION: Duration = Duration::from_mins(10);
+
 /// Known instances by name.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -67,6 +70,10 @@
     /// Sequence of the last announcement that was older than the known one, for each instance that
     /// has received one since.
     outdated: HashMap<InstanceName, u64>,
+    /// Start of the process under which each instance was first known.
+    first_started_at_ms: HashMap<InstanceName, u64>,
+    /// The same for instances whose announcements have gone, with the time since when.
+    departed: HashMap<InstanceName, (u64, Timestamp)>,
 }
 
 /// End of the time for which an instance is slow because it has just started.
@@ -108,6 +115,13 @@
         self.cold_until(name).is_some_and(|until| now < until)
     }
 
+    /// Returns whether an instance is known to have started again under its name.
+    pub fn has_restarted(&self, name: &InstanceName) -> bool {
+        let first = self.first_started_at_ms.get(name);
+        let known = self.by_name.get(name).zip(first);
+        known.is_some_and(|(instance, first)| instance.started_at_ms != *first)
+    }
+
     /// Returns for how long an instance may have been leaving at most: zero if it isn't, and
     /// [`Duration::MAX`] if it was when it was first known here.
     pub fn draining_for(&self, name: &InstanceName, now: Timestamp) -> Duration {
@@ -194,6 +208,7 @@
             return None;
         }
         self.outdated.remove(&instance.name);
+        self.record_start(&instance);
         self.record_cold_time(&instance, now);
         self.record_draining(&instance, now);
         let current = Rc::new(instance);
@@ -205,10 +220,22 @@
         })
     }
 
-    /// Removes an instance. Returns the change, or `None` when the instance isn't known.
-    pub fn remove(&mut self, name: &str) -> Option<Change> {
+    fn record_start(&mut self, instance: &Instance) {
+        let departed = self.departed.remove(&instance.name);
+        let first = departed.map_or(instance.started_at_ms, |(first, _)| first);
+        let known = self.first_started_at_ms.entry(instance.name.clone());
+        known.or_insert(first);
+    }
+
+    /// Removes an instance at `now`. Returns the change, or `None` when the instance isn't known.
+    pub fn remove(&mut self, name: &str, now: Timestamp) -> Option<Change> {
         self.outdated.remove(name);
         self.draining_after.remove(name);
+        self.departed
+            .retain(|_, (_, since)| now.since(*since) < START_RETENTION);
+        if let Some((name, first)) = self.first_started_at_ms.remove_entry(name) {
+            self.departed.insert(name, (first, now));
+        }
         let previous = self.by_name.remove(name)?;
         Some(Change {
             previous: Some(previous),
--- a/src/entry/instance/tests.rs
+++ b/src/entry/instance/tests.rs
@@ -99,7 +99,7 @@
     let mut directory = Directory::default();
     let cold = received(100, 1, 1, 8_000);
     directory.update(instance(cold), Timestamp::from_millis(100));
-    directory.remove("i-1");
+    directory.remove("i-1", Timestamp::from_millis(200));
     directory.update(instance(cold), Timestamp::from_millis(5_000));
     let until = directory.cold_until(&InstanceName::from("i-1"));
     assert_eq!(until, Some(Timestamp::from_millis(8_100)));
@@ -218,7 +218,7 @@
             let mut announced = instance(received(0, 1, sequence, 0));
             match step {
                 Step::CurrentAt(at_ms) => directory.record_current(Timestamp::from_millis(at_ms)),
-                Step::Removed => drop(directory.remove("i-1")),
+                Step::Removed => drop(directory.remove("i-1", now)),
                 Step::Serving => drop(directory.update(announced, now)),
                 Step::Draining => {
                     announced.state = InstanceState::Draining;
@@ -235,3 +235,59 @@
         );
     }
 }
+
+#[test]
+fn an_instance_that_was_started_again_is_known_as_such() {
+    struct Case {
+        name: &'static str,
+        starts_ms: &'static [u64],
+        /// Time for which its announcement is missing before each start but the first.
+        missing_for: Option<Duration>,
+        expected: bool,
+    }
+    let cases = [
+        Case {
+            name: "one start",
+            starts_ms: &[7],
+            missing_for: None,
+            expected: false,
+        },
+        Case {
+            name: "the same announcement after it was missing",
+            starts_ms: &[7, 7],
+            missing_for: Some(Duration::from_secs(4)),
+            expected: false,
+        },
+        Case {
+            name: "another start, announced over the former one",
+            starts_ms: &[7, 8],
+            missing_for: None,
+            expected: true,
+        },
+        Case {
+            name: "another start after its announcement was missing",
+            starts_ms: &[7, 8],
+            missing_for: Some(Duration::from_secs(4)),
+            expected: true,
+        },
+        Case {
+            name: "another start, missing again since",
+            starts_ms: &[7, 8, 8],
+            missing_for: Some(Duration::from_secs(4)),
+            expected: true,
+        },
+    ];
+    for case in cases {
+        let mut directory = Directory::default();
+        let mut now = Timestamp::from_millis(10_000);
+        for (sequence, started_at_ms) in (1..).zip(case.starts_ms) {
+            if let Some(missing_for) = case.missing_for.filter(|_| sequence > 1) {
+                directory.remove("i-1", now);
+                now = now + missing_for;
+            }
+            directory.update(instance(received(0, *started_at_ms, sequence, 0)), now);
+        }
+        let has_restarted = directory.has_restarted(&InstanceName::from("i-1"));
+        assert_eq!(has_restarted, case.expected, "{}", case.name);
+    }
+}
--- a/src/entry/promotion.rs
+++ b/src/entry/promotion.rs
@@ -17,6 +17,9 @@
     pub may_lead: bool,
     /// Whether the instance has just started and is still slow.
     pub is_cold: bool,
+    /// Whether the instance was started again without its log. Its report then says nothing about the saves that
+    /// it had confirmed.
+    pub has_lost_log: bool,
 }
 
 /// Next step of a replacement.
@@ -64,7 +67,8 @@
 ///
 /// A save is acknowledged once the primary and one replica have it, so the reports of all replicas,
 /// or the report of the primary, are enough. If the record was restored, any two instances may hold
-/// the last save, and all instances but one must report.
+/// the last save, and all instances but one must report. The report of an instance that has lost its log
+/// doesn't count.
 pub fn decide(replaced: &Replaced<'_>, reports: &[MemberReport]) -> Decision {
     let Replaced {
         primary: former_primary,
@@ -73,7 +77,8 @@
         knowledge,
     } = *replaced;
     let newest_term = reports.iter().map(|member| member.report.term).max();
-    if knowledge == Knowledge::Restored && reports.len() + 1 < instances {
+    let counted = || reports.iter().filter(|member| !member.has_lost_log);
+    if knowledge == Knowledge::Restored && counted().count() + 1 < instances {
         return Decision::Unheard;
     }
     let may_others_lead = reports
@@ -95,15 +100,9 @@
     if let Some(leader) = leader {
         return Decision::AlreadyLeads(leader.instance.clone());
     }
-    let replicas = || {
-        reports
-            .iter()
-            .filter(|member| member.instance != *former_primary)
-    };
-    let primary = reports
-        .iter()
-        .find(|member| member.instance == *former_primary);
-    if primary.is_none() && replicas().count() + 1 < instances {
+    let is_former = |member: &&MemberReport| member.instance == *former_primary;
+    let replicas = counted().filter(|member| !is_former(member)).count();
+    if !counted().any(|member| is_former(&member)) && replicas + 1 < instances {
         return Decision::Unheard;
     }
     let furthest = reports.iter().map(|member| member.report.received).max();
--- a/src/entry/promotion/tests.rs
+++ b/src/entry/promotion/tests.rs
@@ -16,6 +16,14 @@
         },
         may_lead: instance != "p",
         is_cold: false,
+        has_lost_log: false,
+    }
+}
+
+fn without_log(instance: &str) -> MemberReport {
+    MemberReport {
+        has_lost_log: true,
+        ..member_report(instance, 0)
     }
 }
 
@@ -55,6 +63,30 @@
     expected: Decision,
 }
 
+fn lost_log_cases() -> [Case; 3] {
+    [
+        Case {
+            name: "a replica that has lost its log may have held the last save",
+            reports: vec![member_report("a", 20), without_log("b")],
+            expected: Decision::Unheard,
+        },
+        Case {
+            name: "so may each of two",
+            reports: vec![without_log("a"), without_log("b")],
+            expected: Decision::Unheard,
+        },
+        Case {
+            name: "the former primary has every save",
+            reports: vec![
+                member_report("p", 30),
+                member_report("a", 30),
+                without_log("b"),
+            ],
+            expected: Decision::Promote(InstanceName::from("a")),
+        },
+    ]
+}
+
 fn cases() -> [Case; 8] {
     let [a, b] = ["a", "b"].map(|name| move || InstanceName::from(name));
     [
@@ -115,7 +147,7 @@
 
 #[test]
 fn decide_never_promotes_an_instance_that_lacks_an_acknowledged_save() {
-    for case in cases() {
+    for case in cases().into_iter().chain(lost_log_cases()) {
         let primary = InstanceName::from("p");
         let decision = decide(&replaced(&primary, 3, Knowledge::Former), &case.reports);
         assert_eq!(decision, case.expected, "{}", case.name);
--- a/src/entry/reports.rs
+++ b/src/entry/reports.rs
@@ -12,6 +12,7 @@
 use super::instance::Instance;
 use super::node::Node;
 use super::promotion::MemberReport;
+use super::state::State;
 use super::statement::{InstanceCommand, InstanceReport};
 use crate::name::InstanceName;
 
@@ -74,10 +75,30 @@
 
 fn member_report(node: &Node, instance: &Instance, report: InstanceReport) -> MemberReport {
     let state = node.state.borrow();
+    let has_lost_log = has_lost_log(&state, instance, &report);
+    if has_lost_log {
+        log::warn!(
+            "event=log_lost database={} instance={} started_at_ms={}",
+            instance.database,
+            instance.name,
+            instance.started_at_ms
+        );
+    }
     MemberReport {
         instance: instance.name.clone(),
         report,
         may_lead: state.may_lead(instance),
         is_cold: state.directory.is_cold(&instance.name, clock::now()),
+        has_lost_log,
     }
 }
+
+/// Returns whether an instance was started again and holds nothing of a database that isn't empty.
+fn has_lost_log(state: &State, instance: &Instance, report: &InstanceReport) -> bool {
+    let known = state.databases.get(&instance.database);
+    let record = known.and_then(|known| Some(&known.record.as_ref()?.record));
+    let position = record.and_then(|record| known?.primary_position(&record.primary));
+    let is_database_empty = position.is_some_and(|position| position.number == 0);
+    let holds_nothing = report.received.number == 0;
+    holds_nothing && !is_database_empty && state.directory.has_restarted(&instance.name)
+}
--- a/tests/model_replacement.rs
+++ b/tests/model_replacement.rs
@@ -3,8 +3,8 @@
 //! It explores the state machine of the holder of the failover lease itself,
 //! [`currantlb::entry::replacement::Replacement`], in every order of the steps around it: two holders, of
 //! which the first may be suspended or end at any step; a VM that may be cut off until its validity lease
-//! has ended, beside others that always know the record; two instances, and a third one that joins,
-//! leaves and starts again without its log. Reports, answers and commands may be lost.
+//! has ended, beside others that always know the record; two instances, of which the replica starts again without its
+//! log before a replacement, and a third one that joins, leaves and starts again without its log. Reports, answers and commands may be lost.
 
 use std::cell::Cell;
 use std::time::Instant;
@@ -91,8 +91,14 @@
     ..NOTHING
 };
 
+/// Two instances crash, or start again without their logs.
+const CRASHES: Bounds = Bounds {
+    crashes: 2,
+    ..NOTHING
+};
+
 /// Explorations of the present code: up to [`MAX_STATES`] states each, those with the fewest steps first.
-const CASES: [Bounds; 9] = [
+const CASES: [Bounds; 11] = [
     Bounds {
         faults: 1,
         ..NOTHING
@@ -101,6 +107,11 @@
         crashes: 1,
         ..NOTHING
     },
+    CRASHES,
+    Bounds {
+        has_third: true,
+        ..CRASHES
+    },
     Bounds {
         holders: 2,
         saves: 0,
@@ -210,6 +221,7 @@
                 ..NOTHING
             },
         ),
+        seeded(Defect::LostReplicaCounts, Violation::LostSave, CRASHES),
         seeded(Defect::CountTooLow, Violation::LostSave, THIRD),
         seeded(
             Defect::SuspendedHolderPromotes,
--- a/tests/replacement/holder.rs
+++ b/tests/replacement/holder.rs
@@ -220,6 +220,7 @@
             let is_sent = pause_term.is_none() || self.holds();
             if is_alive && is_heard && is_sent {
                 let mut report = next.report(member);
+                report.has_lost_log &= self.defect != Defect::LostReplicaCounts;
                 report.may_lead |= self.defect == Defect::LeavingPrimaryKept
                     && self.running.reason == Reason::Unfinished;
                 reports.push(report);
--- a/tests/replacement/steps.rs
+++ b/tests/replacement/steps.rs
@@ -85,28 +85,7 @@
         push(steps, "the cut ends", world, |next| next.is_cut = false);
     }
     if world.crashes > 0 {
-        for index in [FORMER, REPLICA] {
-            if world.members[index].is_alive
-                && world.members.iter().filter(|one| one.is_alive).count() > 1
-            {
-                push(steps, format!("{index} crashes"), world, |next| {
-                    next.crashes -= 1;
-                    next.members[index].is_alive = false;
-                });
-            }
-        }
-        if world.members[FORMER].is_alive {
-            push(
-                steps,
-                "the former primary starts again without its log",
-                world,
-                |next| {
-                    next.crashes -= 1;
-                    next.members[FORMER] = without_log();
-                    next.save = next.save.filter(|save| save.instance != FORMER);
-                },
-            );
-        }
+        crash_steps(world, steps);
     }
     for index in [FORMER, REPLICA] {
         if !world.members[index].is_alive {
@@ -124,6 +103,47 @@
     joining_steps(world, defect, steps);
 }
 
+/// Adds the crashes, and the starts without a log.
+fn crash_steps(world: &World, steps: &mut Vec<Step>) {
+    for index in [FORMER, REPLICA] {
+        if world.members[index].is_alive
+            && world.members.iter().filter(|one| one.is_alive).count() > 1
+        {
+            push(steps, format!("{index} crashes"), world, |next| {
+                next.crashes -= 1;
+                next.members[index].is_alive = false;
+            });
+        }
+    }
+    if world.members[FORMER].is_alive {
+        push(
+            steps,
+            "the former primary starts again without its log",
+            world,
+            |next| {
+                next.crashes -= 1;
+                next.members[FORMER] = without_log(true);
+                next.save = next.save.filter(|save| save.instance != FORMER);
+            },
+        );
+    }
+    // A replica that starts again after it has reported, or as the new primary, isn't noticed.
+    let is_running = |holder: &Holder| matches!(holder, Holder::Running(_));
+    let is_before = world.promoting.is_empty() && !world.holders.iter().any(is_running);
+    let replica = &world.members[REPLICA];
+    if replica.is_alive && !replica.leads && is_before {
+        push(
+            steps,
+            "the replica starts again without its log",
+            world,
+            |next| {
+                next.crashes -= 1;
+                next.members[REPLICA] = without_log(true);
+            },
+        );
+    }
+}
+
 fn receives(from: &Member, to: &Member) -> bool {
     let is_paused = to.paused.is_some_and(|term| from.term < term);
     let follows = to.term < from.term || (to.term == from.term && !to.leads);
@@ -146,10 +166,11 @@
     member.paused = None;
 }
 
-fn without_log() -> Member {
+fn without_log(has_restarted: bool) -> Member {
     Member {
         is_alive: true,
         is_announced: true,
+        has_restarted,
         ..Member::default()
     }
 }
@@ -159,7 +180,7 @@
     if world.joins > 0 && !joining.is_alive {
         push(steps, "an instance joins", world, |next| {
             next.joins -= 1;
-            next.members[JOINING] = without_log();
+            next.members[JOINING] = without_log(false);
         });
     }
     let is_elsewhere = joining.saves() & !world.members[REPLICA].saves() == 0;
@@ -176,7 +197,7 @@
             };
             push(steps, step, world, |next| {
                 next.joins -= 1;
-                next.members[JOINING] = without_log();
+                next.members[JOINING] = without_log(!is_renamed);
                 for holder in &mut next.holders {
                     if let Holder::Running(running) = holder
                         && is_renamed
--- a/tests/replacement/world.rs
+++ b/tests/replacement/world.rs
@@ -42,6 +42,8 @@
     AcknowledgesAfterConfirmation,
     /// The report of an instance that has lost its log counts as the former primary's.
     LostLogCounts,
+    /// The report of a replica that has lost its log counts.
+    LostReplicaCounts,
     /// A holder doesn't know of an instance that joined before it started.
     CountTooLow,
     /// A holder counts an instance that has left.
@@ -73,6 +75,10 @@
 }
 
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is known independently of the others"
+)]
 pub struct Member {
     pub is_alive: bool,
     pub is_announced: bool,
@@ -80,6 +86,8 @@
     pub term: u64,
     pub paused: Option<u64>,
     pub log: Vec<Entry>,
+    /// Whether it was started again under its name.
+    pub has_restarted: bool,
 }
 
 impl Member {
@@ -315,9 +323,17 @@
             report: self.members[index].report(),
             may_lead: index != FORMER || !self.is_leaving,
             is_cold: false,
+            has_lost_log: self.has_lost_log(index),
         }
     }
 
+    /// Returns whether an instance was started again and holds nothing, although the primary has
+    /// reported that it held something.
+    pub fn has_lost_log(&self, index: usize) -> bool {
+        let member = &self.members[index];
+        member.has_restarted && member.log.is_empty() && self.reported.1.number > 0
+    }
+
     /// Returns the state with two fresh holders and without further faults.
     pub fn calmed(&self) -> Self {
         let mut world = self.clone();
@@ -337,7 +353,8 @@
         let has_log =
             self.reported.0 != self.record.primary || primary.received() >= self.reported.1;
         let others = (0..3).filter(|index| *index != self.record.primary);
-        let others = others.filter(|index| self.members[*index].is_alive).count();
+        let others = others.filter(|index| self.members[*index].is_alive);
+        let others = others.filter(|index| !self.has_lost_log(*index)).count();
         let is_heard = primary.is_alive && has_log || others + 1 >= self.record.instances;
         is_heard && alive.filter(has_all).count() > 0
     }
