Group sizes: an instance that isn't announced counts while it responds

What callers could see: a replica whose entry in the store has gone, or was overwritten by another writer, stopped counting among those that may hold an acknowledged save after 6.5 s, and went on confirming saves. With the primary lost, an instance without such a save could be promoted.

Cause: only instances that had said that they leave were asked whether they still respond, before the number is lowered.

Change: those whose announcements have gone are remembered for 10 minutes and asked too, all at once.

--- a/src/entry/group_size.rs
+++ b/src/entry/group_size.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::future::join_all;
 use tokio::time::{Instant, sleep};
 
 use super::clock;
@@ -129,7 +130,8 @@
             return;
         };
         let members = state.directory.in_database(database).cloned();
-        let (left, members): (Vec<_>, Vec<_>) = members.partition(|one| state.has_left(one));
+        let (mut left, members): (Vec<_>, Vec<_>) = members.partition(|one| state.has_left(one));
+        left.extend(state.directory.departed_from(database).cloned());
         (record, members, left)
     };
     let instances = match resize {
@@ -159,16 +161,18 @@
     );
 }
 
-/// Returns whether any of the instances still responds.
+/// Returns whether any of the instances, which have left or aren't announced any more, still responds. It may confirm
+/// further saves then.
 async fn responds(node: &Rc<Node>, instances: Vec<Rc<Instance>>) -> bool {
-    for instance in instances {
-        let mut link = ControlLink::new(Rc::clone(node), instance);
+    let requests = instances.into_iter().map(async |instance| {
+        let mut link = ControlLink::new(Rc::clone(node), Rc::clone(&instance));
         let report = link.request(&InstanceCommand::Report, REPORT_TIMEOUT).await;
-        if report.is_some() || link.has_responded() {
-            return true;
-        }
-    }
-    false
+        let has_responded = report.is_some() || link.has_responded();
+        drop(link);
+        node.forget_unannounced(&instance.name);
+        has_responded
+    });
+    join_all(requests).await.contains(&true)
 }
 
 /// Returns whether every replica has received the log that the recorded primary has now. The primary holds
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -53,8 +53,8 @@
     }
 }
 
-/// Time for which the start of an instance is remembered after its announcement has gone.
-const START_RETENTION: Duration = Duration::from_mins(10);
+/// Time for which an instance is remembered after its announcement has gone.
+const DEPARTED_RETENTION: Duration = Duration::from_mins(10);
 
 /// Known instances by name.
 #[derive(Debug, Default)]
@@ -72,8 +72,17 @@
     outdated: HashMap<InstanceName, u64>,
     /// Start of the process under which each instance was first known.
     first_started_at_ms: HashMap<InstanceName, u64>,
-    /// The same for instances whose announcements have gone, with the time since when.
-    departed: HashMap<InstanceName, (u64, Timestamp)>,
+    /// Instances whose announcements have gone.
+    departed: HashMap<InstanceName, Departed>,
+}
+
+/// Instance whose announcement has gone.
+#[derive(Debug)]
+struct Departed {
+    instance: Rc<Instance>,
+    /// Start of the process under which it was first known.
+    first_started_at_ms: u64,
+    since: Timestamp,
 }
 
 /// End of the time for which an instance is slow because it has just started.
@@ -115,6 +124,15 @@
         self.cold_until(name).is_some_and(|until| now < until)
     }
 
+    /// Returns the instances of a database whose announcements have gone, as they were announced last.
+    pub fn departed_from<'a>(
+        &'a self,
+        database: &'a DatabaseName,
+    ) -> impl Iterator<Item = &'a Rc<Instance>> {
+        let departed = self.departed.values().map(|departed| &departed.instance);
+        departed.filter(move |instance| instance.database == *database)
+    }
+
     /// Returns whether an instance is known to have started again under its name.
     pub fn has_restarted(&self, name: &InstanceName) -> bool {
         let first = self.first_started_at_ms.get(name);
@@ -222,7 +240,7 @@
 
     fn record_start(&mut self, instance: &Instance) {
         let departed = self.departed.remove(&instance.name);
-        let first = departed.map_or(instance.started_at_ms, |(first, _)| first);
+        let first = departed.map_or(instance.started_at_ms, |known| known.first_started_at_ms);
         let known = self.first_started_at_ms.entry(instance.name.clone());
         known.or_insert(first);
     }
@@ -232,11 +250,15 @@
         self.outdated.remove(name);
         self.draining_after.remove(name);
         self.departed
-            .retain(|_, (_, since)| now.since(*since) < START_RETENTION);
-        if let Some((name, first)) = self.first_started_at_ms.remove_entry(name) {
-            self.departed.insert(name, (first, now));
-        }
+            .retain(|_, departed| now.since(departed.since) < DEPARTED_RETENTION);
         let previous = self.by_name.remove(name)?;
+        let first = self.first_started_at_ms.remove(name);
+        let departed = Departed {
+            instance: Rc::clone(&previous),
+            first_started_at_ms: first.unwrap_or(previous.started_at_ms),
+            since: now,
+        };
+        self.departed.insert(previous.name.clone(), departed);
         Some(Change {
             previous: Some(previous),
             current: None,
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -326,6 +326,13 @@
         }
     }
 
+    /// Removes the pool of an instance that isn't announced; one that was asked directly has got one.
+    pub fn forget_unannounced(&self, instance: &InstanceName) {
+        if self.state.borrow().directory.get(instance).is_none() {
+            self.pools.borrow_mut().remove(instance);
+        }
+    }
+
     /// Forgets the saves of a database that timed out before an instance joined. They may have timed
     /// out for want of a replica.
     fn forget_stalled_saves(&self, database: &DatabaseName) {
