--- a/lab/src/entry_store.rs
+++ b/lab/src/entry_store.rs
@@ -146,6 +146,11 @@
         self.open_watches.load(Ordering::Relaxed)
     }
 
+    /// Returns how many times the open watches have fallen silent.
+    pub fn silences(&self) -> u64 {
+        self.content().silences
+    }
+
     /// Lets every open watch fall silent: it stays open and delivers nothing more. New ones work.
     pub fn silence_open_watches(&self) {
         self.content().silences += 1;
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -26,11 +26,11 @@
 const WATCH_DELAY_LIMIT: Duration = Duration::from_millis(400);
 
 /// Interval at which a watch delivers a batch at least; an empty one if nothing has changed.
-pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_750);
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_500);
 
 /// Time without a batch after which a watch counts as silent. Its connection may return nothing any more, while others
 /// work.
-pub const SILENCE_LIMIT: Duration = Duration::from_millis(2_250);
+pub const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 
 /// Latest revision under a prefix that is known to this VM, and to any other VM.
 #[derive(Debug, Default)]
