--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -1,6 +1,7 @@
 //! Follows the keys under one prefix of the store.
 
 use std::cell::Cell;
+use std::convert::Infallible;
 use std::fmt;
 use std::time::Duration;
 
@@ -161,10 +162,10 @@
         let watching = async {
             (node.adapter.store.watch)(self.prefix.to_owned(), from, sender).await;
             // The batches that it has delivered are still applied.
-            std::future::pending::<()>().await;
+            std::future::pending::<Infallible>().await
         };
         tokio::select! {
-            () = watching => {}
+            never = watching => match never {},
             () = self.apply_batches(batches) => {}
         }
     }
@@ -187,9 +188,8 @@
                 batch.keys.len(),
                 batch.revision.0
             );
-            let received_at = clock::now();
-            self.progress
-                .record_heard(std::mem::replace(&mut shown_after, received_at));
+            self.progress.record_heard(shown_after);
+            shown_after = clock::now();
             batch.keys.into_iter().for_each(self.apply);
         }
     }
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -53,7 +53,7 @@
     }
 }
 
-/// Time for which an instance is remembered after its announcement has gone.
+/// Time for which an instance is remembered, at least, after its announcement has gone.
 const DEPARTED_RETENTION: Duration = Duration::from_mins(10);
 
 /// Known instances by name.
