Watches: three scouts hear the shared keys often, for all gateways

Change: three gateways hear the shared keys every 1.5 s; the others, every 25 s, learn of what they have seen by the statuses that all send. A new version of the configuration is announced at once. The first of those that respond is a scout by any list of gateways, and a gateway that hears of too few is one itself. Announcements have a heartbeat of 2.5 s at each gateway. The interval is asked for with the watch, so that the adapter decides nothing.

--- a/lab/src/entry_store.rs
+++ b/lab/src/entry_store.rs
@@ -8,12 +8,14 @@
 use currantlb::configuration::{Revision, Timeline};
 use currantlb::control::command::PlatformRequest;
 use currantlb::control::event::{KeyValue, PlatformFailure, PlatformResponse};
-use currantlb::entry::follow::HEARTBEAT_INTERVAL;
-use currantlb::store::{Platform, Result, WatchBatch};
+use currantlb::store::{Platform, Result, WatchBatch, WatchSettings};
 use futures::FutureExt;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, timeout_at};
 
+/// Interval between the heartbeats of a watch that needs none: longer than any test.
+const NO_HEARTBEAT: Duration = Duration::from_hours(1);
+
 #[derive(Debug, Clone)]
 struct Item {
     value: Vec<u8>,
@@ -88,10 +90,10 @@
                 }
                 async move { response }.boxed()
             }),
-            watch: Arc::new(move |prefix, from, batches| {
+            watch: Arc::new(move |settings, batches| {
                 watch_count.fetch_add(1, Ordering::Relaxed);
                 let (store, is_silenced) = (watches.clone(), Arc::clone(&is_silenced));
-                async move { store.watch(prefix, from, batches, &is_silenced).await }.boxed()
+                async move { store.watch(settings, batches, &is_silenced).await }.boxed()
             }),
             timelines,
         }
@@ -197,15 +199,16 @@
 
     async fn watch(
         &self,
-        prefix: String,
-        from: Revision,
+        settings: WatchSettings,
         batches: mpsc::Sender<WatchBatch>,
         is_silenced: &AtomicBool,
     ) {
+        let prefix = settings.prefix;
+        let heartbeat = settings.heartbeat.unwrap_or(NO_HEARTBEAT);
         let _open = OpenWatch::new(&self.open_watches);
         let mut changed = self.changed.subscribe();
         let mut heard_at = Instant::now();
-        let mut from = from.number();
+        let mut from = settings.from.number();
         let silences = self.content().silences;
         if from > self.content().revision + 1 {
             return;
@@ -229,14 +232,14 @@
                 std::future::pending::<()>().await;
             }
             from = from.max(batch.revision.number() + 1);
-            let is_heartbeat_due = heard_at.elapsed() >= HEARTBEAT_INTERVAL;
+            let is_heartbeat_due = heard_at.elapsed() >= heartbeat;
             if !batch.keys.is_empty() || is_heartbeat_due {
                 heard_at = Instant::now();
                 if batches.send(batch).await.is_err() {
                     return;
                 }
             }
-            let next = timeout_at(heard_at + HEARTBEAT_INTERVAL, changed.changed()).await;
+            let next = timeout_at(heard_at + heartbeat, changed.changed()).await;
             if matches!(next, Ok(Err(_))) {
                 return;
             }
--- a/src/admin/write/tests.rs
+++ b/src/admin/write/tests.rs
@@ -124,7 +124,7 @@
             let response = service.lock().unwrap().call(request);
             async move { response }.boxed()
         }),
-        watch: Arc::new(|_, _, _| async {}.boxed()),
+        watch: Arc::new(|_, _| async {}.boxed()),
         timelines: watch::channel(Timeline::default()).1,
     };
     Writer::new(platform, snapshot)
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -68,6 +68,7 @@
 pub mod revocation;
 pub mod role;
 pub mod saves;
+pub mod scouts;
 pub mod service;
 pub mod session;
 pub mod settings;
--- a/src/entry/adapter.rs
+++ b/src/entry/adapter.rs
@@ -58,8 +58,7 @@
 /// Functions that a deployment provides to an entry.
 #[derive(Clone)]
 pub struct Adapter {
-    /// Client of the store. Each of its watches delivers a batch, empty if nothing has changed, at least every
-    /// [`HEARTBEAT_INTERVAL`](super::follow::HEARTBEAT_INTERVAL).
+    /// Client of the store. Its watches deliver heartbeats.
     pub store: Platform,
     /// Protocol spoken with callers and instances.
     pub protocol: Protocol,
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -21,6 +21,9 @@
 /// lapsed during a store outage are restored within about two seconds.
 const MISSING_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Interval at which the watch of the announcements must deliver a batch at least.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(2_500);
+
 /// Reads and watches the announcements while this VM is a gateway, until the process ends.
 pub async fn run(node: Rc<Node>) {
     loop {
@@ -74,6 +77,7 @@
             state.directory.record_current(read_at.get());
         },
         apply: &|key| apply(node, &key, &unreadable),
+        heartbeat: &|| HEARTBEAT_INTERVAL,
     };
     follower.run(node).await;
 }
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -7,14 +7,14 @@
 
 use futures::future::LocalBoxFuture;
 use tokio::sync::{Notify, mpsc};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::clock;
 use super::node::Node;
 use crate::configuration::Revision;
 use crate::control::command::PlatformRequest;
 use crate::control::event::{KeyValue, PlatformResponse};
-use crate::store::WatchBatch;
+use crate::store::{WatchBatch, WatchSettings};
 use crate::time::Timestamp;
 
 /// Delay before a failed read is repeated.
@@ -26,12 +26,12 @@
 /// Time for which a watch may lag behind what other VMs have seen before the keys are read again.
 const WATCH_DELAY_LIMIT: Duration = Duration::from_millis(400);
 
-/// Interval at which a watch delivers a batch at least; an empty one if nothing has changed.
-pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Time beyond the interval of its heartbeats after which a watch counts as silent. Its connection may return
+/// nothing any more, while others work.
+const SILENCE_MARGIN: Duration = Duration::from_millis(500);
 
-/// Time without a batch after which a watch counts as silent. Its connection may return nothing any more, while others
-/// work.
-pub const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+/// Interval at which the interval of the heartbeats is checked.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Latest revision under a prefix that is known to this VM, and to any other VM.
 #[derive(Debug, Default)]
@@ -112,6 +112,17 @@
     pub replace: &'a dyn Fn(Vec<KeyValue>, Revision),
     /// Applies one change, from the watch.
     pub apply: &'a dyn Fn(KeyValue),
+    /// Returns the interval at which the watch must deliver a batch at least.
+    pub heartbeat: &'a dyn Fn() -> Duration,
+}
+
+/// Why a watch has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ended {
+    /// It failed, or is silent. Changes may be missing.
+    Failed,
+    /// The interval of its heartbeats has changed.
+    HeartbeatChanged,
 }
 
 impl Follower<'_> {
@@ -156,43 +167,73 @@
         }
     }
 
-    /// Applies the changes that a watch delivers until it ends or is silent.
-    async fn watch(&self, node: &Node, from: Revision) {
-        let (sender, batches) = mpsc::channel(WATCH_QUEUE_BATCHES);
-        let watching = async {
-            (node.adapter.store.watch)(self.prefix.to_owned(), from, sender).await;
-            // The batches that it has delivered are still applied.
-            std::future::pending::<Infallible>().await
-        };
-        tokio::select! {
-            never = watching => match never {},
-            () = self.apply_batches(batches) => {}
+    /// Watches the keys and applies their changes until the watch fails or is silent.
+    async fn watch(&self, node: &Node, mut from: Revision) {
+        loop {
+            let heartbeat = (self.heartbeat)();
+            let settings = WatchSettings {
+                prefix: self.prefix.to_owned(),
+                from,
+                heartbeat: Some(heartbeat),
+            };
+            let (sender, batches) = mpsc::channel(WATCH_QUEUE_BATCHES);
+            let watching = async {
+                (node.adapter.store.watch)(settings, sender).await;
+                // The batches that it has delivered are still applied.
+                std::future::pending::<Infallible>().await
+            };
+            let ended = tokio::select! {
+                never = watching => match never {},
+                ended = self.apply_batches(batches, heartbeat, &mut from) => ended,
+            };
+            if ended == Ended::Failed {
+                return;
+            }
         }
     }
 
-    async fn apply_batches(&self, mut batches: mpsc::Receiver<WatchBatch>) {
+    /// Applies what a watch delivers; `from` is the revision from which on another one must go on.
+    async fn apply_batches(
+        &self,
+        mut batches: mpsc::Receiver<WatchBatch>,
+        heartbeat: Duration,
+        from: &mut Revision,
+    ) -> Ended {
         // A batch shows the store at some time after the one before it was received.
         let mut shown_after = clock::now();
+        let mut silent_at = Instant::now() + heartbeat + SILENCE_MARGIN;
         loop {
-            let batch = match timeout(SILENCE_LIMIT, batches.recv()).await {
-                Ok(Some(batch)) => batch,
-                Ok(None) => return,
-                Err(_elapsed) => {
+            let check_at = silent_at.min(Instant::now() + CHECK_INTERVAL);
+            match timeout_at(check_at, batches.recv()).await {
+                Ok(Some(batch)) => {
+                    self.progress.record_heard(shown_after);
+                    shown_after = clock::now();
+                    silent_at = Instant::now() + heartbeat + SILENCE_MARGIN;
+                    *from = Revision(batch.revision.0.saturating_add(1));
+                    self.apply_batch(batch);
+                }
+                Ok(None) => return Ended::Failed,
+                Err(_elapsed) if Instant::now() >= silent_at => {
                     log::warn!("event=watch_silent prefix={:?}", self.prefix);
-                    return;
+                    return Ended::Failed;
                 }
-            };
-            log::debug!(
-                "event=watch_batch_received prefix={:?} keys={} revision={}",
-                self.prefix,
-                batch.keys.len(),
-                batch.revision.0
-            );
-            self.progress.record_heard(shown_after);
-            shown_after = clock::now();
-            batch.keys.into_iter().for_each(self.apply);
+                Err(_elapsed) => {}
+            }
+            if (self.heartbeat)() != heartbeat {
+                return Ended::HeartbeatChanged;
+            }
         }
     }
+
+    fn apply_batch(&self, batch: WatchBatch) {
+        log::debug!(
+            "event=watch_batch_received prefix={:?} keys={} revision={}",
+            self.prefix,
+            batch.keys.len(),
+            batch.revision.0
+        );
+        batch.keys.into_iter().for_each(self.apply);
+    }
 }
 
 impl fmt::Debug for Follower<'_> {
--- a/src/entry/quota.rs
+++ b/src/entry/quota.rs
@@ -295,6 +295,11 @@
         self.must_reassign |= self.ownership.record_digest(vm, digest);
     }
 
+    /// Returns whether a gateway has sent no status for long enough to count as unreachable.
+    pub fn is_silent(&self, vm: &VmName, now: Timestamp) -> bool {
+        self.fallback.is_silent(vm, now)
+    }
+
     /// Returns the registrations, with their addresses, that may have ended and keep this VM from
     /// owning limits.
     pub fn unconfirmed(&self) -> Vec<(SocketAddr, u64)> {
--- a/src/entry/synchronization.rs
+++ b/src/entry/synchronization.rs
@@ -9,10 +9,12 @@
 use super::follow::{self, Follower};
 use super::keys;
 use super::node::Node;
+use super::peers;
 use super::record::{
     FailoverLeaseRecord, GatewayList, Phase, PrimaryRecord, SettledTimelineRecord, VersionedRecord,
     VmRecord,
 };
+use super::scouts;
 use super::state::State;
 use crate::configuration::Revision;
 use crate::control::command::PlatformRequest;
@@ -37,6 +39,7 @@
         read: &|| Box::pin(read_shared(node)),
         replace: &|keys, revision| replace(node, keys, revision),
         apply: &|key| apply(node, key),
+        heartbeat: &|| scouts::heartbeat(node),
     };
     follower.run(node).await;
 }
@@ -209,6 +212,9 @@
     add_databases(&mut state, &catalog);
     state.catalog = Some(Rc::new(catalog));
     state.encoded_configuration = Some(EncodedConfiguration::compress(revision, &value));
+    drop(state);
+    // Gateways that hear their watches less often learn of it without delay.
+    peers::send_status(node);
 }
 
 fn add_databases(state: &mut State, catalog: &Catalog) {
--- a/src/store.rs
+++ b/src/store.rs
@@ -6,6 +6,7 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures::future::BoxFuture;
 use tokio::sync::{mpsc, watch};
@@ -26,17 +27,28 @@
     pub revision: Revision,
 }
 
+/// Watch of the keys under a prefix.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WatchSettings {
+    /// Prefix of the keys.
+    pub prefix: String,
+    /// Revision from which on changes are delivered.
+    pub from: Revision,
+    /// Interval at which a batch is delivered at least, an empty one if nothing has changed; `None` if only
+    /// changes matter.
+    pub heartbeat: Option<Duration>,
+}
+
 type Call = dyn Fn(PlatformRequest) -> BoxFuture<'static, Result<PlatformResponse>> + Send + Sync;
 type Watch =
-    dyn Fn(String, Revision, mpsc::Sender<WatchBatch>) -> BoxFuture<'static, ()> + Send + Sync;
+    dyn Fn(WatchSettings, mpsc::Sender<WatchBatch>) -> BoxFuture<'static, ()> + Send + Sync;
 
 /// Interface to the platform's service, implemented by an adapter.
 #[derive(Clone)]
 pub struct Platform {
     /// Performs one call. Watches are started through `watch` instead.
     pub call: Arc<Call>,
-    /// Watches a prefix from a revision on. Completes when the watch fails or its receiver is
-    /// dropped.
+    /// Watches the keys under a prefix. Completes when the watch fails or its receiver is dropped.
     pub watch: Arc<Watch>,
     /// Latest timeline that a response has named.
     pub timelines: watch::Receiver<Timeline>,
--- a/src/store/etcd.rs
+++ b/src/store/etcd.rs
@@ -58,9 +58,15 @@
             let gateway = Arc::clone(&gateway);
             async move { gateway.call(request).await }.boxed()
         }),
-        watch: Arc::new(move |prefix, from, batches| {
+        // The service delivers changes only.
+        watch: Arc::new(move |settings, batches| {
             let gateway = Arc::clone(&watching);
-            async move { gateway.watch(&prefix, from, batches).await }.boxed()
+            async move {
+                gateway
+                    .watch(&settings.prefix, settings.from, batches)
+                    .await;
+            }
+            .boxed()
         }),
         timelines: watch::channel(Timeline::default()).1,
     })
--- a/src/store/runner.rs
+++ b/src/store/runner.rs
@@ -7,7 +7,7 @@
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
-use super::Platform;
+use super::{Platform, WatchSettings};
 use crate::control::Event;
 use crate::control::blackboard::CallId;
 use crate::control::command::PlatformRequest;
@@ -73,7 +73,12 @@
 
     async fn watch(self, watch: CallId, prefix: String, from: crate::configuration::Revision) {
         let (sender, mut batches) = mpsc::channel(WATCH_QUEUE_BATCHES);
-        let watching = (self.platform.watch)(prefix, from, sender);
+        let settings = WatchSettings {
+            prefix,
+            from,
+            heartbeat: None,
+        };
+        let watching = (self.platform.watch)(settings, sender);
         let posting = async {
             while let Some(batch) = batches.recv().await {
                 let (keys, revision) = (batch.keys, batch.revision);
