--- a/src/entry/adapter.rs
+++ b/src/entry/adapter.rs
@@ -58,7 +58,7 @@
 /// Functions that a deployment provides to an entry.
 #[derive(Clone)]
 pub struct Adapter {
-    /// Client of the store. Its watches deliver heartbeats.
+    /// Client of the store. Its watches deliver the heartbeats that they are asked for.
     pub store: Platform,
     /// Protocol spoken with callers and instances.
     pub protocol: Protocol,
--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -21,7 +21,7 @@
 /// lapsed during a store outage are restored within about two seconds.
 const MISSING_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Interval at which the watch of the announcements must deliver a batch at least.
+/// Heartbeat interval of the watch of the announcements.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(2_500);
 
 /// Reads and watches the announcements while this VM is a gateway, until the process ends.
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -26,11 +26,11 @@
 /// Time for which a watch may lag behind what other VMs have seen before the keys are read again.
 const WATCH_DELAY_LIMIT: Duration = Duration::from_millis(400);
 
-/// Time beyond the interval of its heartbeats after which a watch counts as silent. Its connection may return
-/// nothing any more, while others work.
+/// Delay of a heartbeat after which a watch counts as silent. Its connection may return nothing any more, while
+/// others work.
 const SILENCE_MARGIN: Duration = Duration::from_millis(500);
 
-/// Interval at which the interval of the heartbeats is checked.
+/// Interval at which a follower checks whether its watch needs another heartbeat interval.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Latest revision under a prefix that is known to this VM, and to any other VM.
@@ -112,7 +112,7 @@
     pub replace: &'a dyn Fn(Vec<KeyValue>, Revision),
     /// Applies one change, from the watch.
     pub apply: &'a dyn Fn(KeyValue),
-    /// Returns the interval at which the watch must deliver a batch at least.
+    /// Returns the heartbeat interval of the watch ([`WatchSettings::heartbeat`]).
     pub heartbeat: &'a dyn Fn() -> Duration,
 }
 
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -326,7 +326,7 @@
         }
     }
 
-    /// Removes the pool of an instance that isn't announced; one that was asked directly has got one.
+    /// Removes the pool that a control connection has created for an instance that isn't announced.
     pub fn forget_unannounced(&self, instance: &InstanceName) {
         if self.state.borrow().directory.get(instance).is_none() {
             self.pools.borrow_mut().remove(instance);
--- a/src/entry/scouts.rs
+++ b/src/entry/scouts.rs
@@ -2,8 +2,8 @@
 //!
 //! A watch whose connection returns nothing any more looks like one without changes, until a heartbeat is missing.
 //! A few gateways, the scouts, have short intervals between heartbeats; the statuses that all gateways send each other
-//! tell the others of what a scout has seen. The gateway that ranks first among those that respond is a scout by any
-//! list of gateways, and each one that hears of too few scouts is a scout itself.
+//! tell the others of what a scout has seen. A gateway is a scout if fewer than three gateways that it hears from rank
+//! before it. The one that ranks first among those that respond is therefore a scout, whatever list each has.
 
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
 use super::node::Node;
 use crate::name::VmName;
 
-/// Number of gateways that rank before any that isn't a scout.
+/// Number of scouts while all gateways hear from each other.
 const SCOUTS: usize = 3;
 
 /// Interval between the heartbeats of a scout's watch.
@@ -21,7 +21,7 @@
 /// Interval between the heartbeats of the other gateways' watches.
 const OTHER_INTERVAL: Duration = Duration::from_secs(25);
 
-/// Returns the interval at which this VM's watch of the shared keys must deliver a batch at least.
+/// Returns the heartbeat interval of this VM's watch of the shared keys.
 pub fn heartbeat(node: &Node) -> Duration {
     if is_scout(node) {
         SCOUT_INTERVAL
