Review: case 12, an instance that was never promoted is recorded as the primary

Cause: the wait for a promotion accepts any report of leadership, also that of an earlier term. Change: case 12 with its script.

--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -41,6 +41,7 @@
         if trouble {
             match &**name {
                 "kept" => kept(&w),
+                "unpromoted" => unpromoted(&w),
                 _ => std::process::exit(2),
             }
         } else {
@@ -210,3 +211,47 @@
     note(w, &format!("{former} answers again"));
     sleep(ms(9000));
 }
+
+/// A primary is dark for 4 s. From 0.2 s after the promotion call for its successor, before the successor leads, that one is
+/// partitioned from the other instances and from most VMs for 6 s. When the former primary answers again, the platform's
+/// call is silent for 2.5 s.
+fn unpromoted(w: &W) {
+    let former = primary(w);
+    let known = former.clone();
+    hook(w, "promote", move |w, detail| {
+        let chosen = detail.split_once(' ').map(|(_, b)| b.to_owned()).unwrap();
+        sleep(ms(200));
+        let others: Vec<String> = w.db.lock().unwrap().insts.keys().filter(|i| **i != chosen).cloned().collect();
+        // Five of eight VMs: 0.63 of them.
+        let cut = vec![0, 1, 3, 4, 6];
+        note(&w, &format!("{chosen} is partitioned from {others:?} and from VMs {cut:?}"));
+        with_inst(&w, &chosen, |i| {
+            i.cut_from.extend(others);
+            i.cut_vms.extend(cut);
+        });
+        sleep(ms(6000));
+        with_inst(&w, &chosen, |i| {
+            i.cut_from.clear();
+            i.cut_vms.clear();
+        });
+        note(&w, &format!("the partition of {chosen} has ended"));
+    });
+    let others: Vec<String> = w.db.lock().unwrap().insts.keys().filter(|i| **i != known).cloned().collect();
+    with_inst(w, &former, |i| {
+        i.dark = true;
+        i.cut_from.extend(others);
+    });
+    note(w, &format!("{former} goes dark"));
+    sleep(ms(4000));
+    *w.cloud_mode.lock().unwrap() = StoreMode::Silent;
+    note(w, "the platform's call is silent");
+    with_inst(w, &former, |i| {
+        i.dark = false;
+        i.cut_from.clear();
+    });
+    note(w, &format!("{former} answers again"));
+    sleep(ms(2500));
+    *w.cloud_mode.lock().unwrap() = StoreMode::Up;
+    note(w, "the platform's call answers again");
+    sleep(ms(6000));
+}
