Review: case 13, an empty replica is promoted after all VMs were restarted

Cause: that a replica was started again without its log is known only to VMs that knew it before; the store doesn't name the start of the counted instances (open in PROMISES). Change: case 13 with its script; the stand-ins get the course.

--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -42,6 +42,7 @@
             match &**name {
                 "kept" => kept(&w),
                 "unpromoted" => unpromoted(&w),
+                "outage" => outage(&w),
                 _ => std::process::exit(2),
             }
         } else {
@@ -255,3 +256,27 @@
     note(w, "the platform's call answers again");
     sleep(ms(6000));
 }
+
+/// All instances crash and all VMs are killed at the same moment. The replicas are back after 0.5 s, without their
+/// logs, the VMs after 1 s, and the primary after 7 s, with its log.
+fn outage(w: &W) {
+    let former = primary(w);
+    let ids: Vec<String> = w.db.lock().unwrap().insts.keys().cloned().collect();
+    for id in &ids {
+        crash(w, id);
+    }
+    for vm in 0..ZONES.len() {
+        kill_vm(w, vm);
+    }
+    sleep(ms(500));
+    for id in ids.iter().filter(|i| **i != former) {
+        restart(w, id, true);
+    }
+    sleep(ms(500));
+    for vm in 0..ZONES.len() {
+        start_vm(w, vm);
+    }
+    sleep(ms(6000));
+    restart(w, &former, false);
+    sleep(ms(5000));
+}
