--- a/src/entry/failover.rs
+++ b/src/entry/failover.rs
@@ -13,7 +13,7 @@
 use super::instance::{Instance, InstanceState};
 use super::node::Node;
 use super::pool::Pool;
-use super::record::{Phase, PrimaryRecord};
+use super::record::{Phase, PrimaryRecord, PromotionCalls};
 use super::records;
 use super::replacement::Reason;
 use super::state::{DatabaseState, State, StopPhase};
@@ -174,6 +174,7 @@
         phase: Phase::Steady,
         instances: node.state.borrow().count_logs(&primary.database),
         timeline: node.adapter.store.timeline(),
+        promotion_calls: PromotionCalls::NONE,
     };
     records::write(node, &primary.database, Revision(0), record).await;
 }
--- a/src/entry/failover_lease.rs
+++ b/src/entry/failover_lease.rs
@@ -14,11 +14,22 @@
 #[derive(Debug, Default)]
 pub struct FailoverLease {
     validity: Cell<ValidityLease>,
+    acquired_at: Cell<Timestamp>,
     /// Number of promotion calls that may still take effect.
     unanswered_calls: Cell<usize>,
 }
 
 impl FailoverLease {
+    /// Records that this VM has become the holder. Any former holder's validity has ended.
+    pub fn acquire(&self, now: Timestamp) {
+        self.acquired_at.set(now);
+    }
+
+    /// Returns the time since which this VM has been the holder; [`Timestamp::ZERO`] if it isn't.
+    pub fn acquired_at(&self) -> Timestamp {
+        self.acquired_at.get()
+    }
+
     /// Extends the validity by a grant or a renewal that was sent at `sent_at`.
     pub fn renew(&self, sent_at: Timestamp, ttl: Duration) {
         let mut validity = self.validity.get();
--- a/src/entry/promotion.rs
+++ b/src/entry/promotion.rs
@@ -3,6 +3,7 @@
 use strum::Display;
 
 use super::position::Position;
+use super::record::PromotionCalls;
 use super::statement::InstanceReport;
 use crate::name::InstanceName;
 
@@ -35,6 +36,8 @@
     /// Too few instances responded to determine the last acknowledged save, or none of those that
     /// responded may be promoted.
     Unheard,
+    /// The promotion call for another instance may still take effect.
+    AwaitEffect,
 }
 
 /// What is known about the primary that is being replaced.
@@ -62,6 +65,64 @@
     pub knowledge: Knowledge,
 }
 
+/// Promotion calls that aren't recorded as successful, by this VM or a former holder of the failover lease.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct UnrecordedCalls {
+    /// Instances that may have been called.
+    pub instances: PromotionCalls,
+    /// Whether a call could still take effect when the reports were requested.
+    pub may_take_effect: bool,
+    /// Instance of this VM's last call, if the platform has accepted that and the instance hasn't been
+    /// started again since.
+    pub accepted: Option<InstanceName>,
+}
+
+impl UnrecordedCalls {
+    /// Returns whether the platform regards an instance that leads as the primary: it has accepted to promote
+    /// it, and that changed nothing.
+    fn are_redundant_for(&self, leader: &InstanceName) -> bool {
+        !self.may_take_effect && self.accepted.as_ref() == Some(leader)
+    }
+
+    /// Returns whether an instance that leads is the latest one that was promoted. An instance that was
+    /// called and hasn't reported may lead in a later term.
+    fn leave_primary(
+        &self,
+        leader: &MemberReport,
+        replaced: &Replaced<'_>,
+        reports: &[MemberReport],
+    ) -> bool {
+        if self.are_redundant_for(&leader.instance)
+            || !self.instances.may_include_other(&leader.instance)
+        {
+            return true;
+        }
+        if self.may_take_effect {
+            return false;
+        }
+        let has_reported =
+            |name: &InstanceName| counted(reports).any(|member| member.instance == *name);
+        match &self.instances {
+            PromotionCalls::Named(called) => called
+                .iter()
+                .all(|name| *name == leader.instance || has_reported(name)),
+            // A former holder has promoted it.
+            PromotionCalls::Unknown if leader.instance != *replaced.primary => true,
+            PromotionCalls::Unknown => counted(reports).count() >= replaced.instances,
+        }
+    }
+
+    /// Returns whether an instance may be promoted now, so that no earlier call takes effect after that.
+    fn permit(&self, instance: &InstanceName) -> bool {
+        !self.may_take_effect || !self.instances.may_include_other(instance)
+    }
+}
+
+/// Returns the reports that say which saves an instance has.
+fn counted(reports: &[MemberReport]) -> impl Iterator<Item = &MemberReport> {
+    reports.iter().filter(|member| !member.has_lost_log)
+}
+
 /// Decides the next step from the reports of the paused replicas, and of the recorded primary if
 /// it responded.
 ///
@@ -69,52 +130,82 @@
 /// or the report of the primary, are enough. If the record was restored, any two instances may hold
 /// the last save, and all instances but one must report. The report of an instance that has lost its log
 /// doesn't count.
-pub fn decide(replaced: &Replaced<'_>, reports: &[MemberReport]) -> Decision {
-    let Replaced {
-        primary: former_primary,
-        term,
-        instances,
-        knowledge,
-    } = *replaced;
-    let newest_term = reports.iter().map(|member| member.report.term).max();
-    let counted = || reports.iter().filter(|member| !member.has_lost_log);
-    if knowledge == Knowledge::Restored && counted().count() + 1 < instances {
+///
+/// An instance that leads is promoted again, under a higher term, if another one may have been promoted after
+/// it.
+pub fn decide(
+    replaced: &Replaced<'_>,
+    calls: &UnrecordedCalls,
+    reports: &[MemberReport],
+) -> Decision {
+    let is_restored = replaced.knowledge == Knowledge::Restored;
+    if is_restored && counted(reports).count() + 1 < replaced.instances {
         return Decision::Unheard;
     }
+    let decision = match current_leader(replaced, calls, reports) {
+        Some(leader) if calls.leave_primary(leader, replaced, reports) => {
+            return Decision::AlreadyLeads(leader.instance.clone());
+        }
+        Some(leader) => Decision::Promote(leader.instance.clone()),
+        None => choose(replaced, calls, reports),
+    };
+    match &decision {
+        Decision::Promote(chosen) | Decision::CatchUp(chosen, _) if !calls.permit(chosen) => {
+            Decision::AwaitEffect
+        }
+        _ => decision,
+    }
+}
+
+/// Returns the instance that leads in the newest term, unless it must be replaced.
+fn current_leader<'a>(
+    replaced: &Replaced<'_>,
+    calls: &UnrecordedCalls,
+    reports: &'a [MemberReport],
+) -> Option<&'a MemberReport> {
+    let newest_term = reports.iter().map(|member| member.report.term).max();
     let may_others_lead = reports
         .iter()
-        .any(|member| member.may_lead && member.instance != *former_primary);
-    let leader = reports.iter().find(|member| {
-        let newer = member.report.term > term && member.instance != *former_primary;
-        let kept = member.report.term >= term
-            && member.instance == *former_primary
-            && match knowledge {
+        .any(|member| member.may_lead && member.instance != *replaced.primary);
+    let leads = |member: &&MemberReport| {
+        let newer = member.report.term > replaced.term && member.instance != *replaced.primary;
+        let kept = member.report.term >= replaced.term
+            && member.instance == *replaced.primary
+            && match replaced.knowledge {
                 // Without another instance that may lead, it stays the primary.
                 Knowledge::Former => !may_others_lead,
                 // One that is about to leave must still be replaced.
                 Knowledge::Unfinished => member.may_lead || !may_others_lead,
                 Knowledge::Restored => Some(member.report.term) == newest_term,
             };
-        member.report.is_primary && (newer || kept)
-    });
-    if let Some(leader) = leader {
-        return Decision::AlreadyLeads(leader.instance.clone());
-    }
-    let is_former = |member: &&MemberReport| member.instance == *former_primary;
-    let replicas = counted().filter(|member| !is_former(member)).count();
-    if !counted().any(|member| is_former(&member)) && replicas + 1 < instances {
+        let is_regarded = calls.are_redundant_for(&member.instance);
+        member.report.is_primary && (newer || kept || is_regarded)
+    };
+    let leaders = reports.iter().filter(leads);
+    leaders.max_by_key(|member| member.report.term)
+}
+
+/// Chooses the instance to promote.
+fn choose(replaced: &Replaced<'_>, calls: &UnrecordedCalls, reports: &[MemberReport]) -> Decision {
+    let is_former = |member: &&MemberReport| member.instance == *replaced.primary;
+    let replicas = counted(reports).filter(|member| !is_former(member)).count();
+    if !counted(reports).any(|member| is_former(&member)) && replicas + 1 < replaced.instances {
         return Decision::Unheard;
     }
     let furthest = reports.iter().map(|member| member.report.received).max();
     // A former primary that was deposed may be promoted again if only it has every save.
-    let leads =
-        |member: &&MemberReport| member.instance == *former_primary && member.report.is_primary;
+    let leads = |member: &&MemberReport| is_former(member) && member.report.is_primary;
     let candidates = reports
         .iter()
         .filter(|member| member.may_lead && !leads(member));
     let rank = |member: &&MemberReport| {
-        let is_other = member.instance != *former_primary;
-        (member.report.received, !member.is_cold, is_other)
+        let is_called = calls.instances.may_include(&member.instance);
+        (
+            member.report.received,
+            is_called,
+            !member.is_cold,
+            !is_former(member),
+        )
     };
     let best = candidates.max_by_key(rank);
     let (Some(best), Some(furthest)) = (best, furthest) else {
--- a/src/entry/promotion/tests.rs
+++ b/src/entry/promotion/tests.rs
@@ -1,8 +1,9 @@
 use super::{
-    Decision, Knowledge, MemberReport, RecordCheck, Replaced, check_record, decide,
+    Decision, Knowledge, MemberReport, RecordCheck, Replaced, UnrecordedCalls, check_record,
     furthest_without_leader,
 };
 use crate::entry::position::Position;
+use crate::entry::record::PromotionCalls;
 use crate::entry::statement::InstanceReport;
 use crate::name::InstanceName;
 
@@ -57,6 +58,25 @@
     }
 }
 
+/// Decides where no promotion call is unrecorded.
+fn decide(replaced: &Replaced<'_>, reports: &[MemberReport]) -> Decision {
+    super::decide(replaced, &calls(PromotionCalls::NONE), reports)
+}
+
+/// Calls that can't take effect any more.
+fn calls(instances: PromotionCalls) -> UnrecordedCalls {
+    UnrecordedCalls {
+        instances,
+        may_take_effect: false,
+        accepted: None,
+    }
+}
+
+fn named(instances: &[&str]) -> PromotionCalls {
+    let instances = instances.iter().map(|name| InstanceName::from(*name));
+    PromotionCalls::Named(instances.collect())
+}
+
 struct Case {
     name: &'static str,
     reports: Vec<MemberReport>,
@@ -303,9 +323,9 @@
             check: RecordCheck::Confirmed,
         },
         Case {
-            name: "one instance is missing, none knows a later term",
+            name: "one instance is missing, which may have been promoted",
             reports: vec![member_report("p", 30), member_report("a", 30)],
-            expected: Decision::AlreadyLeads(p.clone()),
+            expected: Decision::Promote(p.clone()),
             check: RecordCheck::Incomplete,
         },
         Case {
@@ -335,9 +355,157 @@
     ];
     for case in cases {
         let replaced = replaced(&p, 3, Knowledge::Restored);
-        let decision = decide(&replaced, &case.reports);
+        let decision = super::decide(&replaced, &calls(PromotionCalls::Unknown), &case.reports);
         assert_eq!(decision, case.expected, "{}", case.name);
         let check = check_record(&replaced, &case.reports);
         assert_eq!(check, case.check, "{}", case.name);
     }
 }
+
+/// Reports where promotion calls aren't recorded as successful, of a database whose former primary is `p`.
+struct CallCase {
+    name: &'static str,
+    calls: UnrecordedCalls,
+    reports: Vec<MemberReport>,
+    expected: Decision,
+}
+
+/// Calls of which one may still take effect.
+fn pending(instances: &[&str]) -> UnrecordedCalls {
+    UnrecordedCalls {
+        may_take_effect: true,
+        ..calls(named(instances))
+    }
+}
+
+/// Report of an instance that has every save and may lead.
+fn able(instance: &str) -> MemberReport {
+    MemberReport {
+        may_lead: true,
+        ..member_report(instance, 30)
+    }
+}
+
+fn keep() -> Decision {
+    Decision::AlreadyLeads(InstanceName::from("p"))
+}
+
+fn promote(instance: &str) -> Decision {
+    Decision::Promote(InstanceName::from(instance))
+}
+
+fn assert_decisions(cases: impl IntoIterator<Item = CallCase>) {
+    let primary = InstanceName::from("p");
+    for case in cases {
+        let replaced = replaced(&primary, 3, Knowledge::Unfinished);
+        let decision = super::decide(&replaced, &case.calls, &case.reports);
+        assert_eq!(decision, case.expected, "{}", case.name);
+    }
+}
+
+/// Such a primary used to be kept on its own report, and the saves that it took were cut from its log when
+/// the instance that had been promoted returned.
+#[test]
+fn a_former_primary_is_kept_only_if_no_other_instance_may_have_been_promoted() {
+    assert_decisions([
+        CallCase {
+            name: "no call was made",
+            calls: calls(PromotionCalls::NONE),
+            reports: vec![able("p"), able("a")],
+            expected: keep(),
+        },
+        CallCase {
+            name: "the called instance isn't heard",
+            calls: calls(named(&["b"])),
+            reports: vec![able("p"), able("a")],
+            expected: promote("p"),
+        },
+        CallCase {
+            name: "the called instance isn't heard, and its call may still take effect",
+            calls: pending(&["b"]),
+            reports: vec![able("p"), able("a")],
+            expected: Decision::AwaitEffect,
+        },
+        CallCase {
+            name: "the called instance follows, but its call may still take effect",
+            calls: pending(&["b"]),
+            reports: vec![able("p"), able("a"), able("b")],
+            expected: Decision::AwaitEffect,
+        },
+        CallCase {
+            name: "the called instance follows",
+            calls: calls(named(&["b"])),
+            reports: vec![able("p"), able("b")],
+            expected: keep(),
+        },
+        CallCase {
+            name: "the called instance was started again without its log",
+            calls: calls(named(&["b"])),
+            reports: vec![able("p"), able("a"), without_log("b")],
+            expected: promote("p"),
+        },
+        CallCase {
+            name: "the platform has accepted to promote the former primary, which changed nothing",
+            calls: UnrecordedCalls {
+                accepted: Some(InstanceName::from("p")),
+                ..calls(named(&["b", "p"]))
+            },
+            reports: vec![able("p"), able("a")],
+            expected: keep(),
+        },
+        CallCase {
+            name: "the calls are unknown, and an instance isn't heard",
+            calls: calls(PromotionCalls::Unknown),
+            reports: vec![able("p"), able("a")],
+            expected: promote("p"),
+        },
+        CallCase {
+            name: "the calls are unknown, and all instances are heard",
+            calls: calls(PromotionCalls::Unknown),
+            reports: vec![able("p"), able("a"), able("b")],
+            expected: keep(),
+        },
+    ]);
+}
+
+#[test]
+fn an_instance_that_leads_is_the_primary_only_if_no_later_one_was_promoted() {
+    assert_decisions([
+        CallCase {
+            name: "the called instance leads",
+            calls: pending(&["b"]),
+            reports: vec![able("p"), leading("b", 31)],
+            expected: Decision::AlreadyLeads(InstanceName::from("b")),
+        },
+        CallCase {
+            name: "of two called instances that lead, the one of the later term is the primary",
+            calls: calls(named(&["a", "b"])),
+            reports: vec![leading("a", 31), with_term(leading("b", 31), 5)],
+            expected: Decision::AlreadyLeads(InstanceName::from("b")),
+        },
+        CallCase {
+            name: "one of two called instances leads, and the other one isn't heard",
+            calls: calls(named(&["a", "b"])),
+            reports: vec![able("p"), leading("a", 31)],
+            expected: promote("a"),
+        },
+    ]);
+}
+
+#[test]
+fn no_instance_is_promoted_before_the_call_for_another_one_has_taken_effect() {
+    assert_decisions([
+        CallCase {
+            name: "the called instance must be called again",
+            calls: pending(&["a"]),
+            reports: vec![able("a"), able("b")],
+            expected: promote("a"),
+        },
+        CallCase {
+            name: "another one has more of the log",
+            calls: pending(&["a"]),
+            reports: vec![member_report("a", 20), able("b")],
+            expected: Decision::AwaitEffect,
+        },
+    ]);
+}
--- a/src/entry/record.rs
+++ b/src/entry/record.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use strum::Display;
 
 use crate::configuration::{Revision, Timeline};
@@ -43,6 +43,80 @@
     }
 }
 
+/// Instances that the holders of the failover lease may have called to be promoted since a primary was last
+/// recorded as steady.
+///
+/// Part of the records in the store only. Datagrams encode it as nothing, because their layout is by position; a
+/// VM that has received a record from another VM therefore doesn't know the calls.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub enum PromotionCalls {
+    /// Any instance may have been called: the record was written by an earlier version, which doesn't name
+    /// them, or was received from another VM.
+    #[default]
+    Unknown,
+    /// Only these instances may have been called.
+    Named(Vec<InstanceName>),
+}
+
+impl PromotionCalls {
+    /// No instance has been called.
+    pub const NONE: Self = Self::Named(Vec::new());
+
+    /// Returns whether an instance may have been called.
+    pub fn may_include(&self, instance: &InstanceName) -> bool {
+        match self {
+            Self::Unknown => true,
+            Self::Named(instances) => instances.contains(instance),
+        }
+    }
+
+    /// Returns whether an instance other than this one may have been called.
+    pub fn may_include_other(&self, instance: &InstanceName) -> bool {
+        match self {
+            Self::Unknown => true,
+            Self::Named(instances) => instances.iter().any(|called| called != instance),
+        }
+    }
+
+    /// Adds an instance that is about to be called.
+    pub fn add(&mut self, instance: &InstanceName) {
+        if !self.may_include(instance)
+            && let Self::Named(instances) = self
+        {
+            instances.push(instance.clone());
+        }
+    }
+
+    /// Removes an instance whose call had no effect.
+    pub fn remove(&mut self, instance: &InstanceName) {
+        if let Self::Named(instances) = self {
+            instances.retain(|called| called != instance);
+        }
+    }
+}
+
+impl Serialize for PromotionCalls {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        match self {
+            Self::Named(instances) if serializer.is_human_readable() => {
+                serializer.serialize_some(instances)
+            }
+            Self::Unknown if serializer.is_human_readable() => serializer.serialize_none(),
+            _ => serializer.serialize_unit(),
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for PromotionCalls {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if !deserializer.is_human_readable() {
+            return Ok(Self::Unknown);
+        }
+        let instances = Option::deserialize(deserializer)?;
+        Ok(instances.map_or(Self::Unknown, Self::Named))
+    }
+}
+
 /// Primary of a database, as recorded in the store for all VMs.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PrimaryRecord {
@@ -58,6 +132,20 @@
     /// Timeline of the store in which the record was written.
     #[serde(default)]
     pub timeline: Timeline,
+    /// Promotion calls of the replacement that is under way.
+    #[serde(default)]
+    pub promotion_calls: PromotionCalls,
+}
+
+impl PrimaryRecord {
+    /// Returns the promotion calls that may still take effect, or have taken effect without being recorded.
+    /// There are none unless the primary is being replaced.
+    pub fn unrecorded_calls(&self) -> PromotionCalls {
+        match self.phase {
+            Phase::Moving { .. } => self.promotion_calls.clone(),
+            Phase::Steady | Phase::Settling { .. } => PromotionCalls::NONE,
+        }
+    }
 }
 
 /// Record of a primary with the store revision at which it was written.
@@ -97,6 +185,12 @@
     /// restoration has brought back doesn't replace one that is reliable.
     pub fn update(&mut self, received: Self) -> bool {
         let stored = self.stored.max(received.stored);
+        if received.revision == self.revision
+            && self.record.promotion_calls == PromotionCalls::Unknown
+        {
+            // The same record, now as the store holds it.
+            self.record.promotion_calls = received.record.promotion_calls.clone();
+        }
         let is_newer = received.revision > self.revision;
         let is_replaced = is_newer && (received.is_reliable() || !self.is_reliable());
         if is_replaced {
--- a/src/entry/record/tests.rs
+++ b/src/entry/record/tests.rs
@@ -8,6 +8,7 @@
         phase: Phase::Steady,
         instances: 3,
         timeline: Timeline(timeline),
+        promotion_calls: PromotionCalls::NONE,
     }
 }
 
@@ -116,3 +117,62 @@
         assert_eq!(known.stored, latest, "{}", case.name);
     }
 }
+
+/// The layout of datagrams is by position: a field in the middle would make earlier versions misread the rest.
+#[test]
+fn promotion_calls_are_part_of_stored_records_only() {
+    struct Case {
+        name: &'static str,
+        calls: PromotionCalls,
+        /// What a VM reads from the store.
+        stored: PromotionCalls,
+    }
+    let named = PromotionCalls::Named(vec![InstanceName::from("a")]);
+    let cases = [
+        Case {
+            name: "no instance was called",
+            calls: PromotionCalls::NONE,
+            stored: PromotionCalls::NONE,
+        },
+        Case {
+            name: "an instance was called",
+            calls: named.clone(),
+            stored: named,
+        },
+        Case {
+            name: "the calls are unknown",
+            calls: PromotionCalls::Unknown,
+            stored: PromotionCalls::Unknown,
+        },
+    ];
+    let bytes_without_calls = postcard::to_stdvec(&("p", 1_u64, Phase::Steady, 3_usize, 4_u64));
+    for case in cases {
+        let record = PrimaryRecord {
+            promotion_calls: case.calls,
+            ..record("p", 4)
+        };
+        let bytes = postcard::to_stdvec(&record);
+        assert_eq!(bytes, bytes_without_calls, "{}", case.name);
+        let sent: PrimaryRecord = postcard::from_bytes(&bytes.unwrap()).unwrap();
+        assert_eq!(
+            sent.promotion_calls,
+            PromotionCalls::Unknown,
+            "{}",
+            case.name
+        );
+        let value = serde_json::to_vec(&record).unwrap();
+        let read: PrimaryRecord = serde_json::from_slice(&value).unwrap();
+        assert_eq!(read.promotion_calls, case.stored, "{}", case.name);
+    }
+    let former = r#"{"primary":"p","term":1,"phase":"Steady","instances":3}"#;
+    let read: PrimaryRecord = serde_json::from_str(former).unwrap();
+    assert_eq!(read.promotion_calls, PromotionCalls::Unknown);
+}
+
+#[test]
+fn the_stored_record_names_the_calls_that_one_from_another_vm_lacks() {
+    let mut known = read("p", 4, 4, 100);
+    known.record.promotion_calls = PromotionCalls::Unknown;
+    assert!(!known.update(read("p", 4, 4, 100)));
+    assert_eq!(known.record.promotion_calls, PromotionCalls::NONE);
+}
--- a/src/entry/replacement/choice.rs
+++ b/src/entry/replacement/choice.rs
@@ -4,8 +4,10 @@
 use super::messages::{Action, Event, Note, PROMOTION_TIMEOUT, Receiving, Situation};
 use crate::entry::adapter::PromotionOutcome;
 use crate::entry::promotion::{
-    Decision, MemberReport, Replaced, decide, furthest_without_leader, needs_all_replicas,
+    Decision, MemberReport, Replaced, UnrecordedCalls, decide, furthest_without_leader,
+    needs_all_replicas,
 };
+use crate::entry::record::PromotionCalls;
 use crate::name::InstanceName;
 use crate::time::Timestamp;
 
@@ -33,8 +35,13 @@
     Delivering {
         instance: InstanceName,
     },
+    RecordingCall {
+        instance: InstanceName,
+    },
     Calling {
         instance: InstanceName,
+        /// Whether it may have been called before.
+        is_repeated: bool,
     },
     AwaitingLeadership {
         instance: InstanceName,
@@ -54,26 +61,43 @@
     /// Reports of the current attempt.
     reports: Vec<MemberReport>,
     receiving: Option<Receiving>,
+    calls: UnrecordedCalls,
+    /// Start of the accepted instance's process when it was called, in Unix milliseconds.
+    accepted_start_ms: Option<u64>,
+    /// Instances that the record names. A call that was refused leaves its instance there.
+    recorded: PromotionCalls,
     state: State,
 }
 
 /// Result of one step of the choice.
 #[derive(Debug)]
 pub(super) enum Outcome {
-    Continue(Choice, Action),
+    Continue(Box<Choice>, Action),
     /// The instance leads in this term.
     Promoted(InstanceName, u64),
     Failed,
 }
 
 impl Choice {
-    pub(super) fn start(term: u64, replaced: &Replaced<'_>, situation: &dyn Situation) -> Outcome {
+    pub(super) fn start(
+        term: u64,
+        calls: PromotionCalls,
+        replaced: &Replaced<'_>,
+        situation: &dyn Situation,
+    ) -> Outcome {
         let choice = Self {
             end: situation.now() + PROMOTION_TIMEOUT,
             term,
             needs_all: false,
             reports: Vec::new(),
             receiving: None,
+            calls: UnrecordedCalls {
+                instances: calls.clone(),
+                may_take_effect: false,
+                accepted: None,
+            },
+            accepted_start_ms: None,
+            recorded: calls,
             state: State::Sleeping,
         };
         choice.pause(replaced, situation)
@@ -101,7 +125,7 @@
             (State::ConfirmingLast, Event::Confirmed(false)) => Outcome::Failed,
             (State::PausingAll, Event::AllPaused(paused)) => {
                 self.take_reports(paused, replaced);
-                let decision = decide(replaced, &self.reports);
+                let decision = decide(replaced, &self.calls, &self.reports);
                 self.follow(decision, replaced, situation)
             }
             (State::CatchingUp { instance }, Event::Reached(true)) => {
@@ -128,12 +152,17 @@
                 self.promote_furthest(count, replaced, situation)
             }
             (State::Sleeping, Event::Done) => self.pause(replaced, situation),
-            (_, event) => self.on_promotion_event(event, situation),
+            (_, event) => self.on_promotion_event(event, replaced, situation),
         }
     }
 
     /// Proceeds with the promotion of the chosen instance.
-    fn on_promotion_event(self, event: Event, situation: &dyn Situation) -> Outcome {
+    fn on_promotion_event(
+        self,
+        event: Event,
+        replaced: &Replaced<'_>,
+        situation: &dyn Situation,
+    ) -> Outcome {
         match (self.state.clone(), event) {
             // Saves that the former primary accepted after its report may still be in transit to the
             // chosen replica. If they don't arrive in time, the next attempt decides again.
@@ -147,19 +176,22 @@
             (State::Delivering { instance }, Event::Reached(true)) => {
                 self.call(instance, situation)
             }
+            (State::RecordingCall { instance }, Event::Written(true)) => {
+                self.call_recorded(instance, situation)
+            }
+            (State::RecordingCall { .. }, Event::Written(false)) => Outcome::Failed,
             (
-                State::Calling { instance },
-                Event::Called(PromotionOutcome::Accepted | PromotionOutcome::NoAnswer),
-            ) => self.await_leadership(instance),
+                State::Calling {
+                    instance,
+                    is_repeated,
+                },
+                Event::Called(outcome),
+            ) => self.on_called(instance, is_repeated, outcome, replaced),
             (State::AwaitingLeadership { instance }, Event::Led(Some(term))) => {
                 Outcome::Promoted(instance, term)
             }
             (State::Demoting { .. }, Event::Demoted(None))
             | (State::Delivering { .. }, Event::Reached(false))
-            | (
-                State::Calling { .. },
-                Event::Called(PromotionOutcome::NotRunning | PromotionOutcome::NotDone),
-            )
             | (State::AwaitingLeadership { .. }, Event::Led(None)) => self.sleep(),
             (state, event) => unreachable!("{event:?} in {state:?}"),
         }
@@ -167,7 +199,7 @@
 
     fn proceed(mut self, state: State, action: Action) -> Outcome {
         self.state = state;
-        Outcome::Continue(self, action)
+        Outcome::Continue(Box::new(self), action)
     }
 
     fn pause(mut self, replaced: &Replaced<'_>, situation: &dyn Situation) -> Outcome {
@@ -175,6 +207,7 @@
             return Outcome::Failed;
         }
         self.reports = Vec::new();
+        self.calls.may_take_effect = situation.may_calls_take_effect();
         let pausing = State::Pausing {
             instances: replaced.instances,
         };
@@ -194,11 +227,15 @@
         situation: &dyn Situation,
     ) -> Outcome {
         reports.retain(|member| !has_lost_log(&member.instance, &member.report, situation));
+        // A promotion has no effect on an instance that isn't running at that time.
+        let start_ms = self.accepted_start_ms;
+        let is_running = |accepted: &InstanceName| situation.started_at_ms(accepted) == start_ms;
+        self.calls.accepted = self.calls.accepted.filter(is_running);
         let before = Replaced {
             instances,
             ..*replaced
         };
-        let decision = decide(&before, &reports);
+        let decision = decide(&before, &self.calls, &reports);
         self.needs_all = needs_all_replicas(&before, &reports);
         self.reports = reports;
         let is_chosen = matches!(decision, Decision::Promote(_) | Decision::CatchUp(..));
@@ -230,7 +267,10 @@
             decision: &decision,
         });
         match decision {
-            Decision::AlreadyLeads(instance) => self.await_leadership(instance),
+            Decision::AlreadyLeads(instance) => {
+                let first_term = self.leading_term(&instance).unwrap_or(replaced.term);
+                self.await_leadership(instance, first_term)
+            }
             Decision::Promote(instance) => self.promote(instance, replaced, situation),
             Decision::CatchUp(instance, position) => {
                 let catch_up = Action::CatchUp {
@@ -239,7 +279,7 @@
                 };
                 self.proceed(State::CatchingUp { instance }, catch_up)
             }
-            Decision::Unheard => self.sleep(),
+            Decision::Unheard | Decision::AwaitEffect => self.sleep(),
         }
     }
 
@@ -296,6 +336,10 @@
         let Some(former) = self.reports.iter().find(leads) else {
             return self.call(instance, situation);
         };
+        // Promoted again, it keeps its log and needn't stop.
+        if former.instance == instance {
+            return self.call(instance, situation);
+        }
         if !situation.is_announced(&former.instance) {
             return self.sleep();
         }
@@ -306,22 +350,74 @@
         self.proceed(State::Demoting { instance }, demote)
     }
 
+    /// Calls the platform to promote an instance, once the record names it. If this VM ends, the next holder
+    /// of the failover lease then knows that the instance may be promoted.
     fn call(self, instance: InstanceName, situation: &dyn Situation) -> Outcome {
+        if self.recorded.may_include(&instance) {
+            return self.call_recorded(instance, situation);
+        }
+        let record_call = Action::RecordCall {
+            instance: instance.clone(),
+        };
+        self.proceed(State::RecordingCall { instance }, record_call)
+    }
+
+    fn call_recorded(mut self, instance: InstanceName, situation: &dyn Situation) -> Outcome {
+        self.recorded.add(&instance);
         if !situation.holds_lease() {
             situation.note(Note::Outdated {
                 instance: &instance,
             });
             return self.sleep();
         }
+        let is_repeated = self.calls.instances.may_include(&instance);
+        self.calls.instances.add(&instance);
+        self.calls.accepted = None;
+        self.accepted_start_ms = situation.started_at_ms(&instance);
         let call = Action::CallPromotion {
             instance: instance.clone(),
         };
-        self.proceed(State::Calling { instance }, call)
+        let calling = State::Calling {
+            instance,
+            is_repeated,
+        };
+        self.proceed(calling, call)
+    }
+
+    fn on_called(
+        mut self,
+        instance: InstanceName,
+        is_repeated: bool,
+        outcome: PromotionOutcome,
+        replaced: &Replaced<'_>,
+    ) -> Outcome {
+        match outcome {
+            PromotionOutcome::Accepted => self.calls.accepted = Some(instance.clone()),
+            PromotionOutcome::NoAnswer => {}
+            PromotionOutcome::NotRunning | PromotionOutcome::NotDone => {
+                if !is_repeated {
+                    self.calls.instances.remove(&instance);
+                }
+                return self.sleep();
+            }
+        }
+        let former_term = self.leading_term(&instance).unwrap_or_default();
+        let first_term = former_term.max(replaced.term) + 1;
+        self.await_leadership(instance, first_term)
+    }
+
+    /// Returns the term in which an instance has reported that it leads.
+    fn leading_term(&self, instance: &InstanceName) -> Option<u64> {
+        let mut reports = self.reports.iter();
+        let leading =
+            |member: &&MemberReport| member.instance == *instance && member.report.is_primary;
+        reports.find(leading).map(|member| member.report.term)
     }
 
-    fn await_leadership(self, instance: InstanceName) -> Outcome {
+    fn await_leadership(self, instance: InstanceName, first_term: u64) -> Outcome {
         let await_leadership = Action::AwaitLeadership {
             instance: instance.clone(),
+            first_term,
         };
         self.proceed(State::AwaitingLeadership { instance }, await_leadership)
     }
--- a/src/entry/replacement/machine.rs
+++ b/src/entry/replacement/machine.rs
@@ -5,7 +5,7 @@
 use super::reason::Reason;
 use crate::entry::position::Position;
 use crate::entry::promotion::{Knowledge, MemberReport, RecordCheck, Replaced, check_record};
-use crate::entry::record::{Phase, PrimaryRecord, VersionedRecord};
+use crate::entry::record::{Phase, PrimaryRecord, PromotionCalls, VersionedRecord};
 use crate::entry::statement::InstanceReport;
 use crate::name::{InstanceName, VmName};
 
@@ -22,7 +22,7 @@
     CollectingSuccessors,
     DeposingServing { successor: InstanceName },
     AwaitingDelivery,
-    Choosing(Choice),
+    Choosing(Box<Choice>),
     RecordingSettling { instance: InstanceName, term: u64 },
     SendingSettling { instance: InstanceName, term: u64 },
     Settling { instance: InstanceName, term: u64 },
@@ -45,6 +45,10 @@
     is_reliable: bool,
     /// Newest term that an instance has reported before the replicas are paused.
     reported_term: u64,
+    /// Promotion calls of former holders that aren't recorded as successful.
+    calls: PromotionCalls,
+    /// Whether one of them could still take effect when the record was checked.
+    may_calls_take_effect: bool,
     state: State,
 }
 
@@ -72,6 +76,12 @@
             was_settling: matches!(phase, Phase::Settling { .. }),
             is_reliable: record.is_reliable(),
             reported_term: *term,
+            // A restoration of the store may have lost the calls that were recorded.
+            calls: match reason {
+                Reason::Restored => PromotionCalls::Unknown,
+                _ => record.record.unrecorded_calls(),
+            },
+            may_calls_take_effect: false,
             state: State::CheckingSuspicion,
         };
         let action = if reason.is_suspicion() && situation.is_announced(primary) {
@@ -107,6 +117,7 @@
             (State::CheckingRecord, Event::Reported(reports)) => {
                 self.on_record_reports(&reports, situation)
             }
+            (State::CheckingRecord, Event::Done) => self.check_record(situation),
             (State::Beginning, Event::Written(true)) => {
                 self.proceed(State::StartingConfirmations, Action::StartConfirming)
             }
@@ -193,7 +204,7 @@
             Answer::Busy => self.reason == Reason::Unreachable,
             Answer::Report(report) => {
                 report.is_primary
-                    && report.term <= self.term
+                    && report.term == self.term
                     && !has_lost_log(&self.primary, report, situation)
             }
         }
@@ -201,6 +212,7 @@
 
     fn check_record(&mut self, situation: &dyn Situation) -> Action {
         if self.reason == Reason::Restored {
+            self.may_calls_take_effect = situation.may_calls_take_effect();
             return self.proceed(State::CheckingRecord, Action::Collect);
         }
         self.begin(situation)
@@ -219,6 +231,9 @@
             newest_term,
         });
         match check {
+            RecordCheck::Confirmed if self.may_calls_take_effect => {
+                self.proceed(State::CheckingRecord, Action::Sleep)
+            }
             // If it is settling, some VMs may still use the primary before the recorded one.
             RecordCheck::Confirmed if !self.was_settling => {
                 let (primary, term) = (self.primary.clone(), self.term);
@@ -264,7 +279,8 @@
 
     fn choose(&mut self, situation: &dyn Situation) -> Action {
         let pause_term = self.term.max(self.reported_term) + 1;
-        let outcome = Choice::start(pause_term, &self.replaced(situation), situation);
+        let calls = self.calls.clone();
+        let outcome = Choice::start(pause_term, calls, &self.replaced(situation), situation);
         self.on_choice(outcome, situation)
     }
 
@@ -322,11 +338,16 @@
         if !situation.holds_lease() {
             return Action::End { done: false };
         }
+        let promotion_calls = match phase {
+            Phase::Moving { .. } => self.calls.clone(),
+            Phase::Steady | Phase::Settling { .. } => PromotionCalls::NONE,
+        };
         let write = Action::Write {
             primary,
             term,
             phase,
             instances: situation.instances(),
+            promotion_calls,
         };
         self.proceed(state, write)
     }
--- a/src/entry/replacement/messages.rs
+++ b/src/entry/replacement/messages.rs
@@ -5,7 +5,7 @@
 use crate::entry::adapter::PromotionOutcome;
 use crate::entry::position::Position;
 use crate::entry::promotion::{Decision, MemberReport, RecordCheck};
-use crate::entry::record::Phase;
+use crate::entry::record::{Phase, PromotionCalls};
 use crate::entry::statement::InstanceReport;
 use crate::name::InstanceName;
 use crate::time::Timestamp;
@@ -29,6 +29,8 @@
         phase: Phase,
         /// Number of instances that may hold acknowledged saves.
         instances: usize,
+        /// Promotion calls that aren't recorded as successful.
+        promotion_calls: PromotionCalls,
     },
     /// Start to wait, in the background, until no VM relies on an earlier record.
     StartConfirming,
@@ -78,6 +80,11 @@
         /// Position to reach.
         position: Position,
     },
+    /// Add to the record that an instance is about to be promoted; followed by [`Event::Written`].
+    RecordCall {
+        /// The instance.
+        instance: InstanceName,
+    },
     /// Promote an instance; followed by [`Event::Called`].
     CallPromotion {
         /// The instance.
@@ -87,6 +94,8 @@
     AwaitLeadership {
         /// The instance.
         instance: InstanceName,
+        /// First term that counts. It may have led in an earlier one.
+        first_term: u64,
     },
     /// Pause before the next attempt.
     Sleep,
@@ -129,7 +138,7 @@
     Reached(bool),
     /// Outcome of the promotion call.
     Called(PromotionOutcome),
-    /// Term in which the instance leads; `None` if it doesn't.
+    /// Term in which the instance leads; `None` if it doesn't lead in a term that counts.
     Led(Option<u64>),
 }
 
@@ -158,6 +167,10 @@
     /// Returns whether the failover lease can't have been granted to another VM yet.
     fn holds_lease(&self) -> bool;
 
+    /// Returns whether a promotion call of this VM, or of a former holder of the failover lease, may still
+    /// take effect.
+    fn may_calls_take_effect(&self) -> bool;
+
     /// Returns whether no VM relies on an earlier record any more.
     fn is_confirmed(&self) -> bool;
 
@@ -167,6 +180,9 @@
     /// Returns whether an instance is announced.
     fn is_announced(&self, instance: &InstanceName) -> bool;
 
+    /// Returns the start of an instance's process in Unix milliseconds; `None` if it isn't announced.
+    fn started_at_ms(&self, instance: &InstanceName) -> Option<u64>;
+
     /// Returns the latest position that an instance is known to have reported as the primary.
     fn reported_position(&self, instance: &InstanceName) -> Option<Position>;
 
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -260,6 +260,12 @@
         record.is_none_or(|record| record.revision <= revision)
     }
 
+    /// Returns whether the record of a database already names the replacement that a phase names.
+    pub fn is_replaced_by(&self, database: &DatabaseName, phase: &Phase) -> bool {
+        let known = self.record(database);
+        *phase != Phase::Steady && known.is_some_and(|known| known.phase == *phase)
+    }
+
     fn record(&self, database: &DatabaseName) -> Option<&PrimaryRecord> {
         let record = self.databases.get(database)?.record.as_ref()?;
         Some(&record.record).filter(|_| record.is_reliable())
--- a/src/entry/succession.rs
+++ b/src/entry/succession.rs
@@ -1,11 +1,13 @@
 //! Calls of a replacement to the instances of a database, and to the platform.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep};
 
 use super::adapter::{PromotionCall, PromotionOutcome};
+use super::clock;
 use super::control::ControlLink;
 use super::failover_lease::FailoverLease;
 use super::instance::Instance;
@@ -17,6 +19,7 @@
 use super::reports::{self, REPORT_TIMEOUT};
 use super::statement::{InstanceCommand, InstanceReport};
 use crate::name::{DatabaseName, InstanceName};
+use crate::time::Timestamp;
 
 /// Time limit for a replica to receive the log entries that the primary or another replica has.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -28,6 +31,9 @@
 /// a promotion is attempted.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time after a promotion call within which it takes effect, if it does.
+const EFFECT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Time limit for an instance to become the primary after the promotion call.
 const LEADERSHIP_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -44,6 +50,8 @@
     pub generation: u64,
     /// Former primary.
     pub former: InstanceName,
+    /// Time at which the last promotion call ended; [`Timestamp::ZERO`] if there was none.
+    pub called_at: Cell<Timestamp>,
 }
 
 impl Succession {
@@ -142,6 +150,7 @@
         };
         self.lease.begin_call();
         let outcome = (self.node.adapter.promote)(call).await;
+        self.called_at.set(clock::now());
         log::info!(
             "event=promotion_called database={} instance={name} generation={} outcome={outcome:?}",
             self.database,
@@ -153,13 +162,21 @@
         outcome
     }
 
-    /// Waits until an instance leads; returns its term.
-    pub async fn await_leadership(&self, name: &InstanceName) -> Option<u64> {
+    /// Returns whether a promotion call of this replacement, or of a former holder of the failover lease, may
+    /// still take effect.
+    pub fn may_calls_take_effect(&self) -> bool {
+        let called_at = self.called_at.get().max(self.lease.acquired_at());
+        clock::now() < called_at + EFFECT_TIMEOUT
+    }
+
+    /// Waits until an instance leads in `first_term` or a later one; returns its term.
+    pub async fn await_leadership(&self, name: &InstanceName, first_term: u64) -> Option<u64> {
         let mut link = ControlLink::new(Rc::clone(&self.node), self.instance(name)?);
         let end = Instant::now() + LEADERSHIP_TIMEOUT;
         while Instant::now() < end {
             let report = link.request(&InstanceCommand::Report, REPORT_TIMEOUT).await;
-            if let Some(report) = report.filter(|report| report.is_primary) {
+            let leads = |report: &InstanceReport| report.is_primary && report.term >= first_term;
+            if let Some(report) = report.filter(leads) {
                 return Some(report.term);
             }
             sleep(POLL_INTERVAL).await;
--- a/src/entry/synchronization.rs
+++ b/src/entry/synchronization.rs
@@ -252,6 +252,7 @@
             return;
         }
     };
+    let is_confirming = node.state.borrow().is_replaced_by(&database, &record.phase);
     if !store_record(&mut node.state.borrow_mut(), &database, &record, revision) {
         return;
     }
@@ -263,7 +264,7 @@
         record.phase,
         revision.0
     );
-    if node.state.borrow().confirms(clock::now()) {
+    if !is_confirming && node.state.borrow().confirms(clock::now()) {
         confirm(node, database, &record);
     }
 }
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -2,6 +2,7 @@
 //!
 //! What is done next is decided by [`Replacement`].
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -66,6 +67,7 @@
                 database,
                 generation,
                 former: record.record.primary.clone(),
+                called_at: Cell::default(),
             }),
             record,
             confirming: None,
@@ -137,12 +139,9 @@
                 let members = succession.members();
                 Event::Reported(reports::collect(&succession.node, members).await)
             }
-            Action::Write {
-                primary,
-                term,
-                phase,
-                instances,
-            } => Event::Written(self.write(primary, term, phase, instances).await),
+            Action::Write { .. } | Action::RecordCall { .. } => {
+                Event::Written(self.write(action).await)
+            }
             Action::StartConfirming => {
                 let update = self.record_update();
                 let confirming = Confirming::start(&succession.node, update, succession.generation);
@@ -203,9 +202,10 @@
             Action::CallPromotion { instance } => {
                 Event::Called(succession.call_promotion(&instance).await)
             }
-            Action::AwaitLeadership { instance } => {
-                Event::Led(succession.await_leadership(&instance).await)
-            }
+            Action::AwaitLeadership {
+                instance,
+                first_term,
+            } => Event::Led(succession.await_leadership(&instance, first_term).await),
             action => unreachable!("{action:?} calls no instance"),
         }
     }
@@ -248,37 +248,46 @@
         }
     }
 
-    async fn write(
-        &mut self,
-        primary: InstanceName,
-        term: u64,
-        phase: Phase,
-        instances: usize,
-    ) -> bool {
+    /// Writes the record that an action asks for; returns whether the store has it.
+    async fn write(&mut self, action: Action) -> bool {
         let Succession {
             node,
             database,
             generation,
             ..
         } = &*self.succession;
-        if matches!(phase, Phase::Moving { .. }) {
+        let record = match action {
+            Action::Write {
+                primary,
+                term,
+                phase,
+                instances,
+                promotion_calls,
+            } => PrimaryRecord {
+                primary,
+                term,
+                phase,
+                instances,
+                timeline: node.adapter.store.timeline(),
+                promotion_calls,
+            },
+            Action::RecordCall { instance } => {
+                let mut record = self.record.record.clone();
+                record.promotion_calls.add(&instance);
+                record
+            }
+            action => unreachable!("{action:?} writes no record"),
+        };
+        let is_beginning = self.confirming.is_none();
+        if is_beginning && matches!(record.phase, Phase::Moving { .. }) {
             node.confirmations.begin((database.clone(), *generation));
         }
-        let record = PrimaryRecord {
-            primary,
-            term,
-            phase,
-            instances,
-            timeline: node.adapter.store.timeline(),
-        };
         let expected = self.record.stored;
-        match records::write(node, database, expected, record).await {
-            Some(record) => {
-                self.record = record;
-                true
-            }
-            None => false,
-        }
+        let Some(written) = records::write(node, database, expected, record).await else {
+            return false;
+        };
+        self.record = written;
+        true
     }
 
     /// Notifies the other instances of the replacement: the former primary steps down, the replicas
@@ -344,6 +353,10 @@
         self.succession.lease.is_valid()
     }
 
+    fn may_calls_take_effect(&self) -> bool {
+        self.succession.may_calls_take_effect()
+    }
+
     fn is_confirmed(&self) -> bool {
         self.is_confirmed
     }
@@ -357,6 +370,11 @@
         self.succession.instance(instance).is_some()
     }
 
+    fn started_at_ms(&self, instance: &InstanceName) -> Option<u64> {
+        let instance = self.succession.instance(instance)?;
+        Some(instance.started_at_ms)
+    }
+
     fn reported_position(&self, instance: &InstanceName) -> Option<Position> {
         self.succession.reported_position(instance)
     }
--- a/src/entry/tenure.rs
+++ b/src/entry/tenure.rs
@@ -86,6 +86,7 @@
         };
         held.renew(sent_at, ttl);
         if let Some(generation) = claim(node, lease).await {
+            held.acquire(clock::now());
             log::info!(
                 "event=duty_taken generation={} databases={}",
                 generation.0,
--- a/tests/decoders.rs
+++ b/tests/decoders.rs
@@ -13,7 +13,8 @@
 use currantlb::entry::encoded::EncodedConfiguration;
 use currantlb::entry::position::Position;
 use currantlb::entry::record::{
-    FailoverLeaseRecord, GatewayList, Phase, PrimaryRecord, SettledTimelineRecord, VmRecord,
+    FailoverLeaseRecord, GatewayList, Phase, PrimaryRecord, PromotionCalls, SettledTimelineRecord,
+    VmRecord,
 };
 use currantlb::entry::statement::{Access, InstanceCommand, Prepared, SessionState};
 use currantlb::entry::task::{Action, Reply, Runnable, Task};
@@ -34,6 +35,7 @@
         },
         instances: 3,
         timeline: Timeline(1),
+        promotion_calls: PromotionCalls::Unknown,
     }
 }
 
--- a/tests/model_replacement.rs
+++ b/tests/model_replacement.rs
@@ -21,7 +21,7 @@
 mod world;
 
 use steps::next;
-use world::{Bounds, Defect, Violation, World};
+use world::{Bounds, Defect, Start, Violation, World};
 
 /// Number of states after which an exploration ends.
 const MAX_STATES: usize = 300_000;
@@ -76,6 +76,8 @@
 }
 
 const NOTHING: Bounds = Bounds {
+    start: Start::Steady,
+    cuts: 0,
     faults: 0,
     crashes: 0,
     joins: 0,
@@ -97,8 +99,25 @@
     ..NOTHING
 };
 
+/// The holder has ended after its promotion call, and instances are cut off one after the other.
+const CALLED: Bounds = Bounds {
+    start: Start::Called,
+    cuts: 1,
+    holders: 2,
+    has_third: true,
+    ..CUT
+};
+
+/// The new primary is cut off, and the former one still leads. A call may be lost.
+const REPLACED: Bounds = Bounds {
+    start: Start::Replaced,
+    faults: 1,
+    has_third: true,
+    ..NOTHING
+};
+
 /// Explorations of the present code: up to [`MAX_STATES`] states each, those with the fewest steps first.
-const CASES: [Bounds; 11] = [
+const CASES: [Bounds; 15] = [
     Bounds {
         faults: 1,
         ..NOTHING
@@ -142,6 +161,18 @@
         holders: 2,
         ..CUT
     },
+    CALLED,
+    Bounds {
+        saves: 0,
+        faults: 1,
+        crashes: 1,
+        ..CALLED
+    },
+    REPLACED,
+    Bounds {
+        holders: 2,
+        ..REPLACED
+    },
 ];
 
 #[test]
@@ -188,6 +219,26 @@
     }
 }
 
+/// The holder of the failover lease ends between its promotion call and the effect, or a call is lost.
+#[test]
+fn defects_in_the_knowledge_of_promotion_calls_are_caught() {
+    let cases = [
+        seeded(
+            Defect::CallsNotRecorded,
+            Violation::FormerPrimaryRecorded,
+            CALLED,
+        ),
+        seeded(
+            Defect::FormerLeadershipCounts,
+            Violation::FormerPrimaryRecorded,
+            REPLACED,
+        ),
+    ];
+    for case in cases {
+        find(&case);
+    }
+}
+
 #[test]
 fn seeded_defects_are_caught() {
     let cases = [
@@ -262,7 +313,7 @@
             Violation::LostSave,
             JOINING,
         ),
-        seeded(Defect::LateEffect, Violation::TwoPrimaries, CUT),
+        seeded(Defect::LateEffect, Violation::FormerPrimaryRecorded, CALLED),
         seeded(
             Defect::OnlyCopyLost,
             Violation::LostSave,
@@ -296,7 +347,7 @@
 }
 
 /// Parts of the names of steps that random walks take less often.
-const RARE: [&str; 4] = ["ends", "given up", "crashes", "begins"];
+const RARE: [&str; 5] = ["ends", "given up", "crashes", "begins", "cut off"];
 
 /// Pseudorandom numbers, the same for each run.
 struct Numbers(u64);
@@ -324,7 +375,7 @@
 #[test]
 fn random_walks_violate_no_guarantee_and_a_primary_can_follow() {
     const STEPS: usize = 150;
-    let walks: u64 = std::env::var("MODEL_WALKS").map_or(6_000, |walks| {
+    let walks: u64 = std::env::var("MODEL_WALKS").map_or(10_000, |walks| {
         walks.parse().expect("MODEL_WALKS is a number")
     });
     let mut acknowledged = 0;
@@ -338,6 +389,8 @@
             joins: 3,
             saves: 4,
             holders: 2,
+            start: Start::Steady,
+            cuts: if seed % 3 == 1 { 2 } else { 0 },
             is_leaving: seed % 4 == 0,
             is_cut: seed % 2 == 0,
             has_third: seed % 3 == 0,
--- a/tests/replacement/holder.rs
+++ b/tests/replacement/holder.rs
@@ -3,13 +3,13 @@
 use currantlb::entry::adapter::PromotionOutcome;
 use currantlb::entry::position::Position;
 use currantlb::entry::promotion::MemberReport;
-use currantlb::entry::record::Phase;
+use currantlb::entry::record::{Phase, PromotionCalls};
 use currantlb::entry::replacement::{Action, Answer, Event, Reason};
 
 use super::steps::Step;
 use super::world::{
     Defect, FORMER, Holder, JOINING, Known, REPLICA, Record, RecordPhase, Running, Violation,
-    World, index,
+    World, index, name,
 };
 
 /// Step of one holder that is being built: its outcomes.
@@ -21,6 +21,12 @@
     steps: &'a mut Vec<Step>,
 }
 
+/// Returns the instances that may have been called, one bit each.
+fn called(calls: &PromotionCalls) -> u8 {
+    let called = (0..3).filter(|index| calls.may_include(&name(*index)));
+    called.fold(0, |calls, index| calls | 1 << index)
+}
+
 pub fn steps(world: &World, holder: usize, defect: Defect, steps: &mut Vec<Step>) {
     let Holder::Running(running) = &world.holders[holder] else {
         return;
@@ -135,17 +141,42 @@
                 term,
                 phase,
                 instances,
-            } => self.write(index(&primary), term, &phase, instances),
+                promotion_calls,
+            } => self.write(Record {
+                primary: index(&primary),
+                term,
+                phase: self.phase(&phase),
+                instances,
+                revision: self.running.revision,
+                calls: called(&promotion_calls),
+            }),
+            Action::RecordCall { instance } => self.write(Record {
+                calls: self.world.record.calls | 1 << index(&instance),
+                revision: self.running.revision,
+                ..self.world.record
+            }),
             Action::Finish { former, term, .. } => self.finish(index(&former), term),
+            action => self.promotion(action),
+        }
+    }
+
+    /// Adds the outcomes of an action of the promotion.
+    fn promotion(&mut self, action: Action) {
+        match action {
             Action::Demote { instance, term } => self.demote(index(&instance), term),
             Action::CatchUp { instance, position } => self.catch_up(index(&instance), position),
             Action::AwaitDelivery { instance, position } => {
                 self.deliver(index(&instance), position);
             }
             Action::CallPromotion { instance } => self.call(index(&instance)),
-            Action::AwaitLeadership { instance } => {
+            Action::AwaitLeadership {
+                instance,
+                first_term,
+            } => {
                 let member = &self.world.members[index(&instance)];
-                if self.world.is_reachable(index(&instance)) && member.leads {
+                let counts =
+                    member.term >= first_term || self.defect == Defect::FormerLeadershipCounts;
+                if self.world.is_reachable(index(&instance)) && member.leads && counts {
                     let term = member.term;
                     self.add(Event::Led(Some(term)), |_| {});
                 }
@@ -155,7 +186,7 @@
                     self.add(Event::Led(None), |_| {});
                 }
             }
-            Action::End { .. } => unreachable!("the holder has ended"),
+            action => unreachable!("{action:?} has no outcome"),
         }
     }
 
@@ -245,33 +276,40 @@
         self.add(event, |world| *world = next);
     }
 
-    fn write(&mut self, primary: usize, term: u64, phase: &Phase, instances: usize) {
-        let holder = self.holder;
-        let phase = match phase {
+    const fn phase(&self, phase: &Phase) -> RecordPhase {
+        match phase {
             Phase::Steady => RecordPhase::Steady,
-            Phase::Moving { .. } => RecordPhase::Moving(holder),
-            Phase::Settling { .. } => RecordPhase::Settling(holder),
-        };
-        if self.world.record.revision != self.running.revision {
+            Phase::Moving { .. } => RecordPhase::Moving(self.holder),
+            Phase::Settling { .. } => RecordPhase::Settling(self.holder),
+        }
+    }
+
+    /// Adds that a record is written if the store still has the revision that it names.
+    fn write(&mut self, record: Record) {
+        let holder = self.holder;
+        if self.world.record.revision != record.revision {
             self.add(Event::Written(false), |_| {});
             return;
         }
-        let keeps_leaving = phase == RecordPhase::Steady
-            && primary == FORMER
+        let keeps_leaving = record.phase == RecordPhase::Steady
+            && record.primary == FORMER
             && self.world.is_leaving
             && self.world.members[FORMER].term == 1
             && self.running.heard_replica;
+        let is_moving = matches!(record.phase, RecordPhase::Moving(_));
+        let mut members = self.world.members.iter();
+        let is_replaced = members.any(|member| member.leads && member.term > record.term);
         let write = |next: &mut World| {
             next.record = Record {
-                primary,
-                term,
-                phase,
-                instances,
-                revision: next.record.revision + 1,
+                revision: record.revision + 1,
+                ..record
             };
             if keeps_leaving {
                 next.violation = Some(Violation::LeavingPrimaryKept);
             }
+            if is_replaced && !is_moving {
+                next.violation = Some(Violation::FormerPrimaryRecorded);
+            }
             if let Holder::Running(running) = &mut next.holders[holder] {
                 running.revision = next.record.revision;
             }
@@ -385,6 +423,9 @@
                     call(next);
                     next.faults -= 1;
                 });
+                self.add(Event::Called(PromotionOutcome::NoAnswer), |next| {
+                    next.faults -= 1;
+                });
             }
         }
         if !self.holds() || !self.world.members[instance].is_alive {
--- a/tests/replacement/steps.rs
+++ b/tests/replacement/steps.rs
@@ -75,14 +75,23 @@
             }
         }
     }
-    if let Some(instance) = world.promoting.first().copied() {
+    for (index, instance) in world.promoting.iter().copied().enumerate() {
         push(steps, format!("{instance} leads"), world, |next| {
-            next.promoting.remove(0);
+            next.promoting.remove(index);
             promote(next, instance);
         });
     }
-    if world.is_cut {
-        push(steps, "the cut ends", world, |next| next.is_cut = false);
+    if world.cut.is_some() {
+        push(steps, "the cut ends", world, |next| next.cut = None);
+    }
+    let may_be_cut = |index: &usize| world.cut != Some(*index) && world.members[*index].is_alive;
+    for index in (0..3).filter(may_be_cut) {
+        if world.cuts > 0 {
+            push(steps, format!("{index} is cut off"), world, |next| {
+                next.cuts -= 1;
+                next.cut = Some(index);
+            });
+        }
     }
     if world.crashes > 0 {
         crash_steps(world, steps);
@@ -95,6 +104,7 @@
                 world,
                 |next| {
                     next.members[index].is_alive = true;
+                    next.members[index].starts += 1;
                     next.members[index].paused = None;
                 },
             );
@@ -122,7 +132,7 @@
             world,
             |next| {
                 next.crashes -= 1;
-                next.members[FORMER] = without_log(true);
+                next.members[FORMER] = restarted(&world.members[FORMER]);
                 next.save = next.save.filter(|save| save.instance != FORMER);
             },
         );
@@ -138,7 +148,7 @@
             world,
             |next| {
                 next.crashes -= 1;
-                next.members[REPLICA] = without_log(true);
+                next.members[REPLICA] = restarted(&world.members[REPLICA]);
             },
         );
     }
@@ -166,21 +176,30 @@
     member.paused = None;
 }
 
-fn without_log(has_restarted: bool) -> Member {
+/// Returns an instance that joins.
+fn without_log() -> Member {
     Member {
         is_alive: true,
         is_announced: true,
-        has_restarted,
         ..Member::default()
     }
 }
 
+/// Returns an instance that is started again under its name, without its log.
+fn restarted(member: &Member) -> Member {
+    Member {
+        has_restarted: true,
+        starts: member.starts + 1,
+        ..without_log()
+    }
+}
+
 fn joining_steps(world: &World, defect: Defect, steps: &mut Vec<Step>) {
     let joining = &world.members[JOINING];
     if world.joins > 0 && !joining.is_alive {
         push(steps, "an instance joins", world, |next| {
             next.joins -= 1;
-            next.members[JOINING] = without_log(false);
+            next.members[JOINING] = without_log();
         });
     }
     let is_elsewhere = joining.saves() & !world.members[REPLICA].saves() == 0;
@@ -197,7 +216,11 @@
             };
             push(steps, step, world, |next| {
                 next.joins -= 1;
-                next.members[JOINING] = without_log(!is_renamed);
+                next.members[JOINING] = if is_renamed {
+                    without_log()
+                } else {
+                    restarted(joining)
+                };
                 for holder in &mut next.holders {
                     if let Holder::Running(running) = holder
                         && is_renamed
@@ -272,18 +295,12 @@
 fn lease_steps(world: &World, defect: Defect, holders: usize, steps: &mut Vec<Step>) {
     for index in 0..holders {
         if world.leases[index] {
-            // Whatever was called in time has taken effect when the lease is granted to another VM.
-            let is_pending = !world.promoting.is_empty() && defect != Defect::LateEffect;
-            if !is_pending {
-                push(
-                    steps,
-                    format!("the lease of holder {index} ends"),
-                    world,
-                    |next| {
-                        next.leases[index] = false;
-                    },
-                );
-            }
+            push(
+                steps,
+                format!("the lease of holder {index} ends"),
+                world,
+                |next| next.leases[index] = false,
+            );
         }
         let may_begin = !world.leases.contains(&true)
             && world.holders[index] == Holder::Idle
@@ -331,11 +348,15 @@
         is_confirmed: false,
         defect,
     };
+    let mut record = world.record;
+    if defect == Defect::CallsNotRecorded {
+        record.calls = 0;
+    }
     let (machine, action) = Replacement::start(
         vm(index),
         generation(index),
         reason,
-        &world.record.versioned(),
+        &record.versioned(),
         &known,
     );
     let (revision, former) = (world.record.revision, world.record.primary);
--- a/tests/replacement/world.rs
+++ b/tests/replacement/world.rs
@@ -3,7 +3,7 @@
 use currantlb::configuration::{Revision, Timeline};
 use currantlb::entry::position::Position;
 use currantlb::entry::promotion::MemberReport;
-use currantlb::entry::record::{Phase, PrimaryRecord, VersionedRecord};
+use currantlb::entry::record::{Phase, PrimaryRecord, PromotionCalls, VersionedRecord};
 use currantlb::entry::replacement::{
     Action, Note, Reason, Replacement, Situation, acknowledgement,
 };
@@ -28,6 +28,8 @@
     TwoPrimaries,
     /// A primary that leaves is kept.
     LeavingPrimaryKept,
+    /// An instance is recorded as the primary although another one leads in a later term.
+    FormerPrimaryRecorded,
 }
 
 /// Behaviour that differs from the present one.
@@ -60,8 +62,12 @@
     /// Not a defect of the state machine but present behaviour: a VM that registers while a primary is
     /// replaced, and isn't waited for, still acknowledges a save that it has sent before.
     RegisteredVmAcknowledges,
-    /// Not a defect of the state machine: an accepted promotion takes effect after the lease under
-    /// which it was called has been granted to another VM.
+    /// A holder doesn't know of the promotion calls that the record names.
+    CallsNotRecorded,
+    /// An instance that leads in an earlier term counts as promoted.
+    FormerLeadershipCounts,
+    /// Not a defect of the state machine: a promotion takes effect after the time within which calls are
+    /// expected to.
     LateEffect,
     /// Not a defect of the state machine: a replica starts again without its log while no other one
     /// has an acknowledged save.
@@ -88,6 +94,8 @@
     pub log: Vec<Entry>,
     /// Whether it was started again under its name.
     pub has_restarted: bool,
+    /// Number of times that it was started again.
+    pub starts: u8,
 }
 
 impl Member {
@@ -128,6 +136,8 @@
     pub phase: RecordPhase,
     pub instances: usize,
     pub revision: u64,
+    /// Instances that may have been called to be promoted, one bit each.
+    pub calls: u8,
 }
 
 impl Record {
@@ -149,6 +159,12 @@
             },
             instances: self.instances,
             timeline: Timeline::default(),
+            promotion_calls: PromotionCalls::Named(
+                (0..3)
+                    .filter(|index| self.calls & 1 << index != 0)
+                    .map(name)
+                    .collect(),
+            ),
         }
     }
 
@@ -240,8 +256,10 @@
     /// Instance that has reported last as the primary, and its latest position.
     pub reported: (usize, Position),
     pub is_leaving: bool,
-    /// Whether the holders don't reach the former primary.
-    pub is_cut: bool,
+    /// Instance that the holders don't reach.
+    pub cut: Option<usize>,
+    /// Number of times that an instance may still be cut off.
+    pub cuts: u8,
     pub faults: u8,
     pub crashes: u8,
     pub joins: u8,
@@ -291,8 +309,9 @@
             phase: RecordPhase::Steady,
             instances: 2 + usize::from(bounds.has_third),
             revision: 1,
+            calls: 0,
         };
-        Self {
+        let world = Self {
             members: [primary, follower, third],
             record,
             vm: Vm {
@@ -308,13 +327,48 @@
             acknowledged: 0,
             reported: (FORMER, Position::default()),
             is_leaving: bounds.is_leaving,
-            is_cut: bounds.is_cut,
+            cut: bounds.is_cut.then_some(FORMER),
+            cuts: bounds.cuts,
             faults: bounds.faults,
             crashes: bounds.crashes,
             joins: bounds.joins,
             saves: bounds.saves,
             violation: None,
+        };
+        match bounds.start {
+            Start::Steady => world,
+            Start::Called => world.called(),
+            Start::Replaced => world.replaced(),
+        }
+    }
+
+    /// Returns the state after the first holder has called for the replica, without the former primary's
+    /// report, and has ended.
+    fn called(mut self) -> Self {
+        self.record.phase = RecordPhase::Moving(0);
+        self.record.calls = 1 << REPLICA;
+        self.record.revision = 3;
+        (self.vm.record, self.vm.withholds) = (self.record, true);
+        for member in &mut self.members[REPLICA..] {
+            member.paused = member.is_alive.then_some(2);
         }
+        self.members[REPLICA].paused = None;
+        self.promoting = vec![REPLICA];
+        self.holders[0] = Holder::Ended;
+        self.leases[0] = true;
+        self
+    }
+
+    /// Returns the state after the replica has been promoted, recorded and cut off, while the former primary
+    /// knows nothing of it.
+    fn replaced(mut self) -> Self {
+        (self.members[REPLICA].leads, self.members[REPLICA].term) = (true, 2);
+        (self.record.primary, self.record.term) = (REPLICA, 2);
+        self.vm.record = self.record;
+        self.cut = Some(REPLICA);
+        // Makes the former primary the one to be promoted.
+        self.members[FORMER].log = vec![Entry { term: 1, save: 0 }];
+        self
     }
 
     pub fn report(&self, index: usize) -> MemberReport {
@@ -340,7 +394,7 @@
         world.holders = [Holder::Idle, Holder::Idle];
         world.leases = [false; 2];
         (world.faults, world.crashes, world.joins, world.saves) = (0, 0, 0, 0);
-        (world.is_cut, world.is_leaving) = (false, false);
+        (world.cut, world.cuts, world.is_leaving) = (None, 0, false);
         world
     }
 
@@ -355,7 +409,10 @@
         let others = (0..3).filter(|index| *index != self.record.primary);
         let others = others.filter(|index| self.members[*index].is_alive);
         let others = others.filter(|index| !self.has_lost_log(*index)).count();
-        let is_heard = primary.is_alive && has_log || others + 1 >= self.record.instances;
+        // An instance that has joined counts before the record says so.
+        let announced = 2 + usize::from(self.members[JOINING].is_announced);
+        let instances = self.record.instances.max(announced);
+        let is_heard = primary.is_alive && has_log || others + 1 >= instances;
         is_heard && alive.filter(has_all).count() > 0
     }
 
@@ -368,7 +425,7 @@
 
     /// Returns whether a holder and an instance reach each other.
     pub fn is_reachable(&self, index: usize) -> bool {
-        self.members[index].is_alive && !(self.is_cut && index == FORMER)
+        self.members[index].is_alive && self.cut != Some(index)
     }
 
     /// Returns the instance that leads in the newest term.
@@ -378,9 +435,23 @@
     }
 }
 
+/// State in which an exploration starts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Start {
+    /// Nothing is under way.
+    Steady,
+    /// The first holder has ended after its promotion call for the replica.
+    Called,
+    /// The replica has been promoted and recorded, and is cut off. The former primary knows nothing of it.
+    Replaced,
+}
+
 /// Number of events of each kind that an exploration allows.
 #[derive(Debug, Clone, Copy)]
 pub struct Bounds {
+    pub start: Start,
+    /// Times that an instance is cut off from the holders.
+    pub cuts: u8,
     /// Lost reports and answers.
     pub faults: u8,
     /// Crashes, and starts without the log.
@@ -428,6 +499,10 @@
         self.world.leases[self.holder] || self.defect == Defect::SuspendedHolderPromotes
     }
 
+    fn may_calls_take_effect(&self) -> bool {
+        !self.world.promoting.is_empty() && self.defect != Defect::LateEffect
+    }
+
     fn is_confirmed(&self) -> bool {
         self.is_confirmed
     }
@@ -440,6 +515,11 @@
         index(instance) != JOINING || self.knows_joining
     }
 
+    fn started_at_ms(&self, instance: &InstanceName) -> Option<u64> {
+        let starts = self.world.members[index(instance)].starts;
+        self.is_announced(instance).then_some(u64::from(starts))
+    }
+
     fn reported_position(&self, instance: &InstanceName) -> Option<Position> {
         let (reported, position) = self.world.reported;
         let is_known = index(instance) == reported && self.defect != Defect::LostLogCounts;
--- a/tests/versions.rs
+++ b/tests/versions.rs
@@ -17,7 +17,9 @@
 };
 use currantlb::entry::datagram::{RecordUpdate, Rest, TokenAnswer, TokenAsk};
 use currantlb::entry::position::Position;
-use currantlb::entry::record::{FailoverLeaseRecord, GatewayList, Phase, PrimaryRecord, VmRecord};
+use currantlb::entry::record::{
+    FailoverLeaseRecord, GatewayList, Phase, PrimaryRecord, PromotionCalls, VmRecord,
+};
 use currantlb::entry::statement::{Access, InstanceCommand, Prepared, SessionState};
 use currantlb::entry::task::{Action, Reply, Runnable, Task};
 use proptest::prelude::*;
@@ -41,6 +43,7 @@
         },
         instances: 3,
         timeline: Timeline(1),
+        promotion_calls: PromotionCalls::Unknown,
     }
 }
 
