Lost logs: a VM that has just started knows under which starts the instances were recorded

All instances crash and all VMs are killed at once; the replicas are back first, without their logs, and one of them is promoted. Cause: that an instance was started again was known only to VMs that had seen an earlier start of it. A VM that has just started takes the present one for the first, so that the report of a replica that has lost its log counts. Change: the record names the first known start of each instance (`started_at_ms`, the last field, in the store only). It is written with each record; an instance that isn't named yet is added when it is counted, and names are dropped when all counted instances are announced. An instance with another start than the recorded one that holds nothing of a database that isn't empty has lost its log.

--- a/src/entry/failover.rs
+++ b/src/entry/failover.rs
@@ -168,13 +168,19 @@
     let Some(report) = report.filter(|report| report.is_primary) else {
         return;
     };
+    let (instances, started_at_ms) = {
+        let state = node.state.borrow();
+        let database = &primary.database;
+        (state.count_logs(database), state.first_starts(database))
+    };
     let record = PrimaryRecord {
         primary: primary.name.clone(),
         term: report.term,
         phase: Phase::Steady,
-        instances: node.state.borrow().count_logs(&primary.database),
+        instances,
         timeline: node.adapter.store.timeline(),
         promotion_calls: PromotionCalls::NONE,
+        started_at_ms,
     };
     records::write(node, &primary.database, Revision(0), record).await;
 }
--- a/src/entry/group_size.rs
+++ b/src/entry/group_size.rs
@@ -2,10 +2,11 @@
 //!
 //! The count is part of the record of the primary, so that a VM that starts knows of instances that it has
 //! never seen. It follows the announcements: it grows when an instance joins, and shrinks when one has
-//! left and the others have received everything that it may have confirmed.
+//! left and the others have received everything that it may have confirmed. The record also names the start of each
+//! instance, so that such a VM notices one that was started again without its log.
 
 use std::cell::RefCell;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,7 +25,7 @@
 use super::reports::{self, REPORT_TIMEOUT};
 use super::state::State;
 use super::statement::InstanceCommand;
-use crate::name::DatabaseName;
+use crate::name::{DatabaseName, InstanceName};
 use crate::time::Timestamp;
 
 /// Time for which an instance that vanished without announcing that it leaves is still counted: it may
@@ -101,10 +102,15 @@
     count: usize,
 ) -> Option<(Resize, Duration)> {
     let known = state.databases.get(database)?;
-    let recorded = steady_record(state, database)?.record.instances;
+    let record = &steady_record(state, database)?.record;
+    let recorded = record.instances;
     let primary = state.primary(database)?;
-    if count > recorded {
-        return Some((Resize::Grow(count), GROWTH_DELAY));
+    let mut members = state.directory.in_database(database);
+    let has_joined = members.any(|instance| {
+        !record.started_at_ms.contains_key(&instance.name) && !state.has_left(instance)
+    });
+    if count > recorded || has_joined {
+        return Some((Resize::Grow(count.max(recorded)), GROWTH_DELAY));
     }
     if count == recorded.max(known.group_size)
         || node.health_verdict(&primary.name) != Verdict::Healthy
@@ -152,6 +158,7 @@
     };
     let resized = PrimaryRecord {
         instances,
+        started_at_ms: starts(&node.state.borrow(), database, instances),
         ..record.record
     };
     let written = records::write(node, database, record.stored, resized).await;
@@ -161,6 +168,16 @@
     );
 }
 
+/// Returns the first known starts of a database's instances. Those that aren't announced are left out if all that
+/// are counted are announced.
+fn starts(state: &State, database: &DatabaseName, instances: usize) -> BTreeMap<InstanceName, u64> {
+    let mut starts = state.first_starts(database);
+    if state.count_logs(database) >= instances {
+        starts.retain(|name, _| state.directory.get(name).is_some());
+    }
+    starts
+}
+
 /// Returns whether any of the instances, which have left or aren't announced any more, still responds. It may confirm
 /// further saves then.
 async fn responds(node: &Rc<Node>, instances: Vec<Rc<Instance>>) -> bool {
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -133,6 +133,12 @@
         departed.filter(move |instance| instance.database == *database)
     }
 
+    /// Returns the start of the process under which an announced instance was first known, in Unix
+    /// milliseconds.
+    pub fn first_started_at_ms(&self, name: &InstanceName) -> Option<u64> {
+        self.first_started_at_ms.get(name).copied()
+    }
+
     /// Returns whether an instance is known to have started again under its name.
     pub fn has_restarted(&self, name: &InstanceName) -> bool {
         let first = self.first_started_at_ms.get(name);
--- a/src/entry/record.rs
+++ b/src/entry/record.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use serde::{Deserialize, Serialize};
 use strum::Display;
 
 use crate::configuration::{Revision, Timeline};
@@ -46,9 +46,9 @@
 /// Instances that the holders of the failover lease may have called to be promoted since a primary was last
 /// recorded as steady.
 ///
-/// Part of the records in the store only. Datagrams encode it as nothing, because their layout is by position; a
-/// VM that has received a record from another VM therefore doesn't know the calls.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+/// A VM that has received a record from another VM, and not from the store, doesn't know them.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(from = "Option<Vec<InstanceName>>", into = "Option<Vec<InstanceName>>")]
 pub enum PromotionCalls {
     /// Any instance may have been called: the record was written by an earlier version, which doesn't name
     /// them, or was received from another VM.
@@ -95,25 +95,47 @@
     }
 }
 
-impl Serialize for PromotionCalls {
-    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        match self {
-            Self::Named(instances) if serializer.is_human_readable() => {
-                serializer.serialize_some(instances)
-            }
-            Self::Unknown if serializer.is_human_readable() => serializer.serialize_none(),
-            _ => serializer.serialize_unit(),
+impl From<Option<Vec<InstanceName>>> for PromotionCalls {
+    fn from(instances: Option<Vec<InstanceName>>) -> Self {
+        instances.map_or(Self::Unknown, Self::Named)
+    }
+}
+
+impl From<PromotionCalls> for Option<Vec<InstanceName>> {
+    fn from(calls: PromotionCalls) -> Self {
+        match calls {
+            PromotionCalls::Unknown => None,
+            PromotionCalls::Named(instances) => Some(instances),
         }
     }
 }
 
-impl<'de> Deserialize<'de> for PromotionCalls {
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        if !deserializer.is_human_readable() {
-            return Ok(Self::Unknown);
+/// Encodes a field in the store's records only. The layout of datagrams is by position and has no room for it.
+mod stored_only {
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    pub fn serialize<T, S>(value: &T, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        T: Serialize,
+        S: Serializer,
+    {
+        if serializer.is_human_readable() {
+            value.serialize(serializer)
+        } else {
+            serializer.serialize_unit()
+        }
+    }
+
+    pub fn deserialize<'de, T, D>(deserializer: D) -> Result<T, D::Error>
+    where
+        T: Deserialize<'de> + Default,
+        D: Deserializer<'de>,
+    {
+        if deserializer.is_human_readable() {
+            T::deserialize(deserializer)
+        } else {
+            Ok(T::default())
         }
-        let instances = Option::deserialize(deserializer)?;
-        Ok(instances.map_or(Self::Unknown, Self::Named))
     }
 }
 
@@ -132,9 +154,13 @@
     /// Timeline of the store in which the record was written.
     #[serde(default)]
     pub timeline: Timeline,
-    /// Promotion calls of the replacement that is under way.
-    #[serde(default)]
+    /// Promotion calls of the replacement that is under way. In the store only.
+    #[serde(default, with = "stored_only")]
     pub promotion_calls: PromotionCalls,
+    /// Start of each instance's process, in Unix milliseconds, when it was first known. An instance that has another
+    /// start now may have lost its log. In the store only.
+    #[serde(default, with = "stored_only")]
+    pub started_at_ms: BTreeMap<InstanceName, u64>,
 }
 
 impl PrimaryRecord {
@@ -189,7 +215,7 @@
             && self.record.promotion_calls == PromotionCalls::Unknown
         {
             // The same record, now as the store holds it.
-            self.record.promotion_calls = received.record.promotion_calls.clone();
+            self.record = received.record.clone();
         }
         let is_newer = received.revision > self.revision;
         let is_replaced = is_newer && (received.is_reliable() || !self.is_reliable());
--- a/src/entry/record/tests.rs
+++ b/src/entry/record/tests.rs
@@ -9,6 +9,7 @@
         instances: 3,
         timeline: Timeline(timeline),
         promotion_calls: PromotionCalls::NONE,
+        started_at_ms: BTreeMap::new(),
     }
 }
 
@@ -120,7 +121,7 @@
 
 /// The layout of datagrams is by position: a field in the middle would make earlier versions misread the rest.
 #[test]
-fn promotion_calls_are_part_of_stored_records_only() {
+fn promotion_calls_and_starts_are_part_of_stored_records_only() {
     struct Case {
         name: &'static str,
         calls: PromotionCalls,
@@ -149,6 +150,7 @@
     for case in cases {
         let record = PrimaryRecord {
             promotion_calls: case.calls,
+            started_at_ms: BTreeMap::from([(InstanceName::from("a"), 7)]),
             ..record("p", 4)
         };
         let bytes = postcard::to_stdvec(&record);
@@ -163,6 +165,7 @@
         let value = serde_json::to_vec(&record).unwrap();
         let read: PrimaryRecord = serde_json::from_slice(&value).unwrap();
         assert_eq!(read.promotion_calls, case.stored, "{}", case.name);
+        assert_eq!(read.started_at_ms, record.started_at_ms, "{}", case.name);
     }
     let former = r#"{"primary":"p","term":1,"phase":"Steady","instances":3}"#;
     let read: PrimaryRecord = serde_json::from_str(former).unwrap();
--- a/src/entry/reports.rs
+++ b/src/entry/reports.rs
@@ -100,5 +100,5 @@
     let position = record.and_then(|record| known?.primary_position(&record.primary));
     let is_database_empty = position.is_some_and(|position| position.number == 0);
     let holds_nothing = report.received.number == 0;
-    holds_nothing && !is_database_empty && state.directory.has_restarted(&instance.name)
+    holds_nothing && !is_database_empty && state.has_restarted(instance)
 }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -203,6 +203,35 @@
         addresses.collect::<HashSet<_>>().len()
     }
 
+    /// Returns the first known start of each instance of a database, for its record: those that it names, and
+    /// those of other announced instances.
+    pub fn first_starts(&self, database: &DatabaseName) -> BTreeMap<InstanceName, u64> {
+        let mut starts = self.announced_starts(database);
+        let known = self.databases.get(database);
+        if let Some(record) = known.and_then(|known| known.record.as_ref()) {
+            starts.extend(record.record.started_at_ms.clone());
+        }
+        starts
+    }
+
+    fn announced_starts(&self, database: &DatabaseName) -> BTreeMap<InstanceName, u64> {
+        let names = self.directory.in_database(database);
+        let names = names.map(|instance| &instance.name);
+        names
+            .filter_map(|name| Some((name.clone(), self.directory.first_started_at_ms(name)?)))
+            .collect()
+    }
+
+    /// Returns whether an instance is known to have started again under its name, from its announcements or
+    /// from the record of its database.
+    pub fn has_restarted(&self, instance: &Instance) -> bool {
+        let known = self.databases.get(&instance.database);
+        let record = known.and_then(|known| known.record.as_ref());
+        let recorded = record.and_then(|record| record.record.started_at_ms.get(&instance.name));
+        recorded.is_some_and(|start| *start != instance.started_at_ms)
+            || self.directory.has_restarted(&instance.name)
+    }
+
     /// Returns when the zone of an instance ceased to be evacuated; `None` if it is evacuated or
     /// never was, or if the instance is the primary, which needn't have been left.
     pub fn returned_at(&self, instance: &Instance) -> Option<Timestamp> {
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -270,6 +270,7 @@
                 instances,
                 timeline: node.adapter.store.timeline(),
                 promotion_calls,
+                started_at_ms: node.state.borrow().first_starts(database),
             },
             Action::RecordCall { instance } => {
                 let mut record = self.record.record.clone();
--- a/tests/decoders.rs
+++ b/tests/decoders.rs
@@ -36,6 +36,7 @@
         instances: 3,
         timeline: Timeline(1),
         promotion_calls: PromotionCalls::Unknown,
+        started_at_ms: BTreeMap::new(),
     }
 }
 
--- a/tests/replacement/world.rs
+++ b/tests/replacement/world.rs
@@ -1,5 +1,7 @@
 //! State of the model: instances, VMs, holders of the failover lease, the store.
 
+use std::collections::BTreeMap;
+
 use currantlb::configuration::{Revision, Timeline};
 use currantlb::entry::position::Position;
 use currantlb::entry::promotion::MemberReport;
@@ -165,6 +167,7 @@
                     .map(name)
                     .collect(),
             ),
+            started_at_ms: BTreeMap::new(),
         }
     }
 
