--- a/src/entry/replacement.rs
+++ b/src/entry/replacement.rs
@@ -15,8 +15,9 @@
 //! | confirming last: the former primary hasn't reported | no VM acknowledges its saves any more; all replicas are then paused again |
 //! | catching up | the chosen instance has received what another has, or the time limit has passed |
 //! | demoting a former primary that reports that it leads | what it sent has arrived at the chosen instance; if not, the replicas are paused again |
+//! | recording the call | the record names the chosen instance, so that the next holder knows that it may be promoted |
 //! | calling the promotion | the platform has answered, or the call has been given up |
-//! | awaiting leadership | the chosen instance reports that it leads; if it doesn't in time, the replicas are paused again |
+//! | awaiting leadership | the chosen instance reports that it leads in a later term; if it doesn't in time, the replicas are paused again |
 //! | settling: a VM hasn't confirmed yet | no VM relies on an earlier record any more |
 //! | finishing | the record says `steady`; the other instances are notified |
 //!
