--- a/src/entry/promotion.rs
+++ b/src/entry/promotion.rs
@@ -80,19 +80,19 @@
 impl UnrecordedCalls {
     /// Returns whether the platform regards an instance that leads as the primary: it has accepted to promote
     /// it, and that changed nothing.
-    fn are_redundant_for(&self, leader: &InstanceName) -> bool {
+    fn changed_nothing_for(&self, leader: &InstanceName) -> bool {
         !self.may_take_effect && self.accepted.as_ref() == Some(leader)
     }
 
-    /// Returns whether an instance that leads is the latest one that was promoted. An instance that was
-    /// called and hasn't reported may lead in a later term.
-    fn leave_primary(
+    /// Returns whether an instance that leads may be kept: no other one can have been promoted after it. An
+    /// instance that was called and hasn't reported may lead in a later term.
+    fn allow_keeping(
         &self,
         leader: &MemberReport,
         replaced: &Replaced<'_>,
         reports: &[MemberReport],
     ) -> bool {
-        if self.are_redundant_for(&leader.instance)
+        if self.changed_nothing_for(&leader.instance)
             || !self.instances.may_include_other(&leader.instance)
         {
             return true;
@@ -106,14 +106,14 @@
             PromotionCalls::Named(called) => called
                 .iter()
                 .all(|name| *name == leader.instance || has_reported(name)),
-            // A former holder has promoted it.
+            // A former holder has promoted it, after the recorded primary.
             PromotionCalls::Unknown if leader.instance != *replaced.primary => true,
             PromotionCalls::Unknown => counted(reports).count() >= replaced.instances,
         }
     }
 
     /// Returns whether an instance may be promoted now, so that no earlier call takes effect after that.
-    fn permit(&self, instance: &InstanceName) -> bool {
+    fn allow_promoting(&self, instance: &InstanceName) -> bool {
         !self.may_take_effect || !self.instances.may_include_other(instance)
     }
 }
@@ -143,14 +143,16 @@
         return Decision::Unheard;
     }
     let decision = match current_leader(replaced, calls, reports) {
-        Some(leader) if calls.leave_primary(leader, replaced, reports) => {
+        Some(leader) if calls.allow_keeping(leader, replaced, reports) => {
             return Decision::AlreadyLeads(leader.instance.clone());
         }
         Some(leader) => Decision::Promote(leader.instance.clone()),
         None => choose(replaced, calls, reports),
     };
     match &decision {
-        Decision::Promote(chosen) | Decision::CatchUp(chosen, _) if !calls.permit(chosen) => {
+        Decision::Promote(chosen) | Decision::CatchUp(chosen, _)
+            if !calls.allow_promoting(chosen) =>
+        {
             Decision::AwaitEffect
         }
         _ => decision,
@@ -178,7 +180,7 @@
                 Knowledge::Unfinished => member.may_lead || !may_others_lead,
                 Knowledge::Restored => Some(member.report.term) == newest_term,
             };
-        let is_regarded = calls.are_redundant_for(&member.instance);
+        let is_regarded = calls.changed_nothing_for(&member.instance);
         member.report.is_primary && (newer || kept || is_regarded)
     };
     let leaders = reports.iter().filter(leads);
